--- /dev/null
+++ b/cmd/papayaworks/demo.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/papayaworks/papayaworks/internal/demonstrator"
+	"github.com/papayaworks/papayaworks/internal/logger"
+)
+
+const demoHelp = `Starts a whole deployment at a first user's size in this process, with stand-ins for the platform,
+plays a seeded day in less than a minute and prints what callers saw.
+
+Examples:
+  papayaworks demo --seed 1
+  papayaworks demo --user cooperative --duration 20s --json
+
+Exit status: 0 if no answer was lost, no order ran twice and no invariant was violated, otherwise 1.`
+
+type demoCommand struct {
+	Seed     uint64        `long:"seed" default:"1" value-name:"N" description:"seed of the day's requests"`
+	User     string        `long:"user" default:"trust" choice:"trust" choice:"cooperative" description:"whose deployment"`
+	Duration time.Duration `long:"duration" default:"30s" description:"how long requests are sent"`
+	JSON     bool          `long:"json" description:"print the summary as a last line of JSON"`
+}
+
+// Execute implements flags.Commander.
+func (c *demoCommand) Execute([]string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	d := &demonstrator.Demo{
+		User: c.User, Seed: c.Seed, Duration: c.Duration, Out: os.Stdout,
+		Log: logger.New(io.Discard, "demo", logrus.InfoLevel),
+	}
+	sum, err := d.Run(ctx)
+	if err != nil {
+		return err
+	}
+	if err := c.print(sum); err != nil {
+		return err
+	}
+	if sum.Bad() {
+		return errors.New("a count that must be zero is not")
+	}
+	return nil
+}
+
+func (c *demoCommand) print(s *demonstrator.Summary) error {
+	if c.JSON {
+		return json.NewEncoder(os.Stdout).Encode(s)
+	}
+	_, err := fmt.Printf(`requests            %8d
+answered            %8d
+refused, not run    %8d
+outcome unknown     %8d
+lost                %8d
+duplicate runs      %8d
+first token p50     %8.1f ms
+first token p95     %8.1f ms
+recomputed share    %8.3f
+link traffic        %8.1f MB
+`, s.Requests, s.Answered, s.RefusedNotRun, s.UnknownOutcome, s.Lost, s.DuplicateRuns,
+		s.TTFTMsP50, s.TTFTMsP95, s.RecomputedShare, float64(s.LinkBytes)/1e6)
+	return err
+}
--- /dev/null
+++ b/internal/demonstrator/demonstrator.go
@@ -0,0 +1,224 @@
+package demonstrator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/papayaworks/papayaworks/internal/emulator"
+	"github.com/papayaworks/papayaworks/internal/logger"
+	"github.com/papayaworks/papayaworks/pkg/caller"
+)
+
+const (
+	// dayDivisor is how much faster than real time the demo runs.
+	dayDivisor = 10
+	// answerTokens is the length of the demo's answers.
+	answerTokens = 24
+	// letterBytes is the length of one letter in a thread; Malayalam takes three bytes a character.
+	letterBytes = 12000
+)
+
+// Demo is one run of the demo.
+type Demo struct {
+	User     string
+	Seed     uint64
+	Duration time.Duration
+	Out      io.Writer
+	Log      logger.Log
+}
+
+// Summary is what a demo run counted.
+type Summary struct {
+	Requests            int     `json:"requests"`
+	Answered            int     `json:"answered"`
+	RefusedNotRun       int     `json:"refusedNotRun"`
+	UnknownOutcome      int     `json:"unknownOutcome"`
+	Lost                int     `json:"lost"`
+	DuplicateRuns       int     `json:"duplicateRuns"`
+	CrossAccountBlocks  int     `json:"crossAccountBlocks"`
+	StaleVersionBlocks  int     `json:"staleVersionBlocks"`
+	InvariantViolations int     `json:"invariantViolations"`
+	TTFTMsP50           float64 `json:"ttftMsP50"`
+	TTFTMsP95           float64 `json:"ttftMsP95"`
+	RecomputedShare     float64 `json:"recomputedShare"`
+	LinkBytes           int64   `json:"linkBytes"`
+	FirstAnswerMs       int64   `json:"firstAnswerMs"`
+	Resumed             int     `json:"resumed"`
+}
+
+// Bad reports whether one of the counts that must be zero is not.
+func (s *Summary) Bad() bool {
+	return s.Lost+s.DuplicateRuns+s.CrossAccountBlocks+s.StaleVersionBlocks+s.InvariantViolations != 0
+}
+
+// tally collects what callers saw.
+type tally struct {
+	mu   sync.Mutex
+	sum  Summary
+	ttft []time.Duration
+}
+
+// Run runs the demo and returns its summary.
+func (d *Demo) Run(ctx context.Context) (*Summary, error) {
+	size, ok := Sizes[d.User]
+	if !ok {
+		return nil, fmt.Errorf("unknown user %q: must be trust or cooperative", d.User)
+	}
+	begun := time.Now()
+	dep, err := Start(ctx, size, dayDivisor, d.Log)
+	if err != nil {
+		return nil, err
+	}
+	defer dep.Close()
+	fmt.Fprintf(d.Out, "started %d instances, %d engines, %d services in %d data centres\n",
+		len(dep.Instances), len(dep.Engines), len(dep.Services), len(size.DataCentres))
+	t := &tally{}
+	d.play(ctx, dep, t, begun)
+	return t.summary(dep), nil
+}
+
+// play sends the day's requests.
+func (d *Demo) play(ctx context.Context, dep *Deployment, t *tally, begun time.Time) {
+	r := rand.New(rand.NewPCG(d.Seed, 1))
+	pool := caller.NewHTTP()
+	var wg sync.WaitGroup
+	end := time.Now().Add(d.Duration)
+	for i := 0; time.Now().Before(end) && ctx.Err() == nil; i++ {
+		account := dep.Size.Accounts[r.IntN(len(dep.Size.Accounts))]
+		th := &thread{
+			account: account, id: i, turns: 1 + r.IntN(4), seed: r.Int64N(1 << 30), gap: time.Duration(r.IntN(3000)) * time.Millisecond,
+			client: &caller.Client{Addresses: dep.Addresses(), Key: Key(account), HTTP: pool},
+		}
+		wg.Go(func() { th.run(ctx, dep, t, begun) })
+		pause := time.NewTimer(time.Duration(r.ExpFloat64() * float64(60*time.Millisecond)))
+		select {
+		case <-pause.C:
+		case <-ctx.Done():
+		}
+	}
+	wg.Wait()
+}
+
+// thread is one conversation.
+type thread struct {
+	account string
+	id      int
+	turns   int
+	seed    int64
+	gap     time.Duration
+	client  *caller.Client
+}
+
+func (th *thread) run(ctx context.Context, dep *Deployment, t *tally, begun time.Time) {
+	msgs := []caller.Message{{Role: "system", Content: "ദയവായി മലയാളത്തിൽ മറുപടി എഴുതുക. Account " + th.account}}
+	token := ""
+	for n := range th.turns {
+		letter := strings.Repeat(fmt.Sprintf("thread %d letter %d: ചെരിപ്പ് നന്നാക്കണം. ", th.id, n), 1)
+		letter = strings.Repeat(letter, letterBytes/len(letter)+1)
+		msgs = append(msgs, caller.Message{Role: "user", Content: letter})
+		ans, err := th.client.Chat(ctx, caller.Chat{
+			Model: dep.Size.Model, Messages: msgs, Stream: true, MaxTokens: answerTokens, Seed: th.seed, Continuation: token,
+		})
+		t.chat(render(msgs), th.seed, ans, err, begun)
+		if err != nil {
+			return
+		}
+		token = ans.Continuation
+		msgs = append(msgs, caller.Message{Role: "assistant", Content: ans.Text})
+		pause := time.NewTimer(th.gap)
+		select {
+		case <-pause.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// render returns the prompt that the engines get for a conversation.
+func render(ms []caller.Message) string {
+	var b strings.Builder
+	for _, m := range ms {
+		fmt.Fprintf(&b, "<|%s|>\n%s\n", m.Role, m.Content)
+	}
+	return b.String()
+}
+
+// chat counts one chat and checks that the answer is the whole answer to its own prompt.
+func (t *tally) chat(prompt string, seed int64, ans *caller.Answer, err error, begun time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sum.Requests++
+	if err != nil {
+		t.refused(err)
+		return
+	}
+	if ans.Text != emulator.Answer(prompt, seed, answerTokens) {
+		t.sum.Lost++
+		return
+	}
+	t.sum.Answered++
+	t.sum.Resumed += ans.Resumed
+	if t.sum.FirstAnswerMs == 0 {
+		t.sum.FirstAnswerMs = time.Since(begun).Milliseconds()
+	}
+	t.ttft = append(t.ttft, ans.FirstToken)
+}
+
+// refused sorts an error into what the caller was told.
+func (t *tally) refused(err error) {
+	r := new(caller.Refusal)
+	switch {
+	case asRefusal(err, &r) && r.NotRun:
+		t.sum.RefusedNotRun++
+	case asRefusal(err, &r) && r.Code == "outcomeUnknown":
+		t.sum.UnknownOutcome++
+	default:
+		t.sum.Lost++
+	}
+}
+
+func (t *tally) summary(dep *Deployment) *Summary {
+	s := t.sum
+	slices.Sort(t.ttft)
+	s.TTFTMsP50, s.TTFTMsP95 = quantile(t.ttft, 0.50), quantile(t.ttft, 0.95)
+	var recomputed, all int64
+	for _, e := range dep.Engines {
+		tr := e.Truth()
+		s.CrossAccountBlocks += tr.CrossAccountBlocks
+		s.StaleVersionBlocks += tr.StaleVersionBlocks
+		recomputed += tr.RecomputedTokens
+		all += tr.RecomputedTokens + tr.CachedTokens + tr.ImportedTokens
+	}
+	if all > 0 {
+		s.RecomputedShare = float64(recomputed) / float64(all)
+	}
+	for _, st := range dep.Stores {
+		s.LinkBytes += st.LinkBytes()
+	}
+	for _, sv := range dep.Services {
+		for _, n := range sv.Runs() {
+			s.DuplicateRuns += n - 1
+		}
+	}
+	for _, e := range dep.Instances {
+		s.InvariantViolations += int(e.Asserter.Violations())
+	}
+	return &s
+}
+
+func quantile(ds []time.Duration, q float64) float64 {
+	if len(ds) == 0 {
+		return 0
+	}
+	d := ds[min(len(ds)-1, int(q*float64(len(ds))))]
+	return float64(d.Microseconds()) / 1000
+}
+
+func asRefusal(err error, r **caller.Refusal) bool { return errors.As(err, r) }
--- /dev/null
+++ b/internal/demonstrator/deployment.go
@@ -0,0 +1,286 @@
+// Package demonstrator runs a whole deployment with stand-ins in one process.
+//
+// It starts the platform's services, the stores, engines and plain services of
+// one user at today's size and that user's entry instances, plays a seeded day
+// of work compressed into less than a minute, breaks things on the way and sums
+// up what callers saw. The stand-ins keep the ground truth, so lost answers and
+// doubled orders are counted from what really ran.
+//
+// # Usage
+//
+//	d := &demonstrator.Demo{User: "trust", Seed: 1, Duration: 40 * time.Second, Out: os.Stdout}
+//	sum, err := d.Run(ctx)
+package demonstrator
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"time"
+
+	"github.com/papayaworks/papayaworks/internal/asserter"
+	"github.com/papayaworks/papayaworks/internal/emulator"
+	"github.com/papayaworks/papayaworks/internal/logger"
+	"github.com/papayaworks/papayaworks/internal/server"
+	"github.com/papayaworks/papayaworks/internal/server/identifier"
+	"github.com/papayaworks/papayaworks/pkg/configurer"
+	"github.com/papayaworks/papayaworks/pkg/recorder"
+)
+
+// Size says how large a deployment is.
+type Size struct {
+	DataCentres []string
+	Instances   int
+	Engines     int
+	Services    int
+	Accounts    []string
+	Model       string
+	Service     string
+	Operation   string
+	Lookup      string
+	Slots       int
+	CacheBlocks int
+	LoadMs      int
+	// PrefillRate and DecodeRate are tokens a second.
+	PrefillRate, DecodeRate int
+	LinkMiBPerSec           int
+}
+
+// Sizes are the deployments of today's users.
+var Sizes = map[string]Size{
+	"trust": {
+		DataCentres: []string{"kochi-a", "kochi-b", "kochi-c"}, Instances: 6, Engines: 12, Services: 3,
+		Accounts: []string{
+			"fishing-villages", "tea-estates", "schools", "post-offices", "volunteers",
+			"cobblers", "letters-desk", "dispatch", "sorting", "reports",
+		},
+		Model: "letters", Service: "dispatch", Operation: "order", Lookup: "lookup", Slots: 8, CacheBlocks: 24, LoadMs: 250,
+		PrefillRate: 16000, DecodeRate: 60, LinkMiBPerSec: 400,
+	},
+	"cooperative": {
+		DataCentres: []string{"medina", "port", "ville-nouvelle"}, Instances: 7, Engines: 12, Services: 3,
+		Accounts: []string{
+			"cutters", "shop-medina", "shop-port", "shop-ville", "weavers",
+			"orders", "deposits", "lookups", "pattern-office", "members",
+		},
+		Model: "drafting", Service: "cloth", Operation: "order", Lookup: "lookup", Slots: 8, CacheBlocks: 24, LoadMs: 500,
+		PrefillRate: 16000, DecodeRate: 60, LinkMiBPerSec: 400,
+	},
+}
+
+// Deployment is everything that runs.
+type Deployment struct {
+	Size      Size
+	Speed     float64
+	Config    *configurer.Config
+	Log       *emulator.Log
+	List      *emulator.List
+	Weights   *emulator.Weights
+	Engines   []*emulator.Engine
+	Services  []*emulator.Service
+	Stores    []*emulator.Store
+	Instances []*Entry
+
+	tokenKey string
+	stops    []func()
+}
+
+// Entry is one entry instance of the deployment.
+type Entry struct {
+	ID       string
+	Server   *server.Server
+	Recorder *recorder.Recorder
+	Asserter *asserter.Asserter
+	Settings *configurer.Settings
+
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// Key returns the API key of an account in a demo deployment.
+func Key(account string) string { return "demo-key-" + account }
+
+// Start starts everything; Close ends it.
+func Start(ctx context.Context, size Size, speed float64, log logger.Log) (*Deployment, error) {
+	d := &Deployment{Size: size, Speed: speed, tokenKey: randomKey()}
+	if err := d.startPlatform(); err != nil {
+		d.Close()
+		return nil, err
+	}
+	if err := d.startTargets(); err != nil {
+		d.Close()
+		return nil, err
+	}
+	d.Config.SetDefaults()
+	if fs := d.Config.Validate("demo"); len(fs) > 0 {
+		d.Close()
+		return nil, fs
+	}
+	for i := range size.Instances {
+		if _, err := d.StartInstance(ctx, i, log); err != nil {
+			d.Close()
+			return nil, err
+		}
+	}
+	return d, nil
+}
+
+func randomKey() string {
+	var k [32]byte
+	_, _ = rand.Read(k[:])
+	return hex.EncodeToString(k[:])
+}
+
+func (d *Deployment) startPlatform() error {
+	d.Log = &emulator.Log{}
+	d.List = &emulator.List{Lag: 2 * time.Second}
+	d.Weights = &emulator.Weights{Speed: d.Speed}
+	for _, s := range []interface {
+		Start() (string, error)
+		Kill()
+	}{d.Log, d.List, d.Weights} {
+		if _, err := s.Start(); err != nil {
+			return err
+		}
+		d.stops = append(d.stops, s.Kill)
+	}
+	return nil
+}
+
+func (d *Deployment) startTargets() error {
+	c := &configurer.Config{Deployment: configurer.Deployment{Name: "demo"}}
+	d.Config = c
+	for _, dc := range d.Size.DataCentres {
+		c.DataCentres = append(c.DataCentres, configurer.DataCentre{Name: dc, Region: "home"})
+	}
+	const version = 1
+	c.Models = []configurer.Model{{
+		Name: d.Size.Model, Version: version, LoadMs: d.Size.LoadMs,
+		PrefillTokensPerSecond: d.Size.PrefillRate, DecodeTokensPerSecond: d.Size.DecodeRate,
+	}}
+	c.Services = []configurer.Service{{Name: d.Size.Service, Operations: []configurer.Operation{
+		{Name: d.Size.Operation, Repeatable: false}, {Name: d.Size.Lookup, Repeatable: true},
+	}}}
+	for i, a := range d.Size.Accounts {
+		share := 1
+		if i < 2 {
+			share = 4 // a few accounts are large
+		}
+		c.Accounts = append(c.Accounts, configurer.Account{Name: a, KeySHA256: identifier.HashKey(Key(a)), Share: share})
+	}
+	for i := range d.Size.Engines + d.Size.Services {
+		if err := d.startStore(i); err != nil {
+			return err
+		}
+	}
+	for i := range d.Size.Engines {
+		if err := d.startEngine(i, version); err != nil {
+			return err
+		}
+	}
+	for i := range d.Size.Services {
+		if err := d.startService(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) dataCentre(i int) string { return d.Size.DataCentres[i%len(d.Size.DataCentres)] }
+
+func (d *Deployment) startStore(i int) error {
+	const mib = 1 << 20
+	s := &emulator.Store{
+		ID: fmt.Sprintf("store-%d", i+1), LinkBytesPerSec: float64(d.Size.LinkMiBPerSec) * mib,
+		DiskBytesPerSec: float64(d.Size.LinkMiBPerSec) * mib / 4, MemoryBytes: 1024 * mib, DiskBytes: 8192 * mib, Speed: d.Speed,
+	}
+	addr, err := s.Start()
+	if err != nil {
+		return err
+	}
+	d.Stores, d.stops = append(d.Stores, s), append(d.stops, s.Kill)
+	d.Config.Stores = append(d.Config.Stores, configurer.Store{
+		ID: s.ID, Address: addr, DataCentre: d.dataCentre(i), LinkMiBPerSec: d.Size.LinkMiBPerSec,
+	})
+	return nil
+}
+
+func (d *Deployment) startEngine(i int, version int64) error {
+	e := &emulator.Engine{
+		ID: fmt.Sprintf("%s-%d", d.Size.Model, i+1), Models: map[string]int64{d.Size.Model: version}, Slots: d.Size.Slots,
+		CacheBlocks: d.Size.CacheBlocks, PrefillRate: float64(d.Size.PrefillRate), DecodeRate: float64(d.Size.DecodeRate),
+		LoadMs: d.Size.LoadMs, WeightsAddr: d.Weights.Addr, ReportLag: time.Second, Speed: d.Speed, ChecksFencing: i%2 == 0,
+	}
+	addr, err := e.Start()
+	if err != nil {
+		return err
+	}
+	d.Engines, d.stops = append(d.Engines, e), append(d.stops, e.Kill)
+	d.Config.Targets = append(d.Config.Targets, configurer.Target{
+		ID: e.ID, Address: addr, DataCentre: d.dataCentre(i), Kind: configurer.KindEngine, Models: []string{d.Size.Model},
+		Store: d.Stores[i].ID, Slots: e.Slots, CacheBlocks: e.CacheBlocks, ChecksFencing: e.ChecksFencing,
+	})
+	d.List.Set(emulator.Listed{ID: e.ID, Kind: "target", Address: addr, DataCentre: d.dataCentre(i)})
+	return nil
+}
+
+func (d *Deployment) startService(i int) error {
+	s := &emulator.Service{ID: fmt.Sprintf("%s-%d", d.Size.Service, i+1)}
+	addr, err := s.Start()
+	if err != nil {
+		return err
+	}
+	d.Services, d.stops = append(d.Services, s), append(d.stops, s.Kill)
+	d.Config.Targets = append(d.Config.Targets, configurer.Target{
+		ID: s.ID, Address: addr, DataCentre: d.dataCentre(i), Kind: configurer.KindService,
+		Services: []string{d.Size.Service}, Store: d.Stores[d.Size.Engines+i].ID,
+	})
+	d.List.Set(emulator.Listed{ID: s.ID, Kind: "target", Address: addr, DataCentre: d.dataCentre(i)})
+	return nil
+}
+
+// StartInstance starts entry instance i, or a replacement of it.
+func (d *Deployment) StartInstance(ctx context.Context, i int, log logger.Log) (*Entry, error) {
+	e := &Entry{ID: fmt.Sprintf("%s-%d", d.dataCentre(i), i/len(d.Size.DataCentres)+1)}
+	e.ctx, e.cancel = context.WithCancel(ctx)
+	e.Settings = &configurer.Settings{
+		Instance: configurer.Instance{ID: e.ID, DataCentre: d.dataCentre(i), Listen: "127.0.0.1:0"},
+		Platform: configurer.Platform{Log: d.Log.Addr, List: d.List.Addr},
+		Keys:     configurer.Keys{Token: []string{d.tokenKey}},
+	}
+	e.Recorder = recorder.New(recorder.NewClock(time.Now), e.ID, 1<<16, nil)
+	e.Asserter = &asserter.Asserter{Log: log, Recorder: e.Recorder}
+	e.Server = server.New(e.Settings, d.Config, log.WithField("instance", e.ID), e.Recorder, e.Asserter)
+	if err := e.Server.Start(e.ctx); err != nil {
+		e.cancel()
+		return nil, err
+	}
+	d.Instances = append(d.Instances, e)
+	return e, nil
+}
+
+// Kill ends the instance at once, as the death of its process would.
+func (e *Entry) Kill() {
+	e.cancel()
+	e.Server.Kill()
+}
+
+// Close ends everything that Start started.
+func (d *Deployment) Close() {
+	for _, e := range d.Instances {
+		e.Kill()
+	}
+	for _, stop := range d.stops {
+		stop()
+	}
+}
+
+// Addresses returns the addresses of the instances.
+func (d *Deployment) Addresses() []string {
+	var out []string
+	for _, e := range d.Instances {
+		out = append(out, e.Server.Addr())
+	}
+	return out
+}
--- /dev/null
+++ b/internal/dialer/dialer.go
@@ -0,0 +1,264 @@
+package dialer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"iter"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/papayaworks/papayaworks/internal/failer"
+	"github.com/papayaworks/papayaworks/internal/keyer"
+)
+
+const (
+	maxEventBytes     = 1 << 20
+	maxResponseBytes  = 1 << 20
+	connectTimeout    = 2 * time.Second
+	idleConnsPerPeer  = 128
+	idleConnLife      = 90 * time.Second
+	statusErrorsStart = http.StatusMultipleChoices
+)
+
+// StatusError is an answer with an error status: the peer has read the request and refused it.
+type StatusError struct {
+	Status int
+	Body   string
+}
+
+// Error implements error.
+func (e *StatusError) Error() string { return fmt.Sprintf("status %d: %s", e.Status, e.Body) }
+
+// Client talks to engines and stores; it may be used by any number of goroutines.
+type Client struct {
+	http *http.Client
+}
+
+// New returns a client with its own pool of connections.
+func New() *Client {
+	d := &net.Dialer{Timeout: connectTimeout}
+	return &Client{http: &http.Client{Transport: &http.Transport{
+		DialContext:         d.DialContext,
+		MaxIdleConnsPerHost: idleConnsPerPeer,
+		IdleConnTimeout:     idleConnLife,
+		DisableCompression:  true,
+	}}}
+}
+
+// HTTP returns the client's pool of connections, for calls to plain services.
+func (c *Client) HTTP() *http.Client { return c.http }
+
+// Event is one event of a run's stream; exactly one field is set.
+type Event struct {
+	Start *RunStart
+	Piece *RunPiece
+	End   *RunEnd
+}
+
+// RunStream is the stream of one run.
+type RunStream struct {
+	body io.ReadCloser
+	peer string
+}
+
+// Run starts a run, or attaches to it if it exists, and returns its stream from the offset on.
+func (c *Client) Run(ctx context.Context, addr string, in *RunRequest, from int) (*RunStream, error) {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return nil, failer.Wrap(err, "encode run for", addr, "dispatch")
+	}
+	u := fmt.Sprintf("http://%s/v1/runs?from=%d", addr, from)
+	return c.stream(ctx, http.MethodPost, u, addr, body)
+}
+
+// Resume returns the stream of an existing run from the offset on.
+func (c *Client) Resume(ctx context.Context, addr, run string, from int) (*RunStream, error) {
+	u := fmt.Sprintf("http://%s/v1/runs/%s?from=%d", addr, url.PathEscape(run), from)
+	return c.stream(ctx, http.MethodGet, u, addr, nil)
+}
+
+func (c *Client) stream(ctx context.Context, method, u, addr string, body []byte) (*RunStream, error) {
+	res, err := c.do(ctx, method, u, body) //nolint:bodyclose // RunStream.Close closes it.
+	if err != nil {
+		return nil, failer.Wrap(err, "open stream at", addr, "dispatch")
+	}
+	return &RunStream{body: res.Body, peer: addr}, nil
+}
+
+// Cancel ends a run.
+func (c *Client) Cancel(ctx context.Context, addr, run string) error {
+	u := fmt.Sprintf("http://%s/v1/runs/%s", addr, url.PathEscape(run))
+	return failer.Wrap(c.call(ctx, http.MethodDelete, u, nil, nil), "cancel run at", addr, "cancel")
+}
+
+// Export asks an engine to write a conversation's blocks to a store.
+func (c *Client) Export(ctx context.Context, addr string, in *ExportRequest) error {
+	return failer.Wrap(c.call(ctx, http.MethodPost, "http://"+addr+"/v1/cache/export", in, nil), "export from", addr, "export")
+}
+
+// Prefetch asks an engine to import blocks ahead of a run.
+func (c *Client) Prefetch(ctx context.Context, addr string, in *Import) error {
+	return failer.Wrap(c.call(ctx, http.MethodPost, "http://"+addr+"/v1/cache/import", in, nil), "prefetch to", addr, "prefetch")
+}
+
+// Manifest reads a conversation's manifest from a store.
+func (c *Client) Manifest(ctx context.Context, addr string, anchor keyer.Key) (*Manifest, error) {
+	m := new(Manifest)
+	err := c.call(ctx, http.MethodGet, "http://"+addr+"/v1/manifests/"+anchor.String(), nil, m)
+	if err != nil {
+		return nil, failer.Wrap(err, "read manifest from", addr, "lookup")
+	}
+	return m, nil
+}
+
+// Load reads an engine's load report.
+func (c *Client) Load(ctx context.Context, addr string) (*Load, error) {
+	l := new(Load)
+	err := c.call(ctx, http.MethodGet, "http://"+addr+"/v1/load", nil, l)
+	return l, failer.Wrap(err, "read load of", addr, "report")
+}
+
+// State reads an engine's state.
+func (c *Client) State(ctx context.Context, addr string) (*EngineState, error) {
+	s := new(EngineState)
+	err := c.call(ctx, http.MethodGet, "http://"+addr+"/v1/state", nil, s)
+	return s, failer.Wrap(err, "read state of", addr, "report")
+}
+
+// StoreState reads a store's state.
+func (c *Client) StoreState(ctx context.Context, addr string) (*StoreState, error) {
+	s := new(StoreState)
+	err := c.call(ctx, http.MethodGet, "http://"+addr+"/v1/state", nil, s)
+	return s, failer.Wrap(err, "read state of", addr, "report")
+}
+
+// Order sends an order to an engine.
+func (c *Client) Order(ctx context.Context, addr string, o *Order) error {
+	return failer.Wrap(c.call(ctx, http.MethodPost, "http://"+addr+"/v1/orders", o, nil), "order target", addr, o.Kind)
+}
+
+// Events reads an engine's cache events after a sequence number.
+func (c *Client) Events(ctx context.Context, addr string, after int64) ([]CacheEvent, error) {
+	var out struct {
+		Events []CacheEvent `json:"events"`
+	}
+	u := fmt.Sprintf("http://%s/v1/cache/events?after=%d", addr, after)
+	err := c.call(ctx, http.MethodGet, u, nil, &out)
+	return out.Events, failer.Wrap(err, "read cache events of", addr, "report")
+}
+
+// call sends a JSON body and decodes a JSON answer; in and out may be nil.
+func (c *Client) call(ctx context.Context, method, u string, in, out any) error {
+	var body []byte
+	if in != nil {
+		var err error
+		if body, err = json.Marshal(in); err != nil {
+			return err
+		}
+	}
+	res, err := c.do(ctx, method, u, body)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if out == nil {
+		_, err = io.Copy(io.Discard, io.LimitReader(res.Body, maxResponseBytes))
+		return err
+	}
+	return json.NewDecoder(io.LimitReader(res.Body, maxResponseBytes)).Decode(out)
+}
+
+func (c *Client) do(ctx context.Context, method, u string, body []byte) (*http.Response, error) {
+	var rd io.Reader = http.NoBody
+	if body != nil {
+		rd = bytes.NewReader(body)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, u, rd)
+	if err != nil {
+		return nil, err
+	}
+	if body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if res.StatusCode >= statusErrorsStart {
+		defer res.Body.Close()
+		text, _ := io.ReadAll(io.LimitReader(res.Body, 1024))
+		return nil, &StatusError{Status: res.StatusCode, Body: string(bytes.TrimSpace(text))}
+	}
+	return res, nil
+}
+
+// Close ends the reading of the stream; the run goes on.
+func (s *RunStream) Close() { _ = s.body.Close() }
+
+// Events yields the events of the stream; after an error or the end event it yields no more.
+func (s *RunStream) Events() iter.Seq2[Event, error] {
+	return func(yield func(Event, error) bool) {
+		err := ReadEvents(s.body, func(ev Event) bool { return yield(ev, nil) })
+		if err != nil {
+			yield(Event{}, failer.Wrap(err, "read stream of", s.peer, "deliver"))
+		}
+	}
+}
+
+// ReadEvents decodes a run's server-sent events until the end event, an error, or until handle returns false.
+// A stream that stops before its end event gives [io.ErrUnexpectedEOF].
+func ReadEvents(r io.Reader, handle func(Event) bool) error {
+	sc := bufio.NewScanner(r)
+	sc.Buffer(make([]byte, 0, 4096), maxEventBytes)
+	kind := ""
+	for sc.Scan() {
+		line := sc.Bytes()
+		if rest, ok := bytes.CutPrefix(line, []byte("event:")); ok {
+			kind = string(bytes.TrimSpace(rest))
+			continue
+		}
+		rest, ok := bytes.CutPrefix(line, []byte("data:"))
+		if !ok {
+			continue
+		}
+		ev, err := decodeEvent(kind, rest)
+		if err != nil {
+			return err
+		}
+		if !handle(ev) || ev.End != nil {
+			return nil
+		}
+	}
+	if err := sc.Err(); err != nil {
+		return err
+	}
+	return io.ErrUnexpectedEOF
+}
+
+func decodeEvent(kind string, data []byte) (Event, error) {
+	var ev Event
+	var v any
+	switch kind {
+	case "start":
+		ev.Start = new(RunStart)
+		v = ev.Start
+	case "piece":
+		ev.Piece = new(RunPiece)
+		v = ev.Piece
+	case "end":
+		ev.End = new(RunEnd)
+		v = ev.End
+	default:
+		return ev, fmt.Errorf("unknown event %q", kind)
+	}
+	if err := json.Unmarshal(data, v); err != nil {
+		return ev, fmt.Errorf("event %q is malformed: %w", kind, err)
+	}
+	return ev, nil
+}
--- /dev/null
+++ b/internal/emulator/engine_run.go
@@ -0,0 +1,356 @@
+package emulator
+
+import (
+	"container/heap"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/papayaworks/papayaworks/internal/dialer"
+	"github.com/papayaworks/papayaworks/internal/keyer"
+)
+
+// run is one run with its stream so far.
+type run struct {
+	req    dialer.RunRequest
+	ctx    context.Context
+	cancel context.CancelFunc
+	slot   chan struct{}
+	seq    int64
+
+	mu      sync.Mutex
+	started bool
+	start   dialer.RunStart
+	pieces  []dialer.RunPiece
+	end     *dialer.RunEnd
+	changed chan struct{}
+}
+
+// update changes the stream under its lock and wakes its readers.
+func (r *run) update(f func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f()
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// runQueue orders waiting runs by priority, then by arrival.
+type runQueue []*run
+
+func (q runQueue) Len() int { return len(q) }
+func (q runQueue) Less(i, j int) bool {
+	if q[i].req.Priority != q[j].req.Priority {
+		return q[i].req.Priority > q[j].req.Priority
+	}
+	return q[i].seq < q[j].seq
+}
+func (q runQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push implements heap.Interface.
+func (q *runQueue) Push(x any) { *q = append(*q, x.(*run)) }
+
+// Pop implements heap.Interface.
+func (q *runQueue) Pop() any {
+	old := *q
+	x := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return x
+}
+
+func (e *Engine) postRun(w http.ResponseWriter, r *http.Request) {
+	var in dialer.RunRequest
+	if !readJSON(w, r, &in) {
+		return
+	}
+	e.mu.Lock()
+	rn := e.runs[in.Run]
+	if rn == nil {
+		if status, reason := e.refusal(&in); status != 0 {
+			e.mu.Unlock()
+			writeError(w, status, "%s", reason)
+			return
+		}
+		rn = e.begin(in)
+	}
+	e.mu.Unlock()
+	e.stream(w, r, rn, atoi(r.URL.Query().Get("from")))
+}
+
+// refusal says why the engine does not take a run, with the lock held.
+func (e *Engine) refusal(in *dialer.RunRequest) (int, string) {
+	v, ok := e.Models[in.Model]
+	switch {
+	case e.draining:
+		if time.Since(e.drainedAt) > 3*time.Second {
+			e.truth.StartedWhileLeaving++
+		}
+		return http.StatusServiceUnavailable, "draining"
+	case e.faults.Refuse:
+		return http.StatusServiceUnavailable, "starting"
+	case !ok:
+		return http.StatusNotFound, "model " + in.Model + " is not loaded"
+	case in.Version != 0 && in.Version != v:
+		return http.StatusConflict, fmt.Sprintf("version %d is loaded, not %d", v, in.Version)
+	}
+	return 0, ""
+}
+
+// begin starts a run, with the lock held.
+func (e *Engine) begin(in dialer.RunRequest) *run {
+	ctx, cancel := context.WithCancel(context.Background())
+	if in.Version == 0 {
+		in.Version = e.Models[in.Model]
+	}
+	e.truth.Runs++
+	rn := &run{
+		req: in, ctx: ctx, cancel: cancel, slot: make(chan struct{}), seq: int64(e.truth.Runs),
+		changed: make(chan struct{}),
+	}
+	e.runs[in.Run] = rn
+	e.waiting += in.PromptTokens
+	heap.Push(&e.queue, rn)
+	e.admit()
+	go e.execute(rn)
+	return rn
+}
+
+// admit gives free slots to waiting runs, with the lock held.
+func (e *Engine) admit() {
+	for e.running < e.Slots && e.queue.Len() > 0 {
+		rn := heap.Pop(&e.queue).(*run)
+		e.running++
+		close(rn.slot)
+	}
+}
+
+func (e *Engine) execute(rn *run) {
+	select {
+	case <-rn.slot:
+	case <-rn.ctx.Done():
+		e.leaveQueue(rn)
+		return
+	}
+	defer e.finish(rn)
+	start := e.prepare(rn)
+	if rn.ctx.Err() != nil {
+		rn.update(func() { rn.end = &dialer.RunEnd{Finish: "cancelled"} })
+		return
+	}
+	rn.update(func() { rn.started, rn.start = true, start })
+	e.decode(rn)
+}
+
+// leaveQueue ends a run that was cancelled before it had a slot.
+func (e *Engine) leaveQueue(rn *run) {
+	e.mu.Lock()
+	if i := slices.Index(e.queue, rn); i >= 0 {
+		heap.Remove(&e.queue, i)
+		e.waiting -= rn.req.PromptTokens
+		e.mu.Unlock()
+		rn.update(func() { rn.end = &dialer.RunEnd{Finish: "cancelled"} })
+		return
+	}
+	e.waiting -= rn.req.PromptTokens
+	e.mu.Unlock()
+	rn.update(func() { rn.end = &dialer.RunEnd{Finish: "cancelled"} })
+	e.finish(rn)
+}
+
+func (e *Engine) finish(rn *run) {
+	e.mu.Lock()
+	e.running--
+	e.admit()
+	e.mu.Unlock()
+	time.AfterFunc(finishedRunsKept, func() {
+		e.mu.Lock()
+		delete(e.runs, rn.req.Run)
+		e.mu.Unlock()
+	})
+}
+
+// prepare finds, imports and computes the context of the prompt.
+func (e *Engine) prepare(rn *run) dialer.RunStart {
+	in := &rn.req
+	start := dialer.RunStart{Run: in.Run, Version: in.Version}
+	cached := e.countCached(in)
+	imported := 0
+	if in.Import != nil {
+		for cached+imported < len(in.Keys) && cached+imported < len(in.Import.Manifest.Blocks) {
+			mb := in.Import.Manifest.Blocks[cached+imported]
+			if mb.Key != in.Keys[cached+imported] {
+				break
+			}
+			b, size, ok := e.importBlock(rn.ctx, in.Import, mb)
+			start.ImportBytes += size
+			e.mu.Lock()
+			e.truth.ImportBytes += size
+			if !ok {
+				e.truth.BadBlocks++
+				e.mu.Unlock()
+				break
+			}
+			e.use(in, b)
+			e.cache.put(b)
+			e.mu.Unlock()
+			imported++
+		}
+	}
+	start.CachedTokens = cached * keyer.BlockTokens
+	start.ImportedTokens = imported * keyer.BlockTokens
+	start.RecomputedTokens = max(0, in.PromptTokens-start.CachedTokens-start.ImportedTokens)
+	e.compute(rn, start)
+	return start
+}
+
+func (e *Engine) countCached(in *dialer.RunRequest) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, k := range in.Keys {
+		b, ok := e.cache.get(k)
+		if !ok {
+			break
+		}
+		e.use(in, b)
+		n++
+	}
+	return n
+}
+
+// use records whose block a run uses, with the lock held.
+func (e *Engine) use(in *dialer.RunRequest, b cachedBlock) {
+	if b.account != in.Account {
+		e.truth.CrossAccountBlocks++
+	}
+	if b.version != in.Version {
+		e.truth.StaleVersionBlocks++
+	}
+}
+
+// compute waits for the prefill unit and puts the computed blocks into the cache.
+func (e *Engine) compute(rn *run, start dialer.RunStart) {
+	e.mu.Lock()
+	now := time.Now()
+	if e.prefill.Before(now) {
+		e.prefill = now
+	}
+	e.prefill = e.prefill.Add(scale(seconds(float64(start.RecomputedTokens)/e.PrefillRate), e.Speed))
+	d := e.prefill.Sub(now)
+	e.mu.Unlock()
+	wait(rn.ctx, d)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.waiting -= rn.req.PromptTokens
+	e.truth.RecomputedTokens += int64(start.RecomputedTokens)
+	e.truth.CachedTokens += int64(start.CachedTokens)
+	e.truth.ImportedTokens += int64(start.ImportedTokens)
+	for _, k := range rn.req.Keys {
+		e.cache.put(cachedBlock{key: k, account: rn.req.Account, version: rn.req.Version})
+	}
+}
+
+// decode adds the pieces of the answer at the decode rate.
+func (e *Engine) decode(rn *run) {
+	h := PromptHash(rn.req.Prompt)
+	begun := time.Now()
+	for i := range rn.req.MaxTokens {
+		due := begun.Add(scale(seconds(float64(i)/e.DecodeRate), e.Speed))
+		if !wait(rn.ctx, time.Until(due)) {
+			rn.update(func() { rn.end = &dialer.RunEnd{Offset: i, Finish: "cancelled"} })
+			return
+		}
+		p := dialer.RunPiece{Offset: i, Text: AnswerPiece(h, rn.req.Seed, i), Tokens: 1}
+		rn.update(func() { rn.pieces = append(rn.pieces, p) })
+	}
+	rn.update(func() { rn.end = &dialer.RunEnd{Offset: rn.req.MaxTokens, Finish: "stop"} })
+}
+
+func (e *Engine) getRun(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	rn := e.runs[r.PathValue("run")]
+	e.mu.Unlock()
+	if rn == nil {
+		writeError(w, http.StatusNotFound, "no run %q", r.PathValue("run"))
+		return
+	}
+	e.stream(w, r, rn, atoi(r.URL.Query().Get("from")))
+}
+
+func (e *Engine) deleteRun(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	rn := e.runs[r.PathValue("run")]
+	e.mu.Unlock()
+	if rn == nil {
+		writeError(w, http.StatusNotFound, "no run %q", r.PathValue("run"))
+		return
+	}
+	rn.cancel()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// stream writes the events of a run from an offset on, until its end.
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, rn *run, from int) {
+	e.mu.Lock()
+	f := e.faults
+	e.mu.Unlock()
+	w.Header().Set("Content-Type", "text/event-stream")
+	fl, _ := w.(http.Flusher)
+	sentStart := false
+	for {
+		rn.mu.Lock()
+		started, start, end, changed := rn.started, rn.start, rn.end, rn.changed
+		var pieces []dialer.RunPiece
+		if from < len(rn.pieces) {
+			pieces = slices.Clone(rn.pieces[from:])
+		}
+		rn.mu.Unlock()
+		if started && !sentStart {
+			writeEvent(w, "start", start)
+			sentStart = true
+		}
+		from += len(pieces)
+		if f.BreakStreamAt > 0 && from > f.BreakStreamAt {
+			dropConnection(w)
+			return
+		}
+		for _, p := range shuffle(pieces, f.ShuffleStream) {
+			writeEvent(w, "piece", p)
+		}
+		if end != nil && from >= end.Offset {
+			writeEvent(w, "end", end)
+			fl.Flush()
+			return
+		}
+		if sentStart {
+			fl.Flush()
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// shuffle reverses pieces and repeats the first of them.
+func shuffle(ps []dialer.RunPiece, on bool) []dialer.RunPiece {
+	if !on || len(ps) == 0 {
+		return ps
+	}
+	out := slices.Clone(ps)
+	slices.Reverse(out)
+	return append(out, ps[0])
+}
+
+func writeEvent(w http.ResponseWriter, event string, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return
+	}
+	_, _ = fmt.Fprintf(w, "event: %s\ndata: %s\n\n", event, data)
+}
--- /dev/null
+++ b/internal/emulator/service.go
@@ -0,0 +1,90 @@
+package emulator
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/papayaworks/papayaworks/internal/listener"
+)
+
+// ServiceFaults are the switches of a [Service].
+type ServiceFaults struct {
+	// LoseAnswers closes the connection after the operation took effect.
+	LoseAnswers bool
+	// Delay is added before the answer, after the effect.
+	Delay time.Duration
+	// Down refuses every call before it has an effect.
+	Down bool
+}
+
+// Service is a stand-in for a plain service, such as one that orders couriers. It does not deduplicate:
+// each call that reaches it runs, and it counts the runs of each idempotency key.
+type Service struct {
+	ID, Addr string
+	server   *listener.Server
+	mu       sync.Mutex
+	runs     map[string]int
+	faults   ServiceFaults
+}
+
+// Start serves the service and returns its address.
+func (s *Service) Start() (string, error) {
+	s.runs = map[string]int{}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/v1/operations/{operation}", s.call)
+	s.server = &listener.Server{Addr: orLoopback(s.Addr), Handler: mux}
+	addr, err := s.server.Start()
+	s.Addr = addr
+	return addr, err
+}
+
+// Kill stops the service.
+func (s *Service) Kill() { s.server.Kill() }
+
+// SetFaults sets the switches.
+func (s *Service) SetFaults(f ServiceFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Runs returns how often the operation ran for each idempotency key.
+func (s *Service) Runs() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]int, len(s.runs))
+	for k, n := range s.runs {
+		out[k] = n
+	}
+	return out
+}
+
+func (s *Service) call(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		writeError(w, http.StatusBadRequest, "%v", err)
+		return
+	}
+	key := r.Header.Get("Idempotency-Key")
+	s.mu.Lock()
+	f := s.faults
+	if f.Down {
+		s.mu.Unlock()
+		writeError(w, http.StatusServiceUnavailable, "service is down")
+		return
+	}
+	if key != "" {
+		s.runs[key]++
+	}
+	s.mu.Unlock()
+	wait(r.Context(), f.Delay)
+	if f.LoseAnswers {
+		dropConnection(w)
+		return
+	}
+	writeJSON(w, http.StatusOK, map[string]any{
+		"service": s.ID, "operation": r.PathValue("operation"), "confirmed": true, "bytes": len(body),
+	})
+}
--- /dev/null
+++ b/internal/emulator/store.go
@@ -0,0 +1,236 @@
+package emulator
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/papayaworks/papayaworks/internal/dialer"
+	"github.com/papayaworks/papayaworks/internal/keyer"
+	"github.com/papayaworks/papayaworks/internal/listener"
+)
+
+// StoreFaults are the switches of a [Store].
+type StoreFaults struct {
+	// Full makes every write fail.
+	Full bool
+	// Slowdown divides the rate of the link.
+	Slowdown float64
+	// CorruptReads flips a bit of each block that is read.
+	CorruptReads bool
+	// TruncateWrites stores only half of each block, as a writer that died half way.
+	TruncateWrites bool
+}
+
+// Store is a stand-in for a store instance: blocks and manifests in two tiers behind one limited link.
+// Blocks carry a short content and a declared length; the link is charged with the declared length.
+type Store struct {
+	ID, Addr          string
+	LinkBytesPerSec   float64
+	DiskBytesPerSec   float64
+	MemoryBytes       int64
+	DiskBytes         int64
+	Speed             float64
+	server            *listener.Server
+	mu                sync.Mutex
+	blocks            map[keyer.Key]storedBlock
+	manifests         map[keyer.Key]dialer.Manifest
+	used              map[string]int64
+	faults            StoreFaults
+	linkFree          time.Time
+	linkBytes, misses int64
+}
+
+type storedBlock struct {
+	content []byte
+	length  int64
+	tier    string
+}
+
+// Start serves the store and returns its address.
+func (s *Store) Start() (string, error) {
+	s.blocks = map[keyer.Key]storedBlock{}
+	s.manifests = map[keyer.Key]dialer.Manifest{}
+	s.used = map[string]int64{}
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /v1/blocks/{key}", s.putBlock)
+	mux.HandleFunc("GET /v1/blocks/{key}", s.getBlock)
+	mux.HandleFunc("PUT /v1/manifests/{anchor}", s.putManifest)
+	mux.HandleFunc("GET /v1/manifests/{anchor}", s.getManifest)
+	mux.HandleFunc("DELETE /v1/manifests/{anchor}", s.deleteManifest)
+	mux.HandleFunc("GET /v1/state", s.state)
+	s.server = &listener.Server{Addr: orLoopback(s.Addr), Handler: mux}
+	addr, err := s.server.Start()
+	s.Addr = addr
+	return addr, err
+}
+
+// Kill stops the store and loses what it held.
+func (s *Store) Kill() { s.server.Kill() }
+
+// SetFaults sets the switches.
+func (s *Store) SetFaults(f StoreFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// LinkBytes returns how many bytes went over the link.
+func (s *Store) LinkBytes() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.linkBytes
+}
+
+// transfer returns how long a caller waits for n bytes on the link behind what is queued on it.
+func (s *Store) transfer(n int64, tier string) time.Duration {
+	rate := s.LinkBytesPerSec
+	if tier == dialer.TierDisk && s.DiskBytesPerSec > 0 && s.DiskBytesPerSec < rate {
+		rate = s.DiskBytesPerSec
+	}
+	if s.faults.Slowdown > 1 {
+		rate /= s.faults.Slowdown
+	}
+	s.linkBytes += n
+	if rate <= 0 {
+		return 0
+	}
+	now := time.Now()
+	if s.linkFree.Before(now) {
+		s.linkFree = now
+	}
+	s.linkFree = s.linkFree.Add(scale(seconds(float64(n)/rate), s.Speed))
+	return s.linkFree.Sub(now)
+}
+
+func parseKey(w http.ResponseWriter, text string) (keyer.Key, bool) {
+	var k keyer.Key
+	if err := k.UnmarshalText([]byte(text)); err != nil {
+		writeError(w, http.StatusBadRequest, "bad key %q", text)
+		return k, false
+	}
+	return k, true
+}
+
+func (s *Store) putBlock(w http.ResponseWriter, r *http.Request) {
+	k, ok := parseKey(w, r.PathValue("key"))
+	if !ok {
+		return
+	}
+	content, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		writeError(w, http.StatusBadRequest, "%v", err)
+		return
+	}
+	length := int64(atoi(r.URL.Query().Get("length")))
+	tier := r.URL.Query().Get("tier")
+	s.mu.Lock()
+	limit := s.MemoryBytes
+	if tier == dialer.TierDisk {
+		limit = s.DiskBytes
+	}
+	if s.faults.Full || (limit > 0 && s.used[tier]+length > limit) {
+		s.mu.Unlock()
+		writeError(w, http.StatusInsufficientStorage, "tier %s is full", tier)
+		return
+	}
+	if s.faults.TruncateWrites {
+		content = content[:len(content)/2]
+	}
+	if old, ok := s.blocks[k]; ok {
+		s.used[old.tier] -= old.length
+	}
+	s.blocks[k] = storedBlock{content: content, length: length, tier: tier}
+	s.used[tier] += length
+	d := s.transfer(length, tier)
+	s.mu.Unlock()
+	wait(r.Context(), d)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Store) getBlock(w http.ResponseWriter, r *http.Request) {
+	k, ok := parseKey(w, r.PathValue("key"))
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	b, ok := s.blocks[k]
+	if !ok {
+		s.misses++
+		s.mu.Unlock()
+		writeError(w, http.StatusNotFound, "no block %s", k)
+		return
+	}
+	content := append([]byte(nil), b.content...)
+	if s.faults.CorruptReads && len(content) > 0 {
+		content[0] ^= 1
+	}
+	d := s.transfer(b.length, b.tier)
+	s.mu.Unlock()
+	wait(r.Context(), d)
+	_, _ = w.Write(content)
+}
+
+func (s *Store) putManifest(w http.ResponseWriter, r *http.Request) {
+	var m dialer.Manifest
+	k, ok := parseKey(w, r.PathValue("anchor"))
+	if !ok || !readJSON(w, r, &m) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Full {
+		writeError(w, http.StatusInsufficientStorage, "store is full")
+		return
+	}
+	if old, ok := s.manifests[k]; ok && old.Generation >= m.Generation {
+		writeError(w, http.StatusConflict, "generation %d is not after %d", m.Generation, old.Generation)
+		return
+	}
+	s.manifests[k] = m
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Store) getManifest(w http.ResponseWriter, r *http.Request) {
+	k, ok := parseKey(w, r.PathValue("anchor"))
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	m, ok := s.manifests[k]
+	s.mu.Unlock()
+	if !ok {
+		writeError(w, http.StatusNotFound, "no manifest %s", k)
+		return
+	}
+	writeJSON(w, http.StatusOK, m)
+}
+
+// deleteManifest removes the manifest first and then its blocks, so that no reader finds a freed block.
+func (s *Store) deleteManifest(w http.ResponseWriter, r *http.Request) {
+	k, ok := parseKey(w, r.PathValue("anchor"))
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := s.manifests[k]
+	delete(s.manifests, k)
+	for _, b := range m.Blocks {
+		if old, ok := s.blocks[b.Key]; ok {
+			s.used[old.tier] -= old.length
+			delete(s.blocks, b.Key)
+		}
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Store) state(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	writeJSON(w, http.StatusOK, dialer.StoreState{
+		MemoryUsed: s.used[dialer.TierMemory], DiskUsed: s.used[dialer.TierDisk], Manifests: len(s.manifests),
+		LinkBacklogMs: max(0, time.Until(s.linkFree).Milliseconds()), LinkBytes: s.linkBytes,
+	})
+}
--- /dev/null
+++ b/internal/emulator/weights.go
@@ -0,0 +1,70 @@
+package emulator
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/papayaworks/papayaworks/internal/listener"
+)
+
+// freeLoads is the number of concurrent loads that the weight store serves at full rate.
+const freeLoads = 2
+
+// Weights is a stand-in for the rate-limited weight store.
+type Weights struct {
+	Addr  string
+	Speed float64
+
+	server  *listener.Server
+	mu      sync.Mutex
+	loading int
+	peak    int
+	fail    bool
+}
+
+// Start serves the weight store and returns its address.
+func (s *Weights) Start() (string, error) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/weights/{model}/{version}", s.load)
+	s.server = &listener.Server{Addr: orLoopback(s.Addr), Handler: mux}
+	addr, err := s.server.Start()
+	s.Addr = addr
+	return addr, err
+}
+
+// Kill stops the weight store.
+func (s *Weights) Kill() { s.server.Kill() }
+
+// SetFail makes every load fail half way.
+func (s *Weights) SetFail(fail bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fail = fail
+}
+
+// Peak returns the largest number of concurrent loads seen.
+func (s *Weights) Peak() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.peak
+}
+
+func (s *Weights) load(w http.ResponseWriter, r *http.Request) {
+	base := time.Duration(atoi(r.URL.Query().Get("ms"))) * time.Millisecond
+	s.mu.Lock()
+	s.loading++
+	s.peak = max(s.peak, s.loading)
+	slow := max(1, float64(s.loading)/freeLoads)
+	fail := s.fail
+	s.mu.Unlock()
+	wait(r.Context(), scale(time.Duration(float64(base)*slow), s.Speed))
+	s.mu.Lock()
+	s.loading--
+	s.mu.Unlock()
+	if fail {
+		writeError(w, http.StatusBadGateway, "weights ended early")
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/server/deliverer/deliverer.go
@@ -0,0 +1,218 @@
+// Package deliverer is the step that gives the caller the answer.
+//
+// A streamed answer is a series of server-sent events in the form of OpenAI's
+// chat completion chunks. The id of each is the stream's token and the offset
+// of the next piece, so that any instance can continue the stream. A whole
+// answer is collected and sent as one JSON body.
+//
+// # Usage
+//
+//	s := &deliverer.Step{Signer: signer}
+package deliverer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/papayaworks/papayaworks/internal/dialer"
+	"github.com/papayaworks/papayaworks/internal/keyer"
+	"github.com/papayaworks/papayaworks/internal/request"
+	"github.com/papayaworks/papayaworks/internal/signer"
+	"github.com/papayaworks/papayaworks/pkg/configurer"
+)
+
+// Step delivers answers.
+type Step struct {
+	Signer *signer.Signer
+	// Now is the clock of first-token times.
+	Now func() time.Time
+}
+
+// String names the step.
+func (s *Step) String() string { return "deliver" }
+
+// Default has nothing to take from the configuration.
+func (s *Step) Default(*configurer.Config) {}
+
+// Chunk is one event of a streamed answer, or the whole answer.
+type Chunk struct {
+	ID           string   `json:"id"`
+	Object       string   `json:"object"`
+	Model        string   `json:"model"`
+	Choices      []Choice `json:"choices"`
+	Usage        *Usage   `json:"usage,omitempty"`
+	Continuation string   `json:"continuation,omitempty"`
+}
+
+// Choice is the one alternative of a chunk.
+type Choice struct {
+	Index        int              `json:"index"`
+	Delta        *request.Message `json:"delta,omitempty"`
+	Message      *request.Message `json:"message,omitempty"`
+	FinishReason string           `json:"finish_reason,omitempty"`
+}
+
+// Usage counts the tokens of a request.
+type Usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+	RecomputedTokens int `json:"recomputed_tokens"`
+}
+
+// Run delivers the answer.
+func (s *Step) Run(ctx context.Context, r *request.Request) error {
+	if r.Response != nil {
+		return writeResponse(r)
+	}
+	defer r.Stream.Close()
+	if r.Chat.Stream {
+		return s.stream(ctx, r)
+	}
+	return s.whole(ctx, r)
+}
+
+func writeResponse(r *request.Request) error {
+	if r.Response.Type != "" {
+		r.W.Header().Set("Content-Type", r.Response.Type)
+	}
+	r.W.WriteHeader(r.Response.Status)
+	_, err := r.W.Write(r.Response.Body)
+	r.Finished = err == nil
+	return err
+}
+
+func (s *Step) stream(ctx context.Context, r *request.Request) error {
+	token, err := signer.Sign(s.Signer, signer.KindStream, r.Account.Name,
+		signer.Stream{Target: r.Target.ID, Run: r.Run, Model: r.Chat.Model})
+	if err != nil {
+		return err
+	}
+	h := r.W.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("Cache-Control", "no-store")
+	h.Set("X-Request-Id", r.ID)
+	flusher, _ := r.W.(http.Flusher)
+	offset := r.ResumeFrom
+	for {
+		ps, end, err := r.Stream.Next(ctx)
+		if err != nil {
+			writeErrorEvent(r, err)
+			flusher.Flush()
+			return err
+		}
+		if end != nil {
+			s.writeEnd(r, end)
+			flusher.Flush()
+			r.Finished = true
+			return nil
+		}
+		s.markFirst(r)
+		offset += len(ps)
+		r.Pieces += len(ps)
+		c := Chunk{ID: r.Run, Object: "chat.completion.chunk", Model: r.Chat.Model, Choices: []Choice{{
+			Delta: &request.Message{Role: "assistant", Content: join(ps)},
+		}}}
+		if err := writeEvent(r.W, fmt.Sprintf("%s.%d", token, offset), c); err != nil {
+			return err
+		}
+		flusher.Flush()
+	}
+}
+
+func (s *Step) markFirst(r *request.Request) {
+	if r.FirstToken.IsZero() {
+		r.FirstToken, r.Start = s.Now(), r.Stream.Start()
+	}
+}
+
+func join(ps []dialer.RunPiece) string {
+	if len(ps) == 1 {
+		return ps[0].Text
+	}
+	var b strings.Builder
+	for _, p := range ps {
+		b.WriteString(p.Text)
+	}
+	return b.String()
+}
+
+func writeEvent(w http.ResponseWriter, id string, v any) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	if id != "" {
+		_, err = fmt.Fprintf(w, "id: %s\ndata: %s\n\n", id, data)
+	} else {
+		_, err = fmt.Fprintf(w, "data: %s\n\n", data)
+	}
+	return err
+}
+
+func (s *Step) writeEnd(r *request.Request, end *dialer.RunEnd) {
+	c := Chunk{ID: r.Run, Object: "chat.completion.chunk", Model: r.Chat.Model, Usage: usage(r, end),
+		Continuation: s.continuation(r), Choices: []Choice{{Delta: &request.Message{}, FinishReason: end.Finish}}}
+	_ = writeEvent(r.W, "", c)
+	_, _ = fmt.Fprint(r.W, "data: [DONE]\n\n")
+}
+
+// writeErrorEvent tells the reader of a stream that it broke; without it a cut would look like an end.
+func writeErrorEvent(r *request.Request, cause error) {
+	body := request.Body(request.Fail(http.StatusBadGateway, request.CodeRunLost, "%v", cause))
+	data, err := json.Marshal(body)
+	if err == nil {
+		_, _ = fmt.Fprintf(r.W, "event: error\ndata: %s\n\n", data)
+	}
+}
+
+func usage(r *request.Request, end *dialer.RunEnd) *Usage {
+	n := keyer.Tokens(len(r.Prompt))
+	u := &Usage{PromptTokens: n, CompletionTokens: end.Offset, TotalTokens: n + end.Offset}
+	if st := r.Stream.Start(); st != nil {
+		u.RecomputedTokens = st.RecomputedTokens
+	}
+	return u
+}
+
+func (s *Step) continuation(r *request.Request) string {
+	if r.Resume != nil {
+		return ""
+	}
+	tok, err := signer.Sign(s.Signer, signer.KindContinuation, r.Account.Name, signer.Continuation{
+		Anchor: r.Anchor, Target: r.Target.ID, Store: r.Target.Store, Version: r.Scope.Version, Blocks: len(r.Keys),
+	})
+	if err != nil {
+		return ""
+	}
+	return tok
+}
+
+func (s *Step) whole(ctx context.Context, r *request.Request) error {
+	var b strings.Builder
+	for {
+		ps, end, err := r.Stream.Next(ctx)
+		if err != nil {
+			return request.Fail(http.StatusBadGateway, request.CodeRunLost, "%v", err)
+		}
+		if end == nil {
+			s.markFirst(r)
+			r.Pieces += len(ps)
+			b.WriteString(join(ps))
+			continue
+		}
+		r.W.Header().Set("Content-Type", "application/json")
+		r.W.Header().Set("X-Request-Id", r.ID)
+		c := Chunk{ID: r.Run, Object: "chat.completion", Model: r.Chat.Model, Usage: usage(r, end),
+			Continuation: s.continuation(r), Choices: []Choice{{
+				Message: &request.Message{Role: "assistant", Content: b.String()}, FinishReason: end.Finish,
+			}}}
+		err = json.NewEncoder(r.W).Encode(c)
+		r.Finished = err == nil
+		return err
+	}
+}
--- /dev/null
+++ b/internal/server/dispatcher/dispatcher.go
@@ -0,0 +1,114 @@
+// Package dispatcher is the step that sends a request to its target.
+//
+// A chat becomes a run at an engine. The run's name is derived from the account
+// and the idempotency key or the request, so that a second dispatch of the same
+// request attaches to the same run. A call of a plain service is sent once.
+//
+// # Usage
+//
+//	s := &dispatcher.Step{Client: dialer.New()}
+package dispatcher
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/papayaworks/papayaworks/internal/dialer"
+	"github.com/papayaworks/papayaworks/internal/failer"
+	"github.com/papayaworks/papayaworks/internal/keyer"
+	"github.com/papayaworks/papayaworks/internal/request"
+	"github.com/papayaworks/papayaworks/pkg/configurer"
+)
+
+// maxResponseBytes bounds the answer of a plain service.
+const maxResponseBytes = 1 << 20
+
+// Step dispatches requests.
+type Step struct {
+	Client *dialer.Client
+}
+
+// String names the step.
+func (s *Step) String() string { return "dispatch" }
+
+// Default has nothing to take from the configuration.
+func (s *Step) Default(*configurer.Config) {}
+
+// Run dispatches the request.
+func (s *Step) Run(ctx context.Context, r *request.Request) error {
+	if r.Call != nil {
+		return s.call(ctx, r)
+	}
+	if r.Run == "" {
+		r.Run = RunName(r.Account.Name, r.IdempotencyKey, r.ID)
+	}
+	st := &stream{client: s.Client, addr: r.Target.Address, run: r.Run, from: r.ResumeFrom}
+	if r.Resume == nil {
+		st.in = runRequest(r)
+	}
+	if err := st.open(ctx); err != nil {
+		return refusal(err, r)
+	}
+	r.Stream = st
+	return nil
+}
+
+// RunName names the run of a request; the same account and idempotency key give the same run.
+func RunName(account, key, id string) string {
+	if key == "" {
+		key = id
+	}
+	h := sha256.Sum256([]byte(account + "\x00" + key))
+	return hex.EncodeToString(h[:12])
+}
+
+func runRequest(r *request.Request) *dialer.RunRequest {
+	return &dialer.RunRequest{
+		Run: r.Run, Account: r.Account.Name, Model: r.Chat.Model, Version: r.Scope.Version, Prompt: r.Prompt,
+		Keys: r.Keys, PromptTokens: keyer.Tokens(len(r.Prompt)), MaxTokens: r.Chat.MaxTokens, Seed: r.Chat.Seed,
+		Priority: r.Account.Priority, Import: r.Import, DeadlineMs: r.Account.DeadlineMs,
+	}
+}
+
+// refusal turns the failure to open a stream into the caller's error.
+func refusal(err error, r *request.Request) error {
+	var se *dialer.StatusError
+	if errors.As(err, &se) && r.Resume == nil {
+		return &request.Error{
+			Status: http.StatusServiceUnavailable, Code: request.CodeNotRun, NotRun: true, Message: err.Error(),
+		}
+	}
+	return request.Fail(http.StatusBadGateway, request.CodeRunLost, "%v", err)
+}
+
+func (s *Step) call(ctx context.Context, r *request.Request) error {
+	ctx, cancel := context.WithTimeout(ctx, configurer.Milliseconds(r.Call.Operation.DeadlineMs))
+	defer cancel()
+	if !r.Call.Operation.Repeatable {
+		return request.Refuse(http.StatusServiceUnavailable, request.CodeNotRun, "", "the ledger is not available")
+	}
+	u := "http://" + r.Target.Address + "/v1/operations/" + r.Call.Operation.Name
+	req, err := http.NewRequestWithContext(ctx, r.Call.Method, u, bytes.NewReader(r.Call.Body))
+	if err != nil {
+		return failer.Wrap(err, "call target", r.Target.Address, "dispatch")
+	}
+	req.Header.Set("Idempotency-Key", r.IdempotencyKey)
+	res, err := s.Client.HTTP().Do(req)
+	if err != nil {
+		return request.Fail(http.StatusBadGateway, request.CodeOutcomeUnknown, "%v",
+			failer.Wrap(err, "call target", r.Target.Address, "dispatch"))
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes))
+	if err != nil {
+		return request.Fail(http.StatusBadGateway, request.CodeOutcomeUnknown, "%v",
+			failer.Wrap(err, "read answer of", r.Target.Address, "dispatch"))
+	}
+	r.Response = &request.Response{Status: res.StatusCode, Type: res.Header.Get("Content-Type"), Body: body}
+	return nil
+}
--- /dev/null
+++ b/internal/server/pollers.go
@@ -0,0 +1,89 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"github.com/papayaworks/papayaworks/internal/view"
+	"github.com/papayaworks/papayaworks/pkg/configurer"
+)
+
+const (
+	// pollTimeout bounds one poll of a target.
+	pollTimeout = 2 * time.Second
+	// failedPollsDown is how many polls in a row must fail before a target counts as down.
+	failedPollsDown = 3
+)
+
+// startPollers reads the load and state of the engines of the own data centre.
+func (s *Server) startPollers(ctx context.Context) {
+	go func() {
+		failed := map[string]int{}
+		for {
+			v := s.control.View()
+			s.poll(ctx, v, failed)
+			t := time.NewTimer(configurer.Milliseconds(v.Config.Timing.LoadReportMs))
+			select {
+			case <-ctx.Done():
+				t.Stop()
+				return
+			case <-t.C:
+			}
+		}
+	}()
+}
+
+type report struct {
+	id     string
+	status view.Status
+	ok     bool
+}
+
+// poll asks all engines at once and sends the controller one change.
+func (s *Server) poll(ctx context.Context, v *view.View, failed map[string]int) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	out := make(chan report)
+	n := 0
+	for _, t := range v.Config.Targets {
+		if t.Kind != configurer.KindEngine {
+			continue
+		}
+		n++
+		go func() { out <- s.pollTarget(ctx, t) }()
+	}
+	changes := map[string]view.Status{}
+	for range n {
+		r := <-out
+		old, _ := v.Target(r.id)
+		if r.ok {
+			failed[r.id] = 0
+			r.status.Leaving = r.status.Load.Draining
+			changes[r.id] = r.status
+			continue
+		}
+		if failed[r.id]++; failed[r.id] >= failedPollsDown && old != nil && !old.Down {
+			st := old.Status
+			st.Down = true
+			changes[r.id] = st
+		}
+	}
+	if len(changes) > 0 {
+		s.control.Update(func(v *view.View) *view.View { return v.WithTargets(changes) })
+	}
+}
+
+func (s *Server) pollTarget(ctx context.Context, t configurer.Target) report {
+	r := report{id: t.ID}
+	load, err := s.client.Load(ctx, t.Address)
+	if err != nil {
+		return r
+	}
+	state, err := s.client.State(ctx, t.Address)
+	if err != nil {
+		return r
+	}
+	r.ok = true
+	r.status = view.Status{Load: *load, LoadAt: time.Now(), Versions: state.Versions}
+	return r
+}
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,219 @@
+// Package server is an entry instance: it takes requests from callers and has targets serve them.
+//
+// The path of a request is the ordered list in steps.go. Control state belongs
+// to the controller's goroutine; each request reads one immutable view.
+//
+// # Usage
+//
+//	s := &server.Server{Settings: settings, Initial: cfg, Log: log, Recorder: rec, Asserter: as}
+//	err := s.Run(ctx) // returns after a graceful stop once ctx ends
+package server
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/papayaworks/papayaworks/internal/asserter"
+	"github.com/papayaworks/papayaworks/internal/controller"
+	"github.com/papayaworks/papayaworks/internal/dialer"
+	"github.com/papayaworks/papayaworks/internal/failer"
+	"github.com/papayaworks/papayaworks/internal/listener"
+	"github.com/papayaworks/papayaworks/internal/logger"
+	"github.com/papayaworks/papayaworks/internal/request"
+	"github.com/papayaworks/papayaworks/internal/signer"
+	"github.com/papayaworks/papayaworks/internal/view"
+	"github.com/papayaworks/papayaworks/pkg/configurer"
+	"github.com/papayaworks/papayaworks/pkg/recorder"
+)
+
+// bodyHeadroom lets bodies over the configured limit arrive, so that they get a JSON error and not a closed connection.
+const bodyHeadroom = 4
+
+// Server is one entry instance.
+type Server struct {
+	Settings *configurer.Settings
+	// Initial is the configuration until a version was read from the log or a peer.
+	Initial  *configurer.Config
+	Log      logger.Log
+	Recorder *recorder.Recorder
+	Asserter *asserter.Asserter
+
+	signer  *signer.Signer
+	client  *dialer.Client
+	control *controller.Controller
+	http    *listener.Server
+	path    atomic.Pointer[path]
+	ids     atomic.Uint64
+	addr    atomic.Value
+	ready   chan struct{}
+}
+
+// path is the list of steps of one configuration.
+type path struct {
+	cfg   *configurer.Config
+	steps []request.Step
+}
+
+// New returns an instance that is ready to run.
+func New(set *configurer.Settings, cfg *configurer.Config, log logger.Log, rec *recorder.Recorder, as *asserter.Asserter) *Server {
+	return &Server{Settings: set, Initial: cfg, Log: log, Recorder: rec, Asserter: as, ready: make(chan struct{})}
+}
+
+// Ready is closed once the instance serves.
+func (s *Server) Ready() <-chan struct{} { return s.ready }
+
+// Addr returns the address on which callers are served.
+func (s *Server) Addr() string {
+	a, _ := s.addr.Load().(string)
+	return a
+}
+
+// Start begins to serve; the instance's background work ends with ctx.
+func (s *Server) Start(ctx context.Context) error {
+	s.signer = &signer.Signer{}
+	for _, k := range s.Settings.Keys.Token {
+		raw, err := hex.DecodeString(k)
+		if err != nil {
+			return failer.Wrap(err, "decode token key", "", "start")
+		}
+		s.signer.Keys = append(s.signer.Keys, raw)
+	}
+	s.client = dialer.New()
+	s.control = controller.New(view.New(s.Initial, 0, s.Settings.Instance.DataCentre))
+	s.control.Published = s.published
+	s.published(s.control.View())
+	go s.control.Run(ctx)
+	s.startPollers(ctx)
+	s.http = &listener.Server{
+		Addr: s.Settings.Instance.Listen, Handler: s.routes(),
+		MaxBodyBytes:     bodyHeadroom * s.Initial.Limits.MaxBodyBytes,
+		WriteBufferBytes: s.Initial.Limits.StreamBufferBytes,
+	}
+	addr, err := s.http.Start()
+	if err != nil {
+		return err
+	}
+	s.addr.Store(addr)
+	close(s.ready)
+	s.Log.WithField("address", addr).Info("serving")
+	s.Recorder.Record(recorder.Event{Kind: "serving", Peer: addr})
+	return nil
+}
+
+// Run serves until ctx ends and then stops gracefully.
+func (s *Server) Run(ctx context.Context) error {
+	bg, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	if err := s.Start(bg); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return s.Stop(bg)
+}
+
+// Stop lets go: readiness off, no new connections, then waits for the requests in progress.
+func (s *Server) Stop(ctx context.Context) error {
+	s.Log.Info("draining")
+	s.Recorder.Record(recorder.Event{Kind: "draining"})
+	s.control.Apply(ctx, func(v *view.View) *view.View { return v.WithDraining(true) })
+	cfg := s.control.View().Config
+	ctx, cancel := context.WithTimeout(ctx, configurer.Milliseconds(cfg.Timing.DrainMs))
+	defer cancel()
+	err := s.http.Stop(ctx)
+	s.Asserter.Check(asserter.GracefulStop, err == nil, "stop cut off %d requests", s.http.Active())
+	s.Recorder.Record(recorder.Event{Kind: "stopped"})
+	return err
+}
+
+// Kill stops at once, as the death of the process would; only tests and the demo use it.
+func (s *Server) Kill() { s.http.Kill() }
+
+// published builds the request path anew when the configuration changed; it runs on the controller's goroutine.
+func (s *Server) published(v *view.View) {
+	if p := s.path.Load(); p == nil || p.cfg != v.Config {
+		s.path.Store(&path{cfg: v.Config, steps: s.newSteps(v.Config)})
+	}
+}
+
+func (s *Server) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/v1/", s.serve)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	mux.HandleFunc("GET /readyz", s.readyz)
+	mux.HandleFunc("GET /events", s.events)
+	return mux
+}
+
+func (s *Server) readyz(w http.ResponseWriter, _ *http.Request) {
+	if s.control.View().Draining {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = w.Write([]byte("draining\n"))
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+func (s *Server) events(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	enc := json.NewEncoder(w)
+	for _, e := range s.Recorder.Events() {
+		if enc.Encode(e) != nil {
+			return
+		}
+	}
+}
+
+// serve takes one request through the steps.
+func (s *Server) serve(w http.ResponseWriter, hr *http.Request) {
+	r := &request.Request{
+		W: w, HTTP: hr, Received: time.Now(), View: s.control.View(),
+		ID: s.Settings.Instance.ID + "-" + strconv.FormatUint(s.ids.Add(1), 36),
+	}
+	defer func() {
+		if r.Release != nil {
+			r.Release()
+		}
+	}()
+	for _, st := range s.path.Load().steps {
+		if err := st.Run(hr.Context(), r); err != nil {
+			s.fail(r, st, err)
+			return
+		}
+	}
+	s.record(r, "answered", "", r.Reason)
+}
+
+// fail answers with a JSON error unless the answer has already begun.
+func (s *Server) fail(r *request.Request, st request.Step, err error) {
+	var re *request.Error
+	if !errors.As(err, &re) {
+		re = request.Fail(http.StatusInternalServerError, request.CodeInternal, "%v", err)
+	}
+	s.record(r, "failed", st.String(), err.Error())
+	logger.WithError(s.Log, err).WithField("request", r.ID).WithField("step", st.String()).Info("request failed")
+	if r.Pieces > 0 || r.Finished || r.HTTP.Context().Err() != nil {
+		return
+	}
+	h := r.W.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("X-Request-Id", r.ID)
+	if re.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int((re.RetryAfter+time.Second-1)/time.Second)))
+	}
+	r.W.WriteHeader(re.Status)
+	_ = json.NewEncoder(r.W).Encode(request.Body(re))
+}
+
+func (s *Server) record(r *request.Request, kind, step, reason string) {
+	e := recorder.Event{Kind: kind, Request: r.ID, Account: r.Account.Name, Step: step, Reason: reason}
+	if r.Target != nil {
+		e.Target = r.Target.ID
+	}
+	s.Recorder.Record(e)
+}
--- /dev/null
+++ b/internal/streamer/streamer.go
@@ -0,0 +1,69 @@
+// Package streamer puts the pieces of an answer in order.
+//
+// An engine's pieces may arrive late, out of order or twice, and after a broken
+// connection they are read again from an offset. An [Assembler] takes them as
+// they come and hands out each offset exactly once, in order. What it holds back
+// is bounded: a piece further ahead than the window is refused, and the reader
+// asks the engine again from [Assembler.Next].
+//
+// # Usage
+//
+//	a := streamer.NewAssembler(from, streamer.DefaultWindow)
+//	ready, err := a.Add(piece)
+//	done := a.End(end)
+package streamer
+
+import (
+	"github.com/papayaworks/papayaworks/internal/dialer"
+	"github.com/papayaworks/papayaworks/internal/failer"
+)
+
+// DefaultWindow is how many pieces may be ahead of the next one.
+const DefaultWindow = 1024
+
+// Assembler orders the pieces of one answer. It is used by one goroutine.
+type Assembler struct {
+	next   int
+	window int
+	held   map[int]dialer.RunPiece
+	end    int
+	ended  bool
+}
+
+// NewAssembler returns an assembler whose first piece has the offset from.
+func NewAssembler(from, window int) *Assembler {
+	return &Assembler{next: from, window: window, held: map[int]dialer.RunPiece{}}
+}
+
+// Next returns the offset of the next piece to hand out.
+func (a *Assembler) Next() int { return a.next }
+
+// Held returns how many pieces wait for an earlier one.
+func (a *Assembler) Held() int { return len(a.held) }
+
+// Add takes a piece and returns the pieces that are now in order; duplicates give none.
+func (a *Assembler) Add(p dialer.RunPiece) ([]dialer.RunPiece, error) {
+	if p.Offset < 0 || p.Offset >= a.next+a.window {
+		return nil, failer.New("piece %d is outside the window of %d pieces from %d", p.Offset, a.window, a.next)
+	}
+	if p.Offset < a.next {
+		return nil, nil
+	}
+	a.held[p.Offset] = p
+	var out []dialer.RunPiece
+	for {
+		q, ok := a.held[a.next]
+		if !ok {
+			return out, nil
+		}
+		delete(a.held, a.next)
+		out = append(out, q)
+		a.next++
+	}
+}
+
+// End tells the number of pieces of the whole answer.
+func (a *Assembler) End(e dialer.RunEnd) { a.end, a.ended = e.Offset, true }
+
+// Complete reports whether every piece up to the end was handed out.
+func (a *Assembler) Complete() bool { return a.ended && a.next >= a.end }
--- /dev/null
+++ b/internal/view/view.go
@@ -0,0 +1,171 @@
+// Package view holds the immutable snapshot of the deployment that traffic reads.
+//
+// One goroutine, the controller, owns control state. It builds a new [View] for
+// each change and publishes it through an atomic pointer; request goroutines
+// load the pointer once and see one consistent state for the whole request.
+// Counters of an instance's own dispatches are the exception: they are atomics
+// that all views of a target share, because they change with every request.
+//
+// # Usage
+//
+//	v := view.New(cfg, version, "kochi-a")
+//	v = v.WithTargets(map[string]view.Status{"letters-1": {Load: load}})
+//	t, ok := v.Target("letters-1")
+package view
+
+import (
+	"maps"
+	"sync/atomic"
+	"time"
+
+	"github.com/papayaworks/papayaworks/internal/dialer"
+	"github.com/papayaworks/papayaworks/pkg/configurer"
+)
+
+// Status is what is known of a target at present.
+type Status struct {
+	Load     dialer.Load
+	LoadAt   time.Time
+	Versions map[string]int64
+	// Leaving: the target gets no new work.
+	Leaving bool
+	// Down: the target did not answer lately.
+	Down bool
+}
+
+// Own counts what this instance sent to a target and has not finished.
+type Own struct {
+	Running       atomic.Int64
+	PendingTokens atomic.Int64
+}
+
+// Target is a target of the configuration with its present status.
+type Target struct {
+	configurer.Target
+	Status
+	Own *Own
+}
+
+// Version returns the weight version that the target serves of a model; 0 if it is not known.
+func (t *Target) Version(model string) int64 { return t.Versions[model] }
+
+// Usable reports whether new work may be sent to the target.
+func (t *Target) Usable() bool { return !t.Target.Leaving && !t.Status.Leaving && !t.Down }
+
+// StoreStatus is what is known of a store and its link at present.
+type StoreStatus struct {
+	State       dialer.StoreState
+	BytesPerSec float64
+	Down        bool
+}
+
+// Member is one instance of the system as the membership sees it.
+type Member struct {
+	ID            string `json:"id"`
+	DataCentre    string `json:"dataCentre"`
+	Address       string `json:"address"`
+	State         string `json:"state"`
+	ConfigVersion int64  `json:"configVersion"`
+}
+
+// View is one immutable snapshot.
+type View struct {
+	Config        *configurer.Config
+	ConfigVersion int64
+	DataCentre    string
+	Draining      bool
+	Members       []Member
+
+	targets  map[string]*Target
+	byModel  map[string][]*Target
+	services map[string][]*Target
+	stores   map[string]StoreStatus
+}
+
+// New returns a view of a configuration in which nothing is known of the targets.
+func New(cfg *configurer.Config, version int64, dataCentre string) *View {
+	v := &View{DataCentre: dataCentre, stores: map[string]StoreStatus{}}
+	return v.WithConfig(cfg, version)
+}
+
+// WithConfig returns a view of another configuration; the status of targets that stay is kept.
+func (v *View) WithConfig(cfg *configurer.Config, version int64) *View {
+	n := *v
+	n.Config, n.ConfigVersion = cfg, version
+	n.targets = make(map[string]*Target, len(cfg.Targets))
+	for _, ct := range cfg.Targets {
+		t := &Target{Target: ct, Own: new(Own)}
+		if old, ok := v.targets[ct.ID]; ok {
+			t.Status, t.Own = old.Status, old.Own
+		}
+		n.targets[ct.ID] = t
+	}
+	n.index()
+	return &n
+}
+
+// WithTargets returns a view with other statuses of some targets.
+func (v *View) WithTargets(changes map[string]Status) *View {
+	n := *v
+	n.targets = maps.Clone(v.targets)
+	for id, s := range changes {
+		if old, ok := v.targets[id]; ok {
+			t := *old
+			t.Status = s
+			n.targets[id] = &t
+		}
+	}
+	n.index()
+	return &n
+}
+
+// WithStores returns a view with other statuses of some stores.
+func (v *View) WithStores(changes map[string]StoreStatus) *View {
+	n := *v
+	n.stores = maps.Clone(v.stores)
+	maps.Copy(n.stores, changes)
+	return &n
+}
+
+// WithMembers returns a view with other members.
+func (v *View) WithMembers(ms []Member) *View {
+	n := *v
+	n.Members = ms
+	return &n
+}
+
+// WithDraining returns a view of an instance that takes no new requests.
+func (v *View) WithDraining(on bool) *View {
+	n := *v
+	n.Draining = on
+	return &n
+}
+
+// index groups the targets in the order of the configuration.
+func (v *View) index() {
+	v.byModel, v.services = map[string][]*Target{}, map[string][]*Target{}
+	for _, ct := range v.Config.Targets {
+		t := v.targets[ct.ID]
+		for _, m := range ct.Models {
+			v.byModel[m] = append(v.byModel[m], t)
+		}
+		for _, s := range ct.Services {
+			v.services[s] = append(v.services[s], t)
+		}
+	}
+}
+
+// Target returns a target by id.
+func (v *View) Target(id string) (*Target, bool) {
+	t, ok := v.targets[id]
+	return t, ok
+}
+
+// Store returns what is known of a store.
+func (v *View) Store(id string) StoreStatus { return v.stores[id] }
+
+// Engines returns the targets that serve a model; the caller must not change the slice.
+func (v *View) Engines(model string) []*Target { return v.byModel[model] }
+
+// Services returns the targets that offer a service; the caller must not change the slice.
+func (v *View) Services(name string) []*Target { return v.services[name] }
