--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -92,6 +92,8 @@
 	Target *view.Target
 	Import *dialer.Import
 	Reason string
+	// Alternatives are further targets, best first, for a retry of what certainly did not run.
+	Alternatives []*view.Target
 
 	// Run and Stream are set by the dispatcher.
 	Run    string
