feat(questioner): questionnaire and generation of the configuration

Operators had to write the published configuration by hand, and a fault in a nested list had no line. internal/questioner asks in the operator's words, derives every setting with the answer that it comes from, and refuses answers that contradict each other with the reason and the way out. The strict decoder now reports every unknown key, wrong type and wrong value in one reading, with the line inside nested lists.

--- /dev/null
+++ b/internal/questioner/capacity.go
@@ -0,0 +1,162 @@
+package questioner
+
+import (
+	"fmt"
+	"math"
+	"strings"
+)
+
+const (
+	// whole is the sum that the accounts' shares may reach.
+	whole     = 100
+	msPerSec  = 1000
+	bytePerMi = 1 << 20
+)
+
+func (v *verifier) applications() {
+	for i, p := range v.a.Applications {
+		key := fmt.Sprintf("applications[%d].", i)
+		for j, o := range p.Operations {
+			if !v.a.hasOperation(o) {
+				v.add(fmt.Sprintf("%soperations[%d]", key, j), o, "no service has this operation", "add it to services or correct the name")
+			}
+		}
+		if p.Model == "" && len(p.Operations) == 0 {
+			v.add(key+"model", p.Model, "application "+p.Name+" uses neither a model nor an operation", "name one")
+		}
+		if p.FirstTokenMs < 1 || p.DeadlineSeconds*msPerSec < float64(p.FirstTokenMs) {
+			v.add(key+"deadlineSeconds", p.DeadlineSeconds, "an answer cannot be of no use before it must begin",
+				"give firstTokenMs above 0 and a deadline after it")
+		}
+		if p.Model != "" {
+			v.modelWork(key, p)
+		}
+	}
+}
+
+// modelWork checks an application that uses a model.
+func (v *verifier) modelWork(key string, p Application) {
+	m, ok := v.a.model(p.Model)
+	if !ok {
+		v.add(key+"model", p.Model, "no such model", "add it to models or correct the name")
+		return
+	}
+	if p.NewTokens < 1 || p.AnswerTokens < 1 || p.ContextTokens < p.NewTokens {
+		v.add(key+"newTokens", p.NewTokens, "a request has at least one new token, its answer too, and the conversation holds them",
+			"give newTokens, answerTokens and contextTokens >= newTokens")
+		return
+	}
+	if p.ContextTokens+p.AnswerTokens > m.ContextTokens {
+		v.add(key+"contextTokens", p.ContextTokens, fmt.Sprintf("with the answer this is more than the %d tokens of model %s",
+			m.ContextTokens, m.Name), "shorten the conversation or use another model")
+	}
+	if m.PrefillTokensPerSecond < 1 || m.BytesPerToken < 1 || m.DecodeTokensPerSecond < 1 {
+		return // reported by the validation of the model
+	}
+	if low := v.a.leastFirstToken(p, m); float64(p.FirstTokenMs) < low {
+		v.add(key+"firstTokenMs", p.FirstTokenMs,
+			fmt.Sprintf("computing %d new tokens, bringing %d tokens of context and the way there and back take %.0f ms on an idle engine",
+				p.NewTokens, p.ContextTokens-p.NewTokens, math.Ceil(low)),
+			fmt.Sprintf("allow at least %.0f ms, add fewer tokens to a request, or use faster engines or links", math.Ceil(low)))
+	}
+}
+
+// leastFirstToken returns the milliseconds to the first token on an idle engine in the farthest data centre:
+// the new tokens are computed, and the returning context is imported or computed, whichever is faster.
+func (a *Answers) leastFirstToken(p Application, m Model) float64 {
+	way := 0.0
+	for _, d := range a.DataCentres {
+		way = max(way, d.CallersMs)
+	}
+	between := 0.0
+	for _, l := range a.Links {
+		between = max(between, l.OneWayMs)
+	}
+	prefill := msPerSec / float64(m.PrefillTokensPerSecond)
+	old := float64(p.ContextTokens - p.NewTokens)
+	bring := old * prefill
+	if rate := a.slowestLink(); rate > 0 {
+		bring = min(bring, msPerSec*old*float64(m.BytesPerToken)/(rate*bytePerMi))
+	}
+	return 2*(way+between) + float64(p.NewTokens)*prefill + bring + msPerSec/float64(m.DecodeTokensPerSecond)
+}
+
+func (a *Answers) slowestLink() float64 {
+	rate := 0.0
+	for _, s := range a.Stores {
+		if r := float64(s.LinkMiBPerSecond); rate == 0 || r < rate {
+			rate = r
+		}
+	}
+	return rate
+}
+
+func (v *verifier) accounts() {
+	sum := 0
+	for i, c := range v.a.Accounts {
+		key := fmt.Sprintf("accounts[%d].", i)
+		sum += c.SharePercent
+		if strings.TrimSpace(c.KeySHA256) == "" {
+			v.add(key+"keySHA256", c.KeySHA256, "account "+c.Name+" has no API key, so that nobody could use it",
+				"make a key and write down its SHA-256, for example with: printf %s KEY | sha256sum")
+		}
+		if len(c.Applications) == 0 {
+			v.add(key+"applications", c.Applications, "account "+c.Name+" does no work", "name at least one application")
+		}
+		for j, n := range c.Applications {
+			if _, ok := v.a.application(n); !ok {
+				v.add(fmt.Sprintf("%sapplications[%d]", key, j), n, "no such application", "add it to applications or correct the name")
+			}
+		}
+		if c.SharePercent < 1 {
+			v.add(key+"sharePercent", c.SharePercent, "account "+c.Name+" would get nothing under load", "give at least 1")
+		}
+		if c.RequestsPerSecond <= 0 || c.PeakRequestsPerSecond < c.RequestsPerSecond {
+			v.add(key+"requestsPerSecond", c.RequestsPerSecond, "the promised rate must be above 0 and at most the peak rate",
+				fmt.Sprintf("lower it or raise peakRequestsPerSecond (%g)", c.PeakRequestsPerSecond))
+		}
+	}
+	if sum > whole {
+		v.add("accounts", sum, fmt.Sprintf("the accounts' shares add up to %d%%", sum), "lower sharePercent until the sum is at most 100")
+	}
+}
+
+// Demand is what the accounts' promised rates ask of a model's engines, and what the engines have.
+type Demand struct {
+	PrefillTokens, DecodeTokens     float64
+	PrefillCapacity, DecodeCapacity float64
+}
+
+// demand returns the demand for a model in tokens a second.
+func (a *Answers) demand(m Model) Demand {
+	var d Demand
+	for _, c := range a.Accounts {
+		for _, n := range c.Applications {
+			if p, ok := a.application(n); ok && p.Model == m.Name {
+				each := c.RequestsPerSecond / float64(len(c.Applications))
+				d.PrefillTokens += each * float64(p.NewTokens)
+				d.DecodeTokens += each * float64(p.AnswerTokens)
+			}
+		}
+	}
+	for _, t := range a.engines(m.Name) {
+		d.PrefillCapacity += float64(m.PrefillTokensPerSecond) / float64(len(t.Models))
+		d.DecodeCapacity += float64(m.DecodeTokensPerSecond*t.ParallelRuns) / float64(len(t.Models))
+	}
+	return d
+}
+
+// capacity refuses promises that the engines cannot keep even if no context was ever computed twice.
+func (v *verifier) capacity() {
+	for i, m := range v.a.Models {
+		d := v.a.demand(m)
+		if len(v.a.engines(m.Name)) == 0 || (d.PrefillTokens <= d.PrefillCapacity && d.DecodeTokens <= d.DecodeCapacity) {
+			continue
+		}
+		share := max(d.PrefillTokens/max(1, d.PrefillCapacity), d.DecodeTokens/max(1, d.DecodeCapacity))
+		v.add(fmt.Sprintf("models[%d].name", i), m.Name,
+			fmt.Sprintf("the accounts' requestsPerSecond need %.0f prompt tokens and %.0f answer tokens a second, the engines have %.0f and %.0f",
+				d.PrefillTokens, d.DecodeTokens, d.PrefillCapacity, d.DecodeCapacity),
+			fmt.Sprintf("lower the rates to %.0f%% of what is written, or add engines", math.Floor(whole/share)))
+	}
+}
--- /dev/null
+++ b/internal/questioner/questioner_test.go
@@ -0,0 +1,117 @@
+package questioner
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/papayaworks/papayaworks/pkg/configurer"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+func golden(t *testing.T, name, got string) {
+	t.Helper()
+	file := filepath.Join("testdata", name)
+	if *update {
+		require.NoError(t, os.MkdirAll("testdata", 0o755))
+		require.NoError(t, os.WriteFile(file, []byte(got), 0o644))
+	}
+	want, err := os.ReadFile(file)
+	require.NoError(t, err, "run go test -update to write it")
+	require.Equal(t, string(want), got)
+}
+
+// Guards against answers that give another configuration than the committed one, or one that the strict decoder refuses.
+func TestGenerateGolden(t *testing.T) {
+	golden(t, "empty.toml", Empty())
+	for user := range Users {
+		t.Run(user, func(t *testing.T) {
+			text, ok := Filled(user)
+			require.True(t, ok)
+			golden(t, user+"-answers.toml", text)
+			g, err := Generate(user+"-answers.toml", text)
+			require.NoError(t, err)
+			golden(t, user+"-config.toml", g.Text)
+			again, err := configurer.Parse("config.toml", g.Text)
+			require.NoError(t, err)
+			require.Equal(t, g.Config, again)
+			a, err := Parse("", text)
+			require.NoError(t, err)
+			set, err := Settings(a, a.Instances[0].ID, []string{strings.Repeat("ab", 32)})
+			require.NoError(t, err)
+			golden(t, user+"-instance.toml", set)
+			_, err = configurer.ParseSettings("instance.toml", set)
+			require.NoError(t, err)
+		})
+	}
+}
+
+// Guards against answers that no deployment can keep, and against a refusal that does not name answer, reason and way out.
+func TestGenerateRefuses(t *testing.T) {
+	tests := map[string]struct {
+		change func(a *Answers)
+		key    string
+		says   string
+	}{
+		"first token below prefill and links": {func(a *Answers) { a.Applications[0].FirstTokenMs = 50 },
+			"applications[0].firstTokenMs", "allow at least"},
+		"shares over 100 percent": {func(a *Answers) { a.Accounts[0].SharePercent = 60 }, "accounts", "add up to 134%; lower"},
+		"no idempotency key": {func(a *Answers) { a.Services[0].Operations[0].IdempotencyKeyFrom = " " },
+			"services[0].operations[0].idempotencyKeyFrom", "say where the caller takes the key from"},
+		"doubled call allowed": {func(a *Answers) { a.Deployment.MustNeverHappen = nil },
+			"services[0].operations[0].mayBeRepeated", "add doubledCall"},
+		"account without key":           {func(a *Answers) { a.Accounts[3].KeySHA256 = "" }, "accounts[3].keySHA256", "make a key"},
+		"account with half a key":       {func(a *Answers) { a.Accounts[3].KeySHA256 = "abcd" }, "accounts[3].keySHA256", "hexadecimal"},
+		"account with unknown work":     {func(a *Answers) { a.Accounts[3].Applications[0] = "x" }, "accounts[3].applications[0]", "add it to applications"},
+		"data centre without targets":   {func(a *Answers) { a.addCentre("kochi-d") }, "dataCentres[3].name", "add a target there"},
+		"data centre without link":      {func(a *Answers) { a.Links = a.Links[1:] }, "dataCentres[1].name", "add an entry to links"},
+		"more than capacity":            {func(a *Answers) { a.Accounts[0].RequestsPerSecond, a.Accounts[0].PeakRequestsPerSecond = 90, 90 }, "models[0].name", "lower the rates to"},
+		"promise above peak":            {func(a *Answers) { a.Accounts[0].RequestsPerSecond = 13 }, "accounts[0].requestsPerSecond", "raise peakRequestsPerSecond (12)"},
+		"unknown operation":             {func(a *Answers) { a.Applications[3].Operations[0] = "dispatch/x" }, "applications[3].operations[0]", "correct the name"},
+		"model without engine":          {func(a *Answers) { a.Models = append(a.Models, model("spare", 1)) }, "models[1].name", "no target serves this model"},
+		"conversation longer than fits": {func(a *Answers) { a.Models[0].ContextTokens = 4000 }, "applications[0].contextTokens", "shorten"},
+		"target of no kind":             {func(a *Answers) { a.Targets[0].Models = nil }, "targets[0].models", "fill in either"},
+		"unknown weight":                {func(a *Answers) { a.Deployment.WeighsMost = "cost" }, "deployment.weighsMost", "write firstToken or"},
+		"unknown horror":                {func(a *Answers) { a.Deployment.MustNeverHappen[0] = "rain" }, "deployment.mustNeverHappen[0]", "choose from"},
+		"wrong address":                 {func(a *Answers) { a.Targets[2].Address = "engine:1" }, "targets[2].address", "IP address"},
+		"deadline before first token":   {func(a *Answers) { a.Applications[0].DeadlineSeconds = 0.1 }, "applications[0].deadlineSeconds", "deadline after it"},
+		"log forgets":                   {func(a *Answers) { a.Platform.LogRetentionHours = 0 }, "platform.logRetentionHours", "at least 1 hour"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			a := Trust().Answers
+			tt.change(a)
+			_, err := Generate("answers.toml", Render(a, nil))
+			var fs configurer.Faults
+			require.ErrorAs(t, err, &fs)
+			for _, f := range fs {
+				if f.Key == tt.key && strings.Contains(f.Allowed, tt.says) {
+					require.Positive(t, f.Line, "a refusal names the line")
+					return
+				}
+			}
+			t.Fatalf("no fault of %s that says %q in:\n%v", tt.key, tt.says, err)
+		})
+	}
+}
+
+func (a *Answers) addCentre(name string) {
+	for _, d := range a.DataCentres {
+		a.Links = append(a.Links, Link{Between: []string{d.Name, name}, OneWayMs: 1})
+	}
+	a.DataCentres = append(a.DataCentres, DataCentre{Name: name, Region: "kerala", CallersMs: 1})
+	a.Instances = append(a.Instances, Instance{ID: name + "-1", DataCentre: name, Listen: "10.20.0.99:1", PeerListen: "10.20.0.99:2"})
+}
+
+// Guards against a panic or a silent success on the questionnaire as it is printed.
+func TestEmptyIsRefused(t *testing.T) {
+	_, err := Generate("answers.toml", Empty())
+	var fs configurer.Faults
+	require.ErrorAs(t, err, &fs)
+	require.Greater(t, len(fs), 20)
+}
--- /dev/null
+++ b/internal/questioner/users.go
@@ -0,0 +1,191 @@
+package questioner
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"strings"
+)
+
+// User is a first user's questionnaire, filled in.
+type User struct {
+	Answers *Answers
+	// Assumed are the keys, without indices, that were not told by the user.
+	Assumed []string
+}
+
+// Text returns the questionnaire as a file.
+func (u *User) Text() string { return Render(u.Answers, u.Assumed) }
+
+// Users are the first users by name; each call makes a new copy.
+var Users = map[string]func() *User{"trust": Trust, "cooperative": Cooperative}
+
+// assumed are the keys for which neither user gave an answer.
+var assumed = []string{
+	"platform.log", "platform.list", "platform.logRetentionHours", "platform.logAppendsPerSecond",
+	"dataCentres.region", "links.oneWayMs",
+	"models.version", "models.prefillTokensPerSecond", "models.decodeTokensPerSecond", "models.contextTokens",
+	"models.bytesPerToken",
+	"services.operations.deadlineSeconds",
+	"stores.address", "stores.memoryMiB", "stores.diskMiB", "stores.linkMiBPerSecond", "stores.diskMiBPerSecond",
+	"targets.address", "targets.parallelRuns", "targets.cacheBlocks", "targets.checksFencing",
+	"instances.listen", "instances.peerListen",
+	"applications.newTokens", "applications.contextTokens", "applications.answerTokens", "applications.firstTokenMs",
+	"applications.deadlineSeconds",
+	"accounts.keySHA256", "accounts.sharePercent", "accounts.requestsPerSecond", "accounts.peakRequestsPerSecond",
+}
+
+// DemoKey returns the API key that belongs to an account's hash in the users' questionnaires.
+func DemoKey(account string) string { return "demo-key-" + account }
+
+func demoHash(account string) string {
+	h := sha256.Sum256([]byte(DemoKey(account)))
+	return hex.EncodeToString(h[:])
+}
+
+// plan says what a user's machines are; address ranges are the same at both users.
+type plan struct {
+	model, service           string
+	engines, services, entry int
+}
+
+// Trust returns the questionnaire of the trust that repairs footwear in Kerala.
+func Trust() *User {
+	a := common("kerala-trust", "firstToken", "kerala", []string{"kochi-a", "kochi-b", "kochi-c"})
+	a.Models = []Model{model("letters", 0.25)}
+	a.Services = []Service{{Name: "dispatch", Operations: []Operation{
+		operation("order", "the number that the post office's form gives the parcel when its order is saved"),
+		{Name: "lookup", MayBeRepeated: true, DeadlineSeconds: 5},
+	}}}
+	a.machines(plan{model: "letters", service: "dispatch", engines: 12, services: 3, entry: 6})
+	a.Applications = []Application{
+		{Name: "read-letters", Does: "reads applicants' letters and answers in Malayalam", Model: "letters",
+			NewTokens: 3000, ContextTokens: 9000, AnswerTokens: 300, FirstTokenMs: 550, DeadlineSeconds: 60},
+		{Name: "assess-repairs", Does: "drafts the assessment of a repair from the letters and the cobbler's notes",
+			Model: "letters", NewTokens: 2000, ContextTokens: 12000, AnswerTokens: 400, FirstTokenMs: 550, DeadlineSeconds: 60},
+		{Name: "sort-parcels", Does: "sorts parcels by their fault", Model: "letters", Operations: []string{"dispatch/lookup"},
+			NewTokens: 500, ContextTokens: 2000, AnswerTokens: 60, FirstTokenMs: 400, DeadlineSeconds: 30},
+		{Name: "order-couriers", Does: "orders the pickup of a parcel", Operations: []string{"dispatch/order", "dispatch/lookup"},
+			FirstTokenMs: 550, DeadlineSeconds: 30},
+	}
+	letters, sorting := []string{"read-letters", "assess-repairs"}, []string{"sort-parcels"}
+	couriers := []string{"sort-parcels", "order-couriers"}
+	a.Accounts = []Account{
+		large("fishing-villages", "post offices on the coast", letters),
+		large("tea-estates", "post offices in the hills", letters),
+		small("schools", "school offices", letters),
+		small("post-offices", "post offices in towns", couriers),
+		small("volunteers", "volunteers who read letters", letters),
+		small("cobblers", "cobblers in the workshops", []string{"assess-repairs", "sort-parcels"}),
+		small("letters-desk", "the trust's own letter desk", letters),
+		small("dispatch", "the parcel room", couriers),
+		small("sorting", "volunteers at the sorting tables", sorting),
+		small("reports", "the trust's office", []string{"assess-repairs"}),
+	}
+	return &User{Answers: a, Assumed: assumed}
+}
+
+// Cooperative returns the questionnaire of the tailors' co-operative in Sfax.
+func Cooperative() *User {
+	a := common("sfax-cooperative", "recomputedShare", "sfax", []string{"medina", "port", "ville-nouvelle"})
+	a.Models = []Model{model("drafting", 0.5)}
+	a.Services = []Service{{Name: "cloth", Operations: []Operation{
+		operation("order", "the number of the order line in the counter's order book"),
+		operation("deposit", "the number of the receipt, which is printed before the deposit is charged"),
+		{Name: "lookup", MayBeRepeated: true, DeadlineSeconds: 5},
+	}}}
+	a.machines(plan{model: "drafting", service: "cloth", engines: 12, services: 3, entry: 7})
+	a.Applications = []Application{
+		{Name: "draft-patterns", Does: "drafts patterns from full measure books for cutters", Model: "drafting",
+			NewTokens: 1500, ContextTokens: 24000, AnswerTokens: 600, FirstTokenMs: 900, DeadlineSeconds: 90},
+		{Name: "fit-at-counter", Does: "answers fitting questions at shop counters", Model: "drafting",
+			NewTokens: 400, ContextTokens: 6000, AnswerTokens: 80, FirstTokenMs: 450, DeadlineSeconds: 20},
+		{Name: "check-setts", Does: "checks tartan setts for weavers", Model: "drafting",
+			NewTokens: 800, ContextTokens: 8000, AnswerTokens: 200, FirstTokenMs: 900, DeadlineSeconds: 60},
+		{Name: "order-cloth", Does: "places cloth orders and takes deposits",
+			Operations: []string{"cloth/order", "cloth/deposit", "cloth/lookup"}, FirstTokenMs: 550, DeadlineSeconds: 30},
+		{Name: "look-up-orders", Does: "looks up orders", Operations: []string{"cloth/lookup"}, FirstTokenMs: 550, DeadlineSeconds: 10},
+	}
+	drafts, counter, buying := []string{"draft-patterns"}, []string{"fit-at-counter", "look-up-orders"}, []string{"order-cloth"}
+	a.Accounts = []Account{
+		large("cutters", "cutters in the workshops", drafts),
+		large("shop-medina", "shop counters in the medina", counter),
+		small("shop-port", "shop counters at the port", counter),
+		small("shop-ville", "shop counters in the new town", counter),
+		small("weavers", "weavers", []string{"check-setts"}),
+		small("orders", "buyers of cloth", buying),
+		small("deposits", "cashiers", buying),
+		small("lookups", "members who ask for their orders", []string{"look-up-orders"}),
+		small("pattern-office", "the pattern office", drafts),
+		small("members", "the members' office", []string{"check-setts", "look-up-orders"}),
+	}
+	return &User{Answers: a, Assumed: assumed}
+}
+
+func common(name, weighs, region string, centres []string) *Answers {
+	a := &Answers{
+		Deployment: Deployment{Name: name, WeighsMost: weighs,
+			MustNeverHappen: []string{"lostAnswer", "doubledCall", "mixedAccounts", "mixedWeights", "cutOffAtStop"}},
+		Platform: Platform{Log: "10.20.0.10:7000", List: "10.20.0.11:7000", LogRetentionHours: 24, LogAppendsPerSecond: 400},
+	}
+	for i, c := range centres {
+		a.DataCentres = append(a.DataCentres, DataCentre{Name: c, Region: region, CallersMs: 1})
+		for _, other := range centres[:i] {
+			a.Links = append(a.Links, Link{Between: []string{other, c}, OneWayMs: 1.2})
+		}
+	}
+	return a
+}
+
+func model(name string, load float64) Model {
+	return Model{Name: name, Version: 1, PrefillTokensPerSecond: 16000, DecodeTokensPerSecond: 60, ContextTokens: 131072,
+		BytesPerToken: 2048, LoadSeconds: load}
+}
+
+func operation(name, from string) Operation {
+	return Operation{Name: name, IdempotencyKeyFrom: from, DeadlineSeconds: 10}
+}
+
+// machines adds the targets, the store beside each and the entry instances, spread over the data centres.
+func (a *Answers) machines(p plan) {
+	centre := func(i int) string { return a.DataCentres[i%len(a.DataCentres)].Name }
+	address := func(kind, i, port int) string {
+		return fmt.Sprintf("10.20.%d.%d:%d", 10*kind+i%len(a.DataCentres), 10+i/len(a.DataCentres), port)
+	}
+	for i := range p.engines + p.services {
+		st := Store{ID: fmt.Sprintf("store-%d", i+1), Address: address(3, i, 9000), DataCentre: centre(i),
+			MemoryMiB: 1024, DiskMiB: 8192, LinkMiBPerSecond: 400, DiskMiBPerSecond: 100}
+		t := Target{Address: address(2, i, 8000), DataCentre: st.DataCentre, Store: st.ID, ParallelRuns: 8}
+		if i < p.engines {
+			t.ID, t.Models, t.CacheBlocks, t.ChecksFencing = fmt.Sprintf("%s-%d", p.model, i+1), []string{p.model}, 24, i%2 == 0
+		} else {
+			t.ID, t.Services = fmt.Sprintf("%s-%d", p.service, i-p.engines+1), []string{p.service}
+		}
+		a.Stores, a.Targets = append(a.Stores, st), append(a.Targets, t)
+	}
+	for i := range p.entry {
+		a.Instances = append(a.Instances, Instance{
+			ID: fmt.Sprintf("%s-%d", centre(i), i/len(a.DataCentres)+1), DataCentre: centre(i),
+			Listen: address(1, i, 8080), PeerListen: address(1, i, 8443),
+		})
+	}
+}
+
+func large(name, callers string, apps []string) Account {
+	return Account{Name: name, Callers: callers, KeySHA256: demoHash(name), Applications: apps, SharePercent: 26,
+		RequestsPerSecond: 2, PeakRequestsPerSecond: 12}
+}
+
+func small(name, callers string, apps []string) Account {
+	return Account{Name: name, Callers: callers, KeySHA256: demoHash(name), Applications: apps, SharePercent: 6,
+		RequestsPerSecond: 0.5, PeakRequestsPerSecond: 5}
+}
+
+// Filled returns the filled-in questionnaire of a first user.
+func Filled(user string) (string, bool) {
+	u, ok := Users[strings.ToLower(user)]
+	if !ok {
+		return "", false
+	}
+	return u().Text(), true
+}
--- /dev/null
+++ b/internal/renderer/renderer.go
@@ -0,0 +1,155 @@
+// Package renderer writes structures as TOML with comments.
+//
+// The keys come from the fields' toml tags, in the order of the fields: values
+// first, then tables, then lists of tables. The same structure gives the same
+// text at every run, so that generated files can be compared and committed.
+//
+// # Usage
+//
+//	r := &renderer.Renderer{Before: questions, After: sources}
+//	text := r.Render(&answers)
+package renderer
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"strconv"
+	"strings"
+	"unicode"
+)
+
+// commentWidth is the column at which a comment before a key is wrapped.
+const commentWidth = 100
+
+// Renderer writes structures; the zero value writes no comments.
+type Renderer struct {
+	// Before returns the comment above a key or a table's header; path has the indices of list elements.
+	Before func(path string, f reflect.StructField) string
+	// After returns the comment at the end of a value's line.
+	After func(path string) string
+}
+
+// Render returns the structure that v points to as TOML.
+func (r *Renderer) Render(v any) string {
+	p := &printer{r: r}
+	p.structure("", "", reflect.ValueOf(v).Elem())
+	return strings.TrimLeft(p.b.String(), "\n")
+}
+
+type printer struct {
+	r *Renderer
+	b strings.Builder
+}
+
+// structure writes the fields of v; path has indices and table is the name that a TOML header takes.
+func (p *printer) structure(path, table string, v reflect.Value) {
+	for pass := range 2 {
+		for i := range v.NumField() {
+			f := v.Type().Field(i)
+			name := f.Tag.Get("toml")
+			if name == "" || isTable(f.Type) != (pass == 1) {
+				continue
+			}
+			p.field(join(path, name), join(table, name), f, v.Field(i))
+		}
+	}
+}
+
+func (p *printer) field(path, table string, f reflect.StructField, v reflect.Value) {
+	switch {
+	case f.Type.Kind() == reflect.Struct:
+		p.header(path, f, "["+table+"]")
+		p.structure(path, table, v)
+	case isTable(f.Type):
+		for i := range v.Len() {
+			at := fmt.Sprintf("%s[%d]", path, i)
+			p.header(at, f, "[["+table+"]]")
+			p.structure(at, table, v.Index(i))
+		}
+	default:
+		p.comment(path, f)
+		name := path[strings.LastIndexByte(path, '.')+1:]
+		p.b.WriteString(name + " = " + value(v))
+		if p.r.After != nil {
+			if c := p.r.After(path); c != "" {
+				p.b.WriteString(" # " + printable(c))
+			}
+		}
+		p.b.WriteByte('\n')
+	}
+}
+
+func (p *printer) header(path string, f reflect.StructField, line string) {
+	p.b.WriteByte('\n')
+	p.comment(path, f)
+	p.b.WriteString(line + "\n")
+}
+
+func (p *printer) comment(path string, f reflect.StructField) {
+	if p.r.Before == nil {
+		return
+	}
+	line := "#"
+	for _, word := range strings.Fields(p.r.Before(path, f)) {
+		if len(line)+1+len(word) > commentWidth {
+			p.b.WriteString(line + "\n")
+			line = "#"
+		}
+		line += " " + word
+	}
+	if line != "#" {
+		p.b.WriteString(line + "\n")
+	}
+}
+
+// printable replaces what a TOML comment must not hold.
+func printable(s string) string {
+	return strings.Map(func(r rune) rune {
+		if unicode.IsPrint(r) {
+			return r
+		}
+		return ' '
+	}, s)
+}
+
+func isTable(t reflect.Type) bool {
+	return t.Kind() == reflect.Struct || (t.Kind() == reflect.Slice && t.Elem().Kind() == reflect.Struct)
+}
+
+func value(v reflect.Value) string {
+	switch v.Kind() {
+	case reflect.String:
+		return quote(v.String())
+	case reflect.Float64:
+		s := strconv.FormatFloat(v.Float(), 'f', -1, 64)
+		if !strings.Contains(s, ".") {
+			s += ".0"
+		}
+		return s
+	case reflect.Slice:
+		parts := make([]string, v.Len())
+		for i := range parts {
+			parts[i] = value(v.Index(i))
+		}
+		return "[" + strings.Join(parts, ", ") + "]"
+	}
+	return fmt.Sprint(v.Interface())
+}
+
+// quote writes a TOML basic string; its escapes are those of JSON, but DEL must be escaped too.
+func quote(s string) string {
+	var b bytes.Buffer
+	enc := json.NewEncoder(&b)
+	enc.SetEscapeHTML(false)
+	_ = enc.Encode(s) // a string can always be encoded
+	return strings.ReplaceAll(strings.TrimSuffix(b.String(), "\n"), "\x7f", `\u007f`)
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
--- /dev/null
+++ b/pkg/configurer/check.go
@@ -0,0 +1,130 @@
+package configurer
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+)
+
+// checker compares decoded TOML with the structure that it is for, so that one reading reports every unknown key
+// and every wrong type; the TOML library stops at the first wrong type and takes keys of another case.
+type checker struct {
+	file   string
+	faults Faults
+}
+
+func (c *checker) add(key string, value any, allowed string) {
+	c.faults = append(c.faults, Fault{File: c.file, Key: key, Value: show(value), Allowed: allowed})
+}
+
+// show returns a value as TOML would write it, in short.
+func show(v any) string {
+	switch v := v.(type) {
+	case map[string]any:
+		return "a table"
+	case []map[string]any:
+		return "a list of tables"
+	case string:
+		return fmt.Sprintf("%q", v)
+	}
+	return fmt.Sprint(v)
+}
+
+// table returns the part of a table that fits the structure t.
+func (c *checker) table(path string, in map[string]any, t reflect.Type) map[string]any {
+	fields := map[string]reflect.StructField{}
+	var known []string
+	for i := range t.NumField() {
+		if name := t.Field(i).Tag.Get("toml"); name != "" {
+			fields[name], known = t.Field(i), append(known, name)
+		}
+	}
+	out := map[string]any{}
+	names := make([]string, 0, len(in))
+	for name := range in {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		f, ok := fields[name]
+		if !ok {
+			c.add(path+name, in[name], "unknown key; known here are "+strings.Join(known, ", "))
+			continue
+		}
+		if v, ok := c.value(path+name, in[name], f.Type); ok {
+			out[name] = v
+		}
+	}
+	return out
+}
+
+// value returns the part of v that fits the type t, and whether there is any.
+func (c *checker) value(path string, v any, t reflect.Type) (any, bool) {
+	ok := false
+	switch t.Kind() {
+	case reflect.Struct:
+		if m, is := v.(map[string]any); is {
+			return c.table(path+".", m, t), true
+		}
+	case reflect.Slice:
+		return c.list(path, v, t)
+	case reflect.String:
+		_, ok = v.(string)
+	case reflect.Bool:
+		_, ok = v.(bool)
+	case reflect.Float64:
+		if n, is := v.(int64); is {
+			return float64(n), true
+		}
+		_, ok = v.(float64)
+	default:
+		_, ok = v.(int64)
+	}
+	if !ok {
+		c.add(path, v, "must be "+kindName(t))
+	}
+	return v, ok
+}
+
+// list keeps the elements that fit; the place of a table that does not fit is kept, so that indices stay right.
+func (c *checker) list(path string, v any, t reflect.Type) (any, bool) {
+	rv := reflect.ValueOf(v)
+	if rv.Kind() != reflect.Slice {
+		c.add(path, v, "must be "+kindName(t))
+		return nil, false
+	}
+	tables, values := []map[string]any{}, []any{}
+	for i := range rv.Len() {
+		e, ok := c.value(fmt.Sprintf("%s[%d]", path, i), rv.Index(i).Interface(), t.Elem())
+		if t.Elem().Kind() == reflect.Struct {
+			m, _ := e.(map[string]any)
+			tables = append(tables, m)
+		} else if ok {
+			values = append(values, e)
+		}
+	}
+	if t.Elem().Kind() == reflect.Struct {
+		return tables, len(tables) > 0
+	}
+	return values, true
+}
+
+func kindName(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.Struct:
+		return "a table"
+	case reflect.Slice:
+		if t.Elem().Kind() == reflect.Struct {
+			return "a list of tables"
+		}
+		return "a list"
+	case reflect.String:
+		return "a string"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Float64:
+		return "a number"
+	}
+	return "a whole number"
+}
--- a/pkg/configurer/decode.go
+++ b/pkg/configurer/decode.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"os"
+	"reflect"
+	"slices"
 	"strings"
 
 	"github.com/BurntSushi/toml"
@@ -16,6 +18,8 @@
 	Key     string `json:"key"`
 	Value   string `json:"value"`
 	Allowed string `json:"allowed"`
+
+	syntax bool
 }
 
 // String returns the fault as one line.
@@ -45,12 +49,18 @@
 	if err != nil {
 		return nil, fmt.Errorf("could not read settings: %w", err)
 	}
+	return ParseSettings(file, string(text))
+}
+
+// ParseSettings decodes, completes and validates an instance's settings; file only names them in faults.
+func ParseSettings(file, text string) (*Settings, error) {
 	s := new(Settings)
-	if fs := decode(file, string(text), s); len(fs) > 0 {
-		return nil, fs
+	fs := decode(file, text, s)
+	if !fs.syntax() {
+		s.SetDefaults()
+		fs = fs.merge(locate(s.Validate(file), text))
 	}
-	s.SetDefaults()
-	if fs := s.Validate(file); len(fs) > 0 {
+	if len(fs) > 0 {
 		return nil, fs
 	}
 	return s, nil
@@ -59,17 +69,18 @@
 // Parse decodes, completes and validates a configuration; file only names it in faults.
 func Parse(file, text string) (*Config, error) {
 	c := new(Config)
-	if fs := decode(file, text, c); len(fs) > 0 {
-		return nil, fs
+	fs := decode(file, text, c)
+	if !fs.syntax() {
+		c.SetDefaults()
+		fs = fs.merge(locate(c.Validate(file), text))
 	}
-	c.SetDefaults()
-	if fs := c.Validate(file); len(fs) > 0 {
-		return nil, locate(fs, text)
+	if len(fs) > 0 {
+		return nil, fs
 	}
 	return c, nil
 }
 
-// Decode decodes TOML text into v and reports unknown keys and wrong types.
+// Decode decodes TOML text into v, a pointer to a structure, and reports every unknown key and every wrong type.
 func Decode(file, text string, v any) error {
 	if fs := decode(file, text, v); len(fs) > 0 {
 		return fs
@@ -77,71 +88,54 @@
 	return nil
 }
 
-func decode(file, text string, v any) Faults {
-	meta, err := toml.Decode(text, v)
-	if err != nil {
-		var pe toml.ParseError
-		if errors.As(err, &pe) {
-			return Faults{{File: file, Line: pe.Position.Line, Key: pe.LastKey, Value: "", Allowed: pe.Message}}
-		}
-		return Faults{{File: file, Key: "", Value: "", Allowed: err.Error()}}
-	}
-	var fs Faults
-	for _, k := range meta.Undecoded() {
-		fs = append(fs, Fault{File: file, Key: k.String(), Value: "", Allowed: "unknown key; see docs/configuration.md"})
-	}
-	return locate(fs, text)
+// Locate fills in the lines of faults in a TOML text.
+func Locate(fs Faults, text string) Faults { return locate(fs, text) }
+
+// syntax reports whether the text is no TOML, so that nothing else can be said about it.
+func (fs Faults) syntax() bool {
+	return slices.ContainsFunc(fs, func(f Fault) bool { return f.syntax })
 }
 
-// locate adds the line of the first mention of each fault's last key part, within its array element if it has one.
-func locate(fs Faults, text string) Faults {
-	lines := strings.Split(text, "\n")
-	for i := range fs {
-		if fs[i].Line == 0 {
-			fs[i].Line = lineOf(lines, fs[i].Key)
+// merge adds the faults of keys that have none yet, in the order of the lines.
+func (fs Faults) merge(more Faults) Faults {
+	seen := map[string]bool{}
+	for _, f := range fs {
+		seen[f.Key] = true
+	}
+	for _, f := range more {
+		if !seen[f.Key] {
+			fs = append(fs, f)
 		}
 	}
+	slices.SortStableFunc(fs, func(a, b Fault) int { return a.Line - b.Line })
 	return fs
 }
 
-func lineOf(lines []string, key string) int {
-	parts := strings.Split(key, ".")
-	want := parts[len(parts)-1]
-	table, index := tableOf(parts[:len(parts)-1])
-	seen, inside := -1, table == ""
-	for n, line := range lines {
-		line = strings.TrimSpace(line)
-		if strings.HasPrefix(line, "[") {
-			inside = false
-			if strings.Trim(line, "[] ") == table {
-				seen++
-				inside = index < 0 || seen == index
-			}
-			if inside && want == "" {
-				return n + 1
-			}
-			continue
-		}
-		name, _, ok := strings.Cut(line, "=")
-		if inside && ok && strings.TrimSpace(name) == want {
-			return n + 1
+// decode decodes what has the right type; the rest of the text is reported.
+func decode(file, text string, v any) Faults {
+	raw, source := map[string]any{}, text
+	if _, err := toml.Decode(text, &raw); err != nil {
+		return syntaxFault(file, err)
+	}
+	c := &checker{file: file}
+	clean := c.table("", raw, reflect.TypeOf(v).Elem())
+	if len(c.faults) > 0 {
+		b, err := toml.Marshal(clean)
+		if err != nil {
+			return syntaxFault(file, err)
 		}
+		text = string(b)
 	}
-	return 0
+	if _, err := toml.Decode(text, v); err != nil {
+		return syntaxFault(file, err)
+	}
+	return locate(c.faults, source)
 }
 
-// tableOf splits "accounts[2]" into the table's name and the index of the element, or -1 without one.
-func tableOf(parts []string) (string, int) {
-	index := -1
-	names := make([]string, len(parts))
-	for i, p := range parts {
-		name, rest, ok := strings.Cut(p, "[")
-		names[i] = name
-		if ok {
-			if _, err := fmt.Sscanf(rest, "%d]", &index); err != nil {
-				index = -1
-			}
-		}
+func syntaxFault(file string, err error) Faults {
+	var pe toml.ParseError
+	if errors.As(err, &pe) {
+		return Faults{{File: file, Line: pe.Position.Line, Key: pe.LastKey, Allowed: pe.Message, syntax: true}}
 	}
-	return strings.Join(names, "."), index
+	return Faults{{File: file, Allowed: err.Error(), syntax: true}}
 }
