fix(dispatcher): separate runs of different requests

Cause: a request id was the instance's id and a counter, so a replaced instance gave the same id again; the engine attached the request to the earlier run and the caller got another request's answer (scenario rolling-replacement: a chat of 10 tokens received an answer of 3,315 bytes instead of 112). Change: request ids carry a random value of the process; a run's name covers account, idempotency key and body.

--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -94,6 +94,7 @@
 		account := dep.Size.Accounts[r.IntN(len(dep.Size.Accounts))]
 		th := &thread{
 			account: account, id: i, turns: 1 + r.IntN(4), seed: r.Int64N(1 << 30), gap: time.Duration(r.IntN(3000)) * time.Millisecond,
+			end:    end,
 			client: &caller.Client{Addresses: dep.Addresses(), Key: Key(account), HTTP: pool},
 		}
 		wg.Go(func() { th.run(ctx, dep, t, begun) })
@@ -113,6 +114,7 @@
 	turns   int
 	seed    int64
 	gap     time.Duration
+	end     time.Time
 	client  *caller.Client
 }
 
@@ -120,6 +122,9 @@
 	msgs := []caller.Message{{Role: "system", Content: "ദയവായി മലയാളത്തിൽ മറുപടി എഴുതുക. Account " + th.account}}
 	token := ""
 	for n := range th.turns {
+		if n > 0 && !time.Now().Before(th.end) {
+			return
+		}
 		letter := strings.Repeat(fmt.Sprintf("thread %d letter %d: ചെരിപ്പ് നന്നാക്കണം. ", th.id, n), 1)
 		letter = strings.Repeat(letter, letterBytes/len(letter)+1)
 		msgs = append(msgs, caller.Message{Role: "user", Content: letter})
--- /dev/null
+++ b/internal/demonstrator/scenario_test.go
@@ -0,0 +1,249 @@
+package demonstrator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/papayaworks/papayaworks/internal/emulator"
+	"github.com/papayaworks/papayaworks/internal/logger"
+	"github.com/papayaworks/papayaworks/pkg/caller"
+)
+
+// scenario is the deployment of one script with the streams that it opened.
+type scenario struct {
+	ctx     context.Context
+	dep     *Deployment
+	mu      sync.Mutex
+	streams map[string]chan error
+	threads map[string][]caller.Message
+	cleanup []func()
+}
+
+// scenarioDeadline bounds one request of a script; a script fails rather than hangs.
+const scenarioDeadline = 60 * time.Second
+
+// Guards against faults that only show in the joint behaviour of instances, engines, stores and the log.
+// Each script is one story of faults; the stand-ins know what really ran.
+func TestScenarios(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:      "testdata/script",
+		Setup:    setUpScenario,
+		Cmds:     scenarioCommands(),
+		TestWork: false,
+	})
+}
+
+type scenarioKey struct{}
+
+func setUpScenario(env *testscript.Env) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &scenario{ctx: ctx, streams: map[string]chan error{}, threads: map[string][]caller.Message{}}
+	env.Values[scenarioKey{}] = s
+	env.Defer(func() {
+		cancel()
+		if s.dep != nil {
+			s.dep.Close()
+		}
+		for _, f := range s.cleanup {
+			f()
+		}
+	})
+	return nil
+}
+
+type scenarioFunc func(s *scenario, args []string) error
+
+// scenarioCommands returns the commands of the scripts. A command with a leading "!" must fail.
+func scenarioCommands() map[string]func(*testscript.TestScript, bool, []string) {
+	out := map[string]func(*testscript.TestScript, bool, []string){}
+	for name, f := range map[string]scenarioFunc{
+		"deploy": deploy, "chat": chat, "stream": stream, "finish": finish, "instance": instance,
+		"engine": engine, "store": store, "log": logFault, "invariants": invariants,
+	} {
+		out[name] = func(ts *testscript.TestScript, neg bool, args []string) {
+			err := f(ts.Value(scenarioKey{}).(*scenario), args)
+			if neg && err == nil {
+				ts.Fatalf("%s %v succeeded", name, args)
+			}
+			if !neg && err != nil {
+				ts.Fatalf("%s %v: %v", name, args, err)
+			}
+			if err != nil {
+				fmt.Fprintln(ts.Stderr(), err)
+			}
+		}
+	}
+	return out
+}
+
+func arg(args []string, i int) string {
+	if i < len(args) {
+		return args[i]
+	}
+	return ""
+}
+
+func number(args []string, i int) int {
+	n, err := strconv.Atoi(arg(args, i))
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+// deploy USER SPEED starts a deployment.
+func deploy(s *scenario, args []string) error {
+	size, ok := Sizes[arg(args, 0)]
+	if !ok {
+		return errors.New("unknown user")
+	}
+	var err error
+	s.dep, err = Start(s.ctx, size, float64(max(1, number(args, 1))), logger.Discard())
+	return err
+}
+
+func (s *scenario) client(account string) *caller.Client {
+	return &caller.Client{Addresses: s.dep.Addresses(), Key: Key(account), Attempts: 20}
+}
+
+// ask sends the next letter of a thread and checks that the answer is the whole answer to it.
+func (s *scenario) ask(name, account string, tokens int, begun func()) error {
+	s.mu.Lock()
+	msgs := append(s.threads[name], caller.Message{Role: "user", Content: fmt.Sprintf("%s %d", name, len(s.threads[name]))})
+	s.threads[name] = msgs
+	c := s.client(account)
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(s.ctx, scenarioDeadline)
+	defer cancel()
+	const seed = 7
+	c.OnPiece = func(int) { begun() }
+	ans, err := c.Chat(ctx, caller.Chat{Model: s.dep.Size.Model, Messages: msgs, Stream: true, MaxTokens: tokens, Seed: seed})
+	if err != nil {
+		return err
+	}
+	if want := emulator.Answer(render(msgs), seed, tokens); ans.Text != want {
+		return fmt.Errorf("answer of %d bytes is not the whole answer of %d bytes", len(ans.Text), len(want))
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.threads[name] = append(msgs, caller.Message{Role: "assistant", Content: ans.Text})
+	return nil
+}
+
+// chat THREAD ACCOUNT TOKENS sends one letter and waits for the whole answer.
+func chat(s *scenario, args []string) error {
+	return s.ask(arg(args, 0), arg(args, 1), number(args, 2), func() {})
+}
+
+// stream THREAD ACCOUNT TOKENS sends one letter, returns at the first piece and goes on reading.
+func stream(s *scenario, args []string) error {
+	done, first := make(chan error, 1), make(chan struct{})
+	s.streams[arg(args, 0)] = done
+	var once sync.Once
+	go func() {
+		done <- s.ask(arg(args, 0), arg(args, 1), number(args, 2), func() { once.Do(func() { close(first) }) })
+	}()
+	select {
+	case <-first:
+		return nil
+	case err := <-done:
+		return fmt.Errorf("ended before the first piece: %w", err)
+	}
+}
+
+// finish THREAD waits for the end of a stream.
+func finish(s *scenario, args []string) error { return <-s.streams[arg(args, 0)] }
+
+// instance kill|stop|start N acts on an entry instance; stop waits for the graceful end.
+func instance(s *scenario, args []string) error {
+	i := number(args, 1)
+	switch arg(args, 0) {
+	case "kill":
+		s.dep.Instances[i].Kill()
+		return nil
+	case "stop":
+		return s.dep.Instances[i].Server.Stop(s.ctx)
+	case "replace":
+		e, err := s.dep.StartInstance(s.ctx, i, logger.Discard())
+		if err != nil {
+			return err
+		}
+		old := s.dep.Instances[i]
+		s.dep.Instances = s.dep.Instances[:len(s.dep.Instances)-1]
+		s.dep.Instances[i] = e
+		return old.Server.Stop(s.ctx)
+	}
+	return os.ErrInvalid
+}
+
+// engine kill|leave|shuffle|break N throws a fault of an engine; busy stands for the one that runs something.
+func engine(s *scenario, args []string) error {
+	for i, e := range s.dep.Engines {
+		if arg(args, 1) != strconv.Itoa(i) && arg(args, 1) != "all" && (arg(args, 1) != "busy" || e.Running() == 0) {
+			continue
+		}
+		switch arg(args, 0) {
+		case "kill":
+			e.Kill()
+		case "leave":
+			e.SetLeaving(true)
+		case "shuffle":
+			e.SetFaults(emulator.EngineFaults{ShuffleStream: true})
+		case "break":
+			e.SetFaults(emulator.EngineFaults{BreakStreamAt: 5})
+		case "refuse":
+			e.SetFaults(emulator.EngineFaults{Refuse: true})
+		case "heal":
+			e.SetFaults(emulator.EngineFaults{})
+		default:
+			return os.ErrInvalid
+		}
+	}
+	return nil
+}
+
+// store full|corrupt|truncate|slow|kill all throws a fault of the stores.
+func store(s *scenario, args []string) error {
+	faults := map[string]emulator.StoreFaults{
+		"full": {Full: true}, "corrupt": {CorruptReads: true}, "truncate": {TruncateWrites: true}, "slow": {Slowdown: 50}, "heal": {},
+	}
+	f, ok := faults[arg(args, 0)]
+	for _, st := range s.dep.Stores {
+		switch {
+		case arg(args, 0) == "kill":
+			st.Kill()
+		case !ok:
+			return os.ErrInvalid
+		default:
+			st.SetFaults(f)
+		}
+	}
+	return nil
+}
+
+// log down|lose|up throws a fault of the platform's log.
+func logFault(s *scenario, args []string) error {
+	f, ok := map[string]emulator.LogFaults{"down": {Down: true}, "lose": {LoseAppendAnswers: true}, "up": {}}[arg(args, 0)]
+	if !ok {
+		return os.ErrInvalid
+	}
+	s.dep.Log.SetFaults(f)
+	return nil
+}
+
+// invariants checks the truth of the stand-ins and the asserters of the instances.
+func invariants(s *scenario, _ []string) error {
+	sum := (&tally{}).summary(s.dep)
+	if sum.Bad() {
+		return fmt.Errorf("%+v", *sum)
+	}
+	return nil
+}
--- a/internal/dialer/protocol.go
+++ b/internal/dialer/protocol.go
@@ -108,8 +108,10 @@
 	Versions map[string]int64 `json:"versions"`
 	Loading  bool             `json:"loading"`
 	Draining bool             `json:"draining"`
-	Running  int              `json:"running"`
-	Fence    int64            `json:"fence"`
+	// Leaving: the engine's machine is about to stop; no order ends that.
+	Leaving bool  `json:"leaving"`
+	Running int   `json:"running"`
+	Fence   int64 `json:"fence"`
 }
 
 // ManifestBlock describes one stored block.
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -75,6 +75,7 @@
 	fence     int64
 	loading   bool
 	draining  bool
+	leaving   bool
 	drainedAt time.Time
 	loads     []dialer.Load
 }
@@ -139,13 +140,16 @@
 	e.faults = f
 }
 
-// SetDraining marks the engine as leaving or not, as its own machine would.
-func (e *Engine) SetDraining(on bool) {
+// SetLeaving marks the engine as leaving or not, as its own machine would.
+func (e *Engine) SetLeaving(on bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.draining, e.drainedAt = on, time.Now()
+	e.leaving = on
+	e.setDraining(on)
 }
 
+func (e *Engine) setDraining(on bool) { e.draining, e.drainedAt = on, time.Now() }
+
 // Truth returns what happened so far.
 func (e *Engine) Truth() Truth {
 	e.mu.Lock()
@@ -184,7 +188,8 @@
 		versions[m] = v
 	}
 	writeJSON(w, http.StatusOK, dialer.EngineState{
-		Versions: versions, Loading: e.loading, Draining: e.draining, Running: e.running, Fence: e.fence,
+		Versions: versions, Loading: e.loading, Draining: e.draining, Leaving: e.leaving,
+		Running: e.running, Fence: e.fence,
 	})
 }
 
@@ -221,7 +226,9 @@
 func (e *Engine) obey(w http.ResponseWriter, r *http.Request, o dialer.Order) bool {
 	switch o.Kind {
 	case dialer.OrderDrain, dialer.OrderResume:
-		e.SetDraining(o.Kind == dialer.OrderDrain)
+		e.mu.Lock()
+		e.setDraining(o.Kind == dialer.OrderDrain || e.leaving)
+		e.mu.Unlock()
 		return true
 	case dialer.OrderLoad:
 		return e.loadWeights(w, r, o)
--- a/internal/server/dispatcher/dispatcher.go
+++ b/internal/server/dispatcher/dispatcher.go
@@ -14,6 +14,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
+	"fmt"
 	"net/http"
 
 	"github.com/papayaworks/papayaworks/internal/dialer"
@@ -22,6 +23,9 @@
 	"github.com/papayaworks/papayaworks/pkg/configurer"
 )
 
+// runNameBytes is the length of a run's name before it is written in hexadecimal.
+const runNameBytes = 16
+
 // Step dispatches requests.
 type Step struct {
 	Client *dialer.Client
@@ -39,7 +43,7 @@
 		return s.call(ctx, r)
 	}
 	if r.Run == "" {
-		r.Run = RunName(r.Account.Name, r.IdempotencyKey, r.ID)
+		r.Run = RunName(r.Account.Name, r.IdempotencyKey, r.ID, r.Body)
 	}
 	st := &stream{client: s.Client, addr: r.Target.Address, run: r.Run, from: r.ResumeFrom}
 	if r.Resume == nil {
@@ -52,13 +56,17 @@
 	return nil
 }
 
-// RunName names the run of a request; the same account and idempotency key give the same run.
-func RunName(account, key, id string) string {
+// RunName names the run of a request. A retry with the same account, idempotency key and body gives the same
+// run; the body counts so that a key that is used again for another prompt does not get the earlier answer.
+func RunName(account, key, id string, body []byte) string {
+	h := sha256.New()
 	if key == "" {
 		key = id
 	}
-	h := sha256.Sum256([]byte(account + "\x00" + key))
-	return hex.EncodeToString(h[:12])
+	for _, part := range []string{account, key, string(body)} {
+		_, _ = fmt.Fprintf(h, "%d:%s", len(part), part)
+	}
+	return hex.EncodeToString(h.Sum(nil)[:runNameBytes])
 }
 
 func runRequest(r *request.Request) *dialer.RunRequest {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -14,6 +14,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -50,8 +51,10 @@
 	http    *listener.Server
 	path    atomic.Pointer[path]
 	ids     atomic.Uint64
-	addr    atomic.Value
-	ready   chan struct{}
+	// boot makes request ids differ from those of an earlier process with the same instance id.
+	boot  string
+	addr  atomic.Value
+	ready chan struct{}
 }
 
 // path is the list of steps of one configuration.
@@ -62,7 +65,8 @@
 
 // New returns an instance that is ready to run.
 func New(set *configurer.Settings, cfg *configurer.Config, log logger.Log, rec *recorder.Recorder, as *asserter.Asserter) *Server {
-	return &Server{Settings: set, Initial: cfg, Log: log, Recorder: rec, Asserter: as, ready: make(chan struct{})}
+	return &Server{Settings: set, Initial: cfg, Log: log, Recorder: rec, Asserter: as, ready: make(chan struct{}),
+		boot: strconv.FormatUint(rand.Uint64(), 36)}
 }
 
 // Ready is closed once the instance serves.
@@ -173,7 +177,7 @@
 func (s *Server) serve(w http.ResponseWriter, hr *http.Request) {
 	r := &request.Request{
 		W: w, HTTP: hr, Received: time.Now(), View: s.control.View(),
-		ID: s.Settings.Instance.ID + "-" + strconv.FormatUint(s.ids.Add(1), 36),
+		ID: s.Settings.Instance.ID + "-" + s.boot + "-" + strconv.FormatUint(s.ids.Add(1), 36),
 	}
 	defer func() {
 		if r.Release != nil {
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -90,6 +90,8 @@
 	Pause time.Duration
 	// HTTP may be shared between clients; nil means a new pool of connections.
 	HTTP *http.Client
+	// OnPiece is called for each event with the bytes of answer read so far; it may be nil.
+	OnPiece func(bytes int)
 
 	turn atomic.Uint64
 }
@@ -146,7 +148,7 @@
 
 // Chat sends a chat completion and collects its answer; a broken stream is continued at another instance.
 func (c *Client) Chat(ctx context.Context, in Chat) (*Answer, error) {
-	a := &collector{begun: time.Now(), max: maxAnswerBytes}
+	a := &collector{begun: time.Now(), max: maxAnswerBytes, onPiece: c.OnPiece}
 	body, err := json.Marshal(in)
 	if err != nil {
 		return nil, err
@@ -244,6 +246,8 @@
 	text   strings.Builder
 	max    int
 	ans    Answer
+	// onPiece may be nil.
+	onPiece func(int)
 }
 
 func (a *collector) answer() *Answer {
@@ -279,6 +283,9 @@
 			return errors.New("answer is too long")
 		}
 		a.text.WriteString(piece)
+		if piece != "" && a.onPiece != nil {
+			a.onPiece(a.text.Len())
+		}
 		if ch.FinishReason != "" {
 			a.ans.Finish = ch.FinishReason
 		}
