feat(demonstrator): faults on a schedule and progress lines

Change: an entry instance dies and is replaced, a target leaves and the log has an outage at fixed fractions of the run; answers are 24 to 400 tokens long so that streams are open when the instance dies.

--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -19,8 +19,8 @@
 const (
 	// dayDivisor is how much faster than real time the demo runs.
 	dayDivisor = 10
-	// answerTokens is the length of the demo's answers.
-	answerTokens = 24
+	// minAnswerTokens and maxAnswerTokens bound the length of the demo's answers.
+	minAnswerTokens, maxAnswerTokens = 24, 400
 	// letterBytes is the length of one letter in a thread; Malayalam takes three bytes a character.
 	letterBytes = 12000
 )
@@ -32,6 +32,9 @@
 	Duration time.Duration
 	Out      io.Writer
 	Log      logger.Log
+
+	mu    sync.Mutex
+	begun time.Time
 }
 
 // Summary is what a demo run counted.
@@ -71,21 +74,26 @@
 	if !ok {
 		return nil, fmt.Errorf("unknown user %q: must be trust or cooperative", d.User)
 	}
-	begun := time.Now()
+	d.begun = time.Now()
 	dep, err := Start(ctx, size, dayDivisor, d.Log)
 	if err != nil {
 		return nil, err
 	}
 	defer dep.Close()
-	fmt.Fprintf(d.Out, "started %d instances, %d engines, %d services in %d data centres\n",
-		len(dep.Instances), len(dep.Engines), len(dep.Services), len(size.DataCentres))
+	d.say("started %d instances, %d engines, %d services in %d data centres; engines run %d times as fast as real ones",
+		len(dep.Instances), len(dep.Engines), len(dep.Services), len(size.DataCentres), dayDivisor)
 	t := &tally{}
-	d.play(ctx, dep, t, begun)
+	bal := &balancer{addrs: dep.Addresses()}
+	bg, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go d.progress(bg, t)
+	go d.inject(bg, dep, bal)
+	d.play(ctx, dep, t, bal)
 	return t.summary(dep), nil
 }
 
 // play sends the day's requests.
-func (d *Demo) play(ctx context.Context, dep *Deployment, t *tally, begun time.Time) {
+func (d *Demo) play(ctx context.Context, dep *Deployment, t *tally, bal *balancer) {
 	r := rand.New(rand.NewPCG(d.Seed, 1))
 	pool := caller.NewHTTP()
 	var wg sync.WaitGroup
@@ -93,11 +101,11 @@
 	for i := 0; time.Now().Before(end) && ctx.Err() == nil; i++ {
 		account := dep.Size.Accounts[r.IntN(len(dep.Size.Accounts))]
 		th := &thread{
-			account: account, id: i, turns: 1 + r.IntN(4), seed: r.Int64N(1 << 30), gap: time.Duration(r.IntN(3000)) * time.Millisecond,
+			account: account, id: i, turns: 1 + r.IntN(4), tokens: minAnswerTokens + r.IntN(maxAnswerTokens-minAnswerTokens), seed: r.Int64N(1 << 30), gap: time.Duration(r.IntN(3000)) * time.Millisecond,
 			end:    end,
-			client: &caller.Client{Addresses: dep.Addresses(), Key: Key(account), HTTP: pool},
+			client: &caller.Client{Next: bal.next, Key: Key(account), HTTP: pool},
 		}
-		wg.Go(func() { th.run(ctx, dep, t, begun) })
+		wg.Go(func() { th.run(ctx, dep, t, d.begun) })
 		pause := time.NewTimer(time.Duration(r.ExpFloat64() * float64(60*time.Millisecond)))
 		select {
 		case <-pause.C:
@@ -112,6 +120,7 @@
 	account string
 	id      int
 	turns   int
+	tokens  int
 	seed    int64
 	gap     time.Duration
 	end     time.Time
@@ -129,9 +138,9 @@
 		letter = strings.Repeat(letter, letterBytes/len(letter)+1)
 		msgs = append(msgs, caller.Message{Role: "user", Content: letter})
 		ans, err := th.client.Chat(ctx, caller.Chat{
-			Model: dep.Size.Model, Messages: msgs, Stream: true, MaxTokens: answerTokens, Seed: th.seed, Continuation: token,
+			Model: dep.Size.Model, Messages: msgs, Stream: true, MaxTokens: th.tokens, Seed: th.seed, Continuation: token,
 		})
-		t.chat(render(msgs), th.seed, ans, err, begun)
+		t.chat(render(msgs), th, ans, err, begun)
 		if err != nil {
 			return
 		}
@@ -156,7 +165,7 @@
 }
 
 // chat counts one chat and checks that the answer is the whole answer to its own prompt.
-func (t *tally) chat(prompt string, seed int64, ans *caller.Answer, err error, begun time.Time) {
+func (t *tally) chat(prompt string, th *thread, ans *caller.Answer, err error, begun time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sum.Requests++
@@ -164,7 +173,7 @@
 		t.refused(err)
 		return
 	}
-	if ans.Text != emulator.Answer(prompt, seed, answerTokens) {
+	if ans.Text != emulator.Answer(prompt, th.seed, th.tokens) {
 		t.sum.Lost++
 		return
 	}
@@ -227,3 +236,25 @@
 }
 
 func asRefusal(err error, r **caller.Refusal) bool { return errors.As(err, r) }
+
+// balancer stands for the platform's balancer: it hands out the instances in turn and learns of a replacement late.
+type balancer struct {
+	mu    sync.Mutex
+	addrs []string
+	turn  int
+}
+
+func (b *balancer) next() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.turn++
+	return b.addrs[b.turn%len(b.addrs)]
+}
+
+func (b *balancer) replace(old, with string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if i := slices.Index(b.addrs, old); i >= 0 {
+		b.addrs[i] = with
+	}
+}
--- /dev/null
+++ b/internal/demonstrator/faults.go
@@ -0,0 +1,94 @@
+package demonstrator
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/papayaworks/papayaworks/internal/emulator"
+)
+
+// The faults of a demo run, as fractions of its duration.
+const (
+	killInstanceAt  = 0.25
+	leaveTargetAt   = 0.45
+	logOutageAt     = 0.60
+	logOutageLength = 0.10
+	progressPeriod  = 0.10
+)
+
+// incident is one fault of the demo's script.
+type incident struct {
+	at   float64
+	text string
+	do   func()
+}
+
+// incidents returns the script of a run.
+func (d *Demo) incidents(ctx context.Context, dep *Deployment, bal *balancer) []incident {
+	return []incident{
+		{killInstanceAt, "entry instance 1 dies and is replaced", func() { d.replaceInstance(ctx, dep, bal) }},
+		{leaveTargetAt, "target 2 is leaving", func() { leaveTarget(dep, 1) }},
+		{logOutageAt, "the platform's log is down", func() { dep.Log.SetFaults(emulator.LogFaults{Down: true}) }},
+		{logOutageAt + logOutageLength, "the platform's log is up again", func() { dep.Log.SetFaults(emulator.LogFaults{}) }},
+	}
+}
+
+// inject runs the script; it returns when the last fault was thrown or ctx ends.
+func (d *Demo) inject(ctx context.Context, dep *Deployment, bal *balancer) {
+	begun := time.Now()
+	for _, in := range d.incidents(ctx, dep, bal) {
+		due := time.NewTimer(time.Until(begun.Add(time.Duration(in.at * float64(d.Duration)))))
+		select {
+		case <-due.C:
+		case <-ctx.Done():
+			due.Stop()
+			return
+		}
+		d.say("%s", in.text)
+		in.do()
+	}
+}
+
+// replaceInstance kills the first instance and starts another one in its place.
+func (d *Demo) replaceInstance(ctx context.Context, dep *Deployment, bal *balancer) {
+	old := dep.Instances[0]
+	old.Kill()
+	e, err := dep.StartInstance(ctx, 0, d.Log)
+	if err != nil {
+		d.say("replacement did not start: %v", err)
+		return
+	}
+	bal.replace(old.Server.Addr(), e.Server.Addr())
+}
+
+// leaveTarget marks a target as leaving; it finishes its runs and takes no new ones.
+func leaveTarget(dep *Deployment, i int) {
+	e := dep.Engines[i]
+	e.SetLeaving(true)
+	dep.List.Set(emulator.Listed{ID: e.ID, Kind: "target", Address: e.Addr, DataCentre: dep.dataCentre(i), Leaving: true})
+}
+
+// progress prints a line of counts now and then.
+func (d *Demo) progress(ctx context.Context, t *tally) {
+	tick := time.NewTicker(max(time.Second, time.Duration(progressPeriod*float64(d.Duration))))
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		t.mu.Lock()
+		s := t.sum
+		t.mu.Unlock()
+		d.say("%d requests, %d answered, %d refused as not run", s.Requests, s.Answered, s.RefusedNotRun)
+	}
+}
+
+// say prints one line with the time since the start.
+func (d *Demo) say(format string, args ...any) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_, _ = fmt.Fprintf(d.Out, "%5.1fs  %s\n", time.Since(d.begun).Seconds(), fmt.Sprintf(format, args...))
+}
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -38,7 +38,7 @@
 	require.Eventually(t, func() bool {
 		c, err := net.Dial("tcp", addr)
 		if err == nil {
-			c.Close()
+			_ = c.Close()
 		}
 		return err != nil
 	}, 10*time.Second, time.Millisecond)
--- a/internal/server/entry_bench_test.go
+++ b/internal/server/entry_bench_test.go
@@ -178,7 +178,7 @@
 		req, err := http.NewRequestWithContext(b.Context(), http.MethodPost, "http://"+addr+path, strings.NewReader(body(i)))
 		require.NoError(b, err)
 		req.Header.Set("Authorization", "Bearer key")
-		res, err := pool.Do(req)
+		res, err := pool.Do(req) //nolint:bodyclose // The bodies are closed below, all at once.
 		require.NoError(b, err)
 		buf := make([]byte, 1)
 		_, err = res.Body.Read(buf)
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -83,7 +83,9 @@
 // Client sends requests to the instances in turn, as a balancer would.
 type Client struct {
 	Addresses []string
-	Key       string
+	// Next returns the address for the next try; nil means the addresses in turn.
+	Next func() string
+	Key  string
 	// Attempts bounds the tries of one request; 0 means 8.
 	Attempts int
 	// Pause is the time between tries unless the refusal names one; 0 means 50 ms.
@@ -110,6 +112,9 @@
 }
 
 func (c *Client) next() string {
+	if c.Next != nil {
+		return c.Next()
+	}
 	return c.Addresses[int(c.turn.Add(1)-1)%len(c.Addresses)]
 }
 
