--- /dev/null
+++ b/cmd/papayaworks/check.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"github.com/papayaworks/papayaworks/pkg/configurer"
+)
+
+const checkHelp = `Checks the configuration in FILE ("-" is standard input) and reports every
+fault at once: file and line, key, value and what is allowed. With
+--settings the file is an instance's settings file.
+
+Examples:
+  papayaworks check config.toml
+  papayaworks check --settings instance.toml
+
+Exit status: 0 without faults, 1 with faults, 2 if the command line is
+wrong.`
+
+type checkCommand struct {
+	output
+	Settings bool `long:"settings" description:"the file is an instance's settings file"`
+	JSON     bool `long:"json" description:"print the faults as JSON"`
+	Args     struct {
+		File string `positional-arg-name:"FILE" required:"true"`
+	} `positional-args:"true"`
+}
+
+// Execute implements flags.Commander.
+func (c *checkCommand) Execute([]string) error {
+	text, err := readFile(c.Args.File)
+	if err != nil {
+		return err
+	}
+	if c.Settings {
+		_, err = configurer.ParseSettings(c.Args.File, text)
+	} else {
+		_, err = configurer.Parse(c.Args.File, text)
+	}
+	if c.JSON {
+		fs := faultsOf(err)
+		if fs == nil {
+			fs = configurer.Faults{}
+		}
+		if err := c.json(map[string]any{"faults": fs}); err != nil {
+			return err
+		}
+	}
+	if err != nil {
+		return refused(c.Args.File, err)
+	}
+	if !c.JSON {
+		return c.text(c.Args.File + ": no faults\n")
+	}
+	return nil
+}
--- a/cmd/papayaworks/demo.go
+++ b/cmd/papayaworks/demo.go
@@ -17,16 +17,19 @@
 	"github.com/papayaworks/papayaworks/internal/logger"
 )
 
-const demoHelp = `Starts a whole deployment at a first user's size in this process, with stand-ins for the platform,
-plays a seeded day in less than a minute and prints what callers saw.
+const demoHelp = `Starts a whole deployment at a first user's size in this process, with
+stand-ins for the platform, plays a seeded day in less than a minute and
+prints what callers saw.
 
 Examples:
   papayaworks demo --seed 1
   papayaworks demo --user cooperative --duration 20s --json
 
-Exit status: 0 if no answer was lost, no order ran twice and no invariant was violated, otherwise 1.`
+Exit status: 0 if no answer was lost, no order ran twice and no invariant
+was violated, otherwise 1.`
 
 type demoCommand struct {
+	output
 	Seed     uint64        `long:"seed" default:"1" value-name:"N" description:"seed of the day's requests"`
 	User     string        `long:"user" default:"trust" choice:"trust" choice:"cooperative" description:"whose deployment"`
 	Duration time.Duration `long:"duration" default:"30s" description:"how long requests are sent"`
@@ -38,7 +41,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	d := &demonstrator.Demo{
-		User: c.User, Seed: c.Seed, Duration: c.Duration, Out: os.Stdout,
+		User: c.User, Seed: c.Seed, Duration: c.Duration, Out: c.out,
 		Log: logger.New(io.Discard, "demo", logrus.InfoLevel),
 	}
 	sum, err := d.Run(ctx)
@@ -56,9 +59,9 @@
 
 func (c *demoCommand) print(s *demonstrator.Summary) error {
 	if c.JSON {
-		return json.NewEncoder(os.Stdout).Encode(s)
+		return json.NewEncoder(c.out).Encode(s)
 	}
-	_, err := fmt.Printf(`requests            %8d
+	_, err := fmt.Fprintf(c.out, `requests            %8d
 answered            %8d
 refused, not run    %8d
 outcome unknown     %8d
--- /dev/null
+++ b/cmd/papayaworks/generate.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/papayaworks/papayaworks/internal/questioner"
+)
+
+const generateHelp = `Makes the configuration to be published from the answers in FILE ("-" is
+standard input) and prints it. The same answers give the same text. Each
+value has a comment with the answer that it comes from. Answers that
+contradict each other or that the machines cannot keep are refused with the
+reason and the way out. With --instance it prints the settings file of one
+instance instead; the key of callers' tokens is a secret and comes from a
+file with one key of 64 hexadecimal digits a line, the same at every
+instance.
+
+Examples:
+  papayaworks generate answers.toml > config.toml
+  papayaworks generate answers.toml --instance kochi-a-1 --token-key token.key > instance.toml
+
+Exit status: 0, 1 if the answers were refused, 2 if the command line is
+wrong.`
+
+type generateCommand struct {
+	output
+	Instance string `long:"instance" value-name:"ID" description:"print the settings of this instance"`
+	TokenKey string `long:"token-key" value-name:"FILE" description:"file with the keys of callers' tokens"`
+	JSON     bool   `long:"json" description:"print the result or the faults as JSON"`
+	Args     struct {
+		File string `positional-arg-name:"FILE" required:"true"`
+	} `positional-args:"true"`
+}
+
+// Execute implements flags.Commander.
+func (c *generateCommand) Execute([]string) error {
+	text, err := readFile(c.Args.File)
+	if err != nil {
+		return err
+	}
+	g, err := questioner.Generate(c.Args.File, text)
+	if err != nil {
+		if fs := faultsOf(err); c.JSON && len(fs) > 0 {
+			if err := c.json(map[string]any{"faults": fs}); err != nil {
+				return err
+			}
+		}
+		return refused("the answers were refused", err)
+	}
+	out := g.Text
+	if c.Instance != "" {
+		if out, err = c.settings(text); err != nil {
+			return err
+		}
+	}
+	if !c.JSON {
+		return c.text(out)
+	}
+	m, err := table(out)
+	if err != nil {
+		return err
+	}
+	return c.json(map[string]any{"text": out, "values": m})
+}
+
+// settings returns the settings file of the instance that was asked for.
+func (c *generateCommand) settings(text string) (string, error) {
+	a, err := questioner.Parse(c.Args.File, text)
+	if err != nil {
+		return "", err
+	}
+	if c.TokenKey == "" {
+		return "", fmt.Errorf("--instance needs --token-key FILE; make one with: openssl rand -hex 32 > token.key")
+	}
+	keys, err := readFile(c.TokenKey)
+	if err != nil {
+		return "", err
+	}
+	return questioner.Settings(a, c.Instance, strings.Fields(keys))
+}
--- /dev/null
+++ b/cmd/papayaworks/questionnaire.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"github.com/papayaworks/papayaworks/internal/questioner"
+)
+
+const questionnaireHelp = `Writes the questionnaire: a TOML file with a question above each answer.
+With --user it is filled in for one of the first users; answers that the
+user did not give are marked as assumptions.
+
+Examples:
+  papayaworks questionnaire > answers.toml
+  papayaworks questionnaire --user trust > answers.toml
+
+Exit status: 0, or 2 if the command line is wrong.`
+
+type questionnaireCommand struct {
+	output
+	User string `long:"user" choice:"trust" choice:"cooperative" description:"fill it in for a first user"`
+	JSON bool   `long:"json" description:"print the answers as JSON"`
+}
+
+// Execute implements flags.Commander.
+func (c *questionnaireCommand) Execute([]string) error {
+	text, ok := questioner.Filled(c.User)
+	if !ok {
+		text = questioner.Empty()
+	}
+	if !c.JSON {
+		return c.text(text)
+	}
+	m, err := table(text)
+	if err != nil {
+		return err
+	}
+	return c.json(m)
+}
--- a/cmd/papayaworks/run.go
+++ b/cmd/papayaworks/run.go
@@ -16,13 +16,15 @@
 	"github.com/papayaworks/papayaworks/pkg/recorder"
 )
 
-const runHelp = `Runs one entry instance until it gets SIGTERM or SIGINT, then stops gracefully: it takes no new
-requests and ends when the last one has its answer.
+const runHelp = `Runs one entry instance until it gets SIGTERM or SIGINT, then stops
+gracefully: it takes no new requests and ends when the last one has its
+answer.
 
 Example:
   papayaworks run --config instance.toml
 
-Exit status: 0 after a graceful stop, 1 on an error, 2 if the command line is wrong.`
+Exit status: 0 after a graceful stop, 1 on an error, 2 if the command line
+is wrong.`
 
 // eventsKept is the number of time-line events that an instance keeps in memory.
 const eventsKept = 4096
--- /dev/null
+++ b/internal/inquirer/render.go
@@ -0,0 +1,142 @@
+package inquirer
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+)
+
+// first are the columns that come first in tables, in this order.
+var first = []string{"id", "name", "dataCentre", "kind", "state", "address"}
+
+// Text returns the status for people: totals, then every part that the instance told.
+func (s *Status) Text() string {
+	var b strings.Builder
+	s.totals(&b)
+	var lists, tables []string
+	for _, name := range slices.Sorted(maps.Keys(s.All)) {
+		switch s.All[name].(type) {
+		case []any:
+			lists = append(lists, name)
+		case map[string]any:
+			tables = append(tables, name)
+		default:
+			fmt.Fprintf(&b, "%s: %s\n", name, cell(s.All[name]))
+		}
+	}
+	for _, name := range tables {
+		writeTable(&b, name, s.All[name].(map[string]any))
+	}
+	for _, name := range lists {
+		writeList(&b, name, s.All[name].([]any))
+	}
+	return b.String()
+}
+
+// totals writes the versions in force and what each data centre has.
+func (s *Status) totals(b *strings.Builder) {
+	versions := map[int64][]string{}
+	for _, m := range s.Members {
+		versions[m.ConfigVersion] = append(versions[m.ConfigVersion], m.ID)
+	}
+	if len(versions) == 0 {
+		versions[s.ConfigVersion] = []string{s.Instance}
+	}
+	for _, v := range slices.Sorted(maps.Keys(versions)) {
+		fmt.Fprintf(b, "configuration version %d in force at: %s\n", v, strings.Join(versions[v], ", "))
+	}
+	centres := map[string][2]int{}
+	for i, part := range []string{"members", "targets"} {
+		list, _ := s.All[part].([]any)
+		for _, e := range list {
+			m, _ := e.(map[string]any)
+			if dc, ok := m["dataCentre"].(string); ok {
+				n := centres[dc]
+				n[i]++
+				centres[dc] = n
+			}
+		}
+	}
+	for _, dc := range slices.Sorted(maps.Keys(centres)) {
+		fmt.Fprintf(b, "data centre %s: %d instances, %d targets\n", dc, centres[dc][0], centres[dc][1])
+	}
+}
+
+func writeTable(b *strings.Builder, name string, m map[string]any) {
+	flat := map[string]string{}
+	flatten(flat, "", m)
+	fmt.Fprintf(b, "\n%s\n", name)
+	for _, k := range slices.Sorted(maps.Keys(flat)) {
+		fmt.Fprintf(b, "  %s: %s\n", k, flat[k])
+	}
+}
+
+// writeList writes a list of objects as columns, or of values as lines.
+func writeList(b *strings.Builder, name string, list []any) {
+	fmt.Fprintf(b, "\n%s (%d)\n", name, len(list))
+	rows := make([]map[string]string, len(list))
+	columns := map[string]bool{}
+	for i, e := range list {
+		rows[i] = map[string]string{}
+		if m, ok := e.(map[string]any); ok {
+			flatten(rows[i], "", m)
+		} else {
+			rows[i]["value"] = cell(e)
+		}
+		for k := range rows[i] {
+			columns[k] = true
+		}
+	}
+	order := slices.SortedFunc(maps.Keys(columns), func(a, b string) int {
+		return rank(a) - rank(b) + strings.Compare(a, b)
+	})
+	w := tabwriter.NewWriter(b, 0, 4, 2, ' ', 0)
+	fmt.Fprintf(w, "  %s\n", strings.Join(order, "\t"))
+	for _, r := range rows {
+		cells := make([]string, len(order))
+		for i, c := range order {
+			cells[i] = r[c]
+		}
+		fmt.Fprintf(w, "  %s\n", strings.Join(cells, "\t"))
+	}
+	_ = w.Flush()
+}
+
+// rank orders the first columns before all others; the factor outweighs a comparison of names.
+func rank(column string) int {
+	if i := slices.Index(first, column); i >= 0 {
+		return 4 * i
+	}
+	return 4 * len(first)
+}
+
+func flatten(out map[string]string, prefix string, m map[string]any) {
+	for k, v := range m {
+		if sub, ok := v.(map[string]any); ok {
+			flatten(out, prefix+k+".", sub)
+			continue
+		}
+		out[prefix+k] = cell(v)
+	}
+}
+
+func cell(v any) string {
+	switch v := v.(type) {
+	case nil:
+		return ""
+	case float64:
+		if v == float64(int64(v)) {
+			return fmt.Sprint(int64(v))
+		}
+		return fmt.Sprintf("%.3f", v)
+	case []any:
+		parts := make([]string, len(v))
+		for i, e := range v {
+			parts[i] = cell(e)
+		}
+		return strings.Join(parts, ",")
+	}
+	return fmt.Sprint(v)
+}
