--- /dev/null
+++ b/internal/appender/client.go
@@ -0,0 +1,143 @@
+package appender
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/papayaworks/papayaworks/internal/failer"
+)
+
+const (
+	connectTimeout = time.Second
+	// callTimeout bounds an append, and a read beyond its wait.
+	callTimeout = 5 * time.Second
+	// maxAnswerBytes bounds the answer to a read: 256 records of the largest kind in the ledger.
+	maxAnswerBytes = 16 << 20
+	idleConns      = 16
+)
+
+// sharedHTTP is the pool of connections of clients without their own.
+var sharedHTTP = &http.Client{Transport: &http.Transport{
+	DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
+	MaxIdleConnsPerHost: idleConns,
+	IdleConnTimeout:     90 * time.Second,
+}}
+
+// Client speaks the log's HTTP protocol.
+type Client struct {
+	Addr string
+	// HTTP is the pool of connections; nil means one that all clients share.
+	HTTP *http.Client
+}
+
+type wireRecord struct {
+	Offset int64  `json:"offset"`
+	AtMs   int64  `json:"atMs"`
+	Data   []byte `json:"data"`
+}
+
+type wireBatch struct {
+	Records []wireRecord `json:"records"`
+	Oldest  int64        `json:"oldest"`
+	Next    int64        `json:"next"`
+}
+
+func (c *Client) http() *http.Client {
+	if c.HTTP != nil {
+		return c.HTTP
+	}
+	return sharedHTTP
+}
+
+// Append implements [Log].
+func (c *Client) Append(ctx context.Context, stream string, records [][]byte) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := ctx.Err(); err != nil {
+		return 0, c.wrap(&AppendError{Err: err}, "append")
+	}
+	body, err := json.Marshal(map[string][][]byte{"records": records})
+	if err != nil {
+		return 0, c.wrap(&AppendError{Err: err}, "append")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url(stream), bytes.NewReader(body))
+	if err != nil {
+		return 0, c.wrap(&AppendError{Err: err}, "append")
+	}
+	req.Header.Set("Content-Type", "application/json")
+	var out struct {
+		First int64 `json:"first"`
+	}
+	if err := c.do(req, &out); err != nil {
+		return 0, c.wrap(&AppendError{Maybe: maybeSent(err), Err: err}, "append")
+	}
+	return out.First, nil
+}
+
+// Read implements [Log].
+func (c *Client) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	u := fmt.Sprintf("%s?from=%d&max=%d&waitMs=%d", c.url(stream), from, limit, wait.Milliseconds())
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u, http.NoBody)
+	if err != nil {
+		return Batch{}, c.wrap(err, "read")
+	}
+	var in wireBatch
+	if err := c.do(req, &in); err != nil {
+		return Batch{}, c.wrap(err, "read")
+	}
+	b := Batch{Oldest: in.Oldest, Next: in.Next, Records: make([]Record, len(in.Records))}
+	for i, r := range in.Records {
+		b.Records[i] = Record{Offset: r.Offset, At: time.UnixMilli(r.AtMs), Data: r.Data}
+	}
+	return b, nil
+}
+
+func (c *Client) url(stream string) string {
+	return "http://" + c.Addr + "/streams/" + url.PathEscape(stream)
+}
+
+func (c *Client) wrap(err error, step string) error { return failer.Wrap(err, "use log", c.Addr, step) }
+
+// statusError is an answer of the log with an error status.
+type statusError struct {
+	status int
+	body   string
+}
+
+// Error implements error.
+func (e *statusError) Error() string { return fmt.Sprintf("status %d: %s", e.status, e.body) }
+
+func (c *Client) do(req *http.Request, out any) error {
+	res, err := c.http().Do(req)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		const maxMessage = 512
+		body, _ := io.ReadAll(io.LimitReader(res.Body, maxMessage))
+		return &statusError{status: res.StatusCode, body: string(body)}
+	}
+	return json.NewDecoder(io.LimitReader(res.Body, maxAnswerBytes)).Decode(out)
+}
+
+// maybeSent reports whether a request that failed with err may have reached the log and taken effect. A refused
+// connection and a 4xx status exclude it. A 5xx status does not, since a proxy in front of the log may send it.
+func maybeSent(err error) bool {
+	var se *statusError
+	if errors.As(err, &se) {
+		return se.status >= http.StatusInternalServerError
+	}
+	var op *net.OpError
+	return !errors.As(err, &op) || op.Op != "dial"
+}
--- /dev/null
+++ b/internal/appender/fake.go
@@ -0,0 +1,163 @@
+package appender
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+)
+
+// errFakeDown is the error of a fake log that is down.
+var errFakeDown = errors.New("log is down")
+
+// Faults are the switches of a [Fake].
+type Faults struct {
+	// Down makes every call fail before it has an effect; the caller cannot know that.
+	Down bool
+	// LoseResponses makes appends fail after they took effect.
+	LoseResponses bool
+	// Duplicate appends every batch twice, as a retry below the client would.
+	Duplicate bool
+	// Delay is added to every call.
+	Delay time.Duration
+}
+
+// Fake is an in-memory log for tests of packages that use the log.
+type Fake struct {
+	// Now is the log's clock; nil means time.Now.
+	Now func() time.Time
+	// Retention is how long records are kept; 0 keeps all.
+	Retention time.Duration
+
+	mu      sync.Mutex
+	faults  Faults
+	streams map[string]*fakeStream
+	changed chan struct{}
+	appends int
+}
+
+type fakeStream struct {
+	oldest  int64
+	records []Record
+}
+
+// NewFake returns an empty fake log; now may be nil.
+func NewFake(now func() time.Time) *Fake {
+	if now == nil {
+		now = time.Now
+	}
+	return &Fake{Now: now, streams: map[string]*fakeStream{}, changed: make(chan struct{})}
+}
+
+// SetFaults sets the switches and wakes waiting reads.
+func (f *Fake) SetFaults(x Faults) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.faults = x
+	f.wake()
+}
+
+// Appends returns the number of append calls that took effect.
+func (f *Fake) Appends() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.appends
+}
+
+func (f *Fake) wake() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// stream returns a stream after dropping what is older than the retention.
+func (f *Fake) stream(name string) *fakeStream {
+	s := f.streams[name]
+	if s == nil {
+		s = &fakeStream{}
+		f.streams[name] = s
+	}
+	if f.Retention > 0 {
+		limit := f.Now().Add(-f.Retention)
+		for len(s.records) > 0 && s.records[0].At.Before(limit) {
+			s.oldest = s.records[0].Offset + 1
+			s.records = s.records[1:]
+		}
+	}
+	return s
+}
+
+func (f *Fake) switches() Faults {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.faults
+}
+
+// Append implements [Log].
+func (f *Fake) Append(ctx context.Context, stream string, records [][]byte) (int64, error) {
+	x := f.switches()
+	if !sleep(ctx, x.Delay) || x.Down {
+		return 0, &AppendError{Maybe: true, Err: errFakeDown}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.stream(stream)
+	first := s.oldest + int64(len(s.records))
+	if x.Duplicate {
+		records = append(slices.Clone(records), records...)
+	}
+	for i, d := range records {
+		s.records = append(s.records, Record{Offset: first + int64(i), At: f.Now(), Data: slices.Clone(d)})
+	}
+	f.appends++
+	f.wake()
+	if x.LoseResponses {
+		return 0, &AppendError{Maybe: true, Err: errors.New("response lost")}
+	}
+	return first, nil
+}
+
+// Read implements [Log].
+func (f *Fake) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (Batch, error) {
+	var expired <-chan time.Time
+	if wait > 0 {
+		t := time.NewTimer(wait)
+		defer t.Stop()
+		expired = t.C
+	}
+	if !sleep(ctx, f.switches().Delay) {
+		return Batch{}, ctx.Err()
+	}
+	for {
+		b, changed, err := f.batch(stream, from, limit)
+		if err != nil || len(b.Records) > 0 || wait <= 0 {
+			return b, err
+		}
+		select {
+		case <-changed:
+		case <-expired:
+			return b, nil
+		case <-ctx.Done():
+			return Batch{}, ctx.Err()
+		}
+	}
+}
+
+func (f *Fake) batch(stream string, from int64, limit int) (Batch, <-chan struct{}, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.faults.Down {
+		return Batch{}, nil, errFakeDown
+	}
+	s := f.stream(stream)
+	b := Batch{Oldest: s.oldest, Next: max(from, s.oldest)}
+	if i := b.Next - s.oldest; i < int64(len(s.records)) {
+		end := int64(len(s.records))
+		if limit > 0 {
+			end = min(end, i+int64(limit))
+		}
+		b.Records = slices.Clone(s.records[i:end])
+		b.Next = s.oldest + end
+	}
+	return b, f.changed, nil
+}
--- /dev/null
+++ b/internal/ledger/attempt.go
@@ -0,0 +1,191 @@
+package ledger
+
+import "time"
+
+// maxMargin bounds the part of a call's time that is kept for giving the key back.
+const maxMargin = time.Second
+
+// Step is what the owner of an attempt does next.
+type Step int
+
+// The steps.
+const (
+	// StepWait waits for more records or time.
+	StepWait Step = iota
+	// StepIntent appends the intent.
+	StepIntent
+	// StepDispatch sends the call to the target.
+	StepDispatch
+	// StepAbandon appends the abandon.
+	StepAbandon
+	// StepAnswer answers with the attempt's verdict.
+	StepAnswer
+)
+
+// Verdict is what a caller is told.
+type Verdict int
+
+// The verdicts.
+const (
+	// Responded: the response of the target, to this try or to an earlier one of the same key.
+	Responded Verdict = iota + 1
+	// NotRun: this try has started no run and never will.
+	NotRun
+	// Unknown: the call may have been run.
+	Unknown
+	// OtherBody: the key belongs to a request with another body.
+	OtherBody
+	// BadKey: the key is missing, malformed or outside the window.
+	BadKey
+)
+
+// String names the verdict.
+func (v Verdict) String() string {
+	return [...]string{"none", "responded", "notRun", "outcomeUnknown", "otherBody", "badKey"}[v]
+}
+
+// Attempt is one owner's way through one try of a call. It is a value without clock or sockets: the owner asks Next
+// what to do, does it and reports what came of it.
+type Attempt struct {
+	ID       ID
+	Key      Hash
+	Body     Hash
+	Deadline time.Time
+	// GiveUp is when the owner stops trying to hold the key and gives it back, to be able to say "not run".
+	GiveUp time.Time
+
+	intents    int   // intents that may be on the log
+	unanswered bool  // an append of the intent is in progress
+	intentAt   int64 // offset of the newest intent, if its append was answered
+	abandoning bool
+	dispatched bool
+	notSent    bool // a dispatch failed before the first byte
+	verdict    Verdict
+	reason     string
+}
+
+// NewAttempt returns an attempt that begins now.
+func NewAttempt(id ID, key, body Hash, now, deadline time.Time) *Attempt {
+	margin := min(maxMargin, deadline.Sub(now)/4)
+	return &Attempt{ID: id, Key: key, Body: body, Deadline: deadline, GiveUp: deadline.Add(-margin), intentAt: -1}
+}
+
+// before reports whether now is before t by the monotonic clock and by the wall clock: while a machine is suspended
+// only the wall clock goes on.
+func before(now, t time.Time) bool { return now.Before(t) && now.Round(0).Before(t.Round(0)) }
+
+// Next returns what to do in the key's present state.
+func (a *Attempt) Next(e Entry, now time.Time) Step {
+	switch {
+	case a.verdict != 0:
+		return StepAnswer
+	case e.Abandoned:
+		return a.answer(NotRun, "the attempt was abandoned before anything was sent")
+	case e.State != Free && e.Holder != a.ID && e.Body != a.Body:
+		return a.answer(OtherBody, "the key belongs to a request with another body")
+	case e.State == Finished && e.Status == 0:
+		return a.answer(Unknown, "the call was sent and its outcome is not known")
+	case e.State == Finished:
+		return a.answer(Responded, "the outcome is on the log")
+	case e.State == Held && e.Holder == a.ID:
+		return a.nextAsHolder(now)
+	case e.State == Held:
+		return a.wait(now, "another attempt holds the key and has not finished")
+	}
+	return a.nextFree(e, now)
+}
+
+func (a *Attempt) nextAsHolder(now time.Time) Step {
+	if a.dispatched {
+		return StepWait // the owner is sending
+	}
+	if !a.abandoning && !a.notSent && before(now, a.GiveUp) {
+		return StepDispatch
+	}
+	return a.giveUp(now)
+}
+
+func (a *Attempt) nextFree(e Entry, now time.Time) Step {
+	if a.abandoning {
+		return a.giveUp(now)
+	}
+	if !before(now, a.GiveUp) {
+		if a.intents == 0 && !a.unanswered {
+			return a.answer(NotRun, "the time was over before anything was written")
+		}
+		return a.giveUp(now)
+	}
+	if a.unanswered || a.intentAt >= e.Next {
+		return StepWait
+	}
+	// Nothing was appended yet, or the intent was read and lost against one that was abandoned since.
+	return StepIntent
+}
+
+// giveUp appends the abandon once and then waits until it is read back or the deadline passes.
+func (a *Attempt) giveUp(now time.Time) Step {
+	if !a.abandoning {
+		return StepAbandon
+	}
+	return a.wait(now, "the intent may be on the log and the abandon was not read back")
+}
+
+func (a *Attempt) wait(now time.Time, reason string) Step {
+	if before(now, a.Deadline) {
+		return StepWait
+	}
+	return a.answer(Unknown, reason)
+}
+
+func (a *Attempt) answer(v Verdict, reason string) Step {
+	a.verdict, a.reason = v, reason
+	return StepAnswer
+}
+
+// Refuse ends an attempt before its first append, while the log cannot be read: what the fold knows of the key
+// decides, and a key that it does not know was not run by this try.
+func (a *Attempt) Refuse(e Entry, reason string) {
+	a.Next(e, a.Deadline)
+	if e.State == Free && a.verdict == NotRun {
+		a.reason = reason
+	}
+}
+
+// IntentBegun reports that an append of the intent begins.
+func (a *Attempt) IntentBegun() { a.unanswered = true }
+
+// IntentEnded reports the end of an append of the intent; maybe says that it may have taken effect although it failed.
+func (a *Attempt) IntentEnded(offset int64, failed, maybe bool) {
+	a.unanswered = false
+	if !failed {
+		a.intentAt = offset
+	}
+	if !failed || maybe {
+		a.intents++
+	}
+}
+
+// Abandon reports that the abandon is being appended; from now on the attempt never dispatches.
+func (a *Attempt) Abandon() { a.abandoning = true }
+
+// Dispatch reports that the call is being sent and returns false if the attempt may not send it.
+func (a *Attempt) Dispatch() bool {
+	ok := !a.dispatched && !a.abandoning && !a.notSent
+	a.dispatched = true
+	return ok
+}
+
+// NotSent reports that the dispatch failed before the first byte; the key is given back.
+func (a *Attempt) NotSent() { a.dispatched, a.notSent = false, true }
+
+// End ends the attempt with what came of the dispatch.
+func (a *Attempt) End(v Verdict, reason string) { a.answer(v, reason) }
+
+// Verdict returns what the caller is told, and why.
+func (a *Attempt) Verdict() (Verdict, string) { return a.verdict, a.reason }
+
+// MustAbandon reports whether an attempt that ends without dispatch has to be abandoned still, because its intent may
+// be on the log or arrive there, and the key would stay held by nobody.
+func (a *Attempt) MustAbandon(e Entry) bool {
+	return (a.intents > 0 || a.unanswered) && !a.dispatched && !a.abandoning && !e.Abandoned && e.State != Finished
+}
--- /dev/null
+++ b/internal/ledger/key.go
@@ -0,0 +1,68 @@
+package ledger
+
+import (
+	"encoding/hex"
+	"fmt"
+	"strings"
+	"time"
+)
+
+const (
+	// windowMargin is how much younger than the retention a key must be, so that its intent is still on the log
+	// although clocks differ and calls wait.
+	windowMargin = 10 * time.Minute
+	// maxAhead is how far a key's time may be ahead of the own clock.
+	maxAhead = 5 * time.Minute
+	// uuidLength is the length of a UUID in its text form.
+	uuidLength = 36
+)
+
+// KeyError says what is wrong with an idempotency key.
+type KeyError struct{ Reason string }
+
+// Error implements error.
+func (e *KeyError) Error() string { return "idempotency key " + e.Reason }
+
+// ParseKey returns the canonical form of a UUIDv7 and the time in it.
+func ParseKey(key string) (string, time.Time, error) {
+	if key == "" {
+		return "", time.Time{}, &KeyError{"is missing; a non-repeatable call needs a UUIDv7"}
+	}
+	key = strings.ToLower(key)
+	var raw [16]byte
+	if len(key) != uuidLength || key[8] != '-' || key[13] != '-' || key[18] != '-' || key[23] != '-' {
+		return "", time.Time{}, &KeyError{"must be a UUIDv7, such as 01890a5d-ac96-774b-bcce-b302099a8057"}
+	}
+	if n, err := hex.Decode(raw[:], []byte(strings.ReplaceAll(key, "-", ""))); err != nil || n != len(raw) {
+		return "", time.Time{}, &KeyError{"must be a UUIDv7 with hexadecimal digits"}
+	}
+	if raw[6]>>4 != 7 || raw[8]>>6 != 2 {
+		return "", time.Time{}, &KeyError{"must be a UUID of version 7"}
+	}
+	var ms int64
+	for _, b := range raw[:6] {
+		ms = ms<<8 | int64(b)
+	}
+	return key, time.UnixMilli(ms), nil
+}
+
+// CheckKey returns the canonical form of a key that is young enough for its records to be on the log.
+func CheckKey(key string, now time.Time, retention time.Duration) (string, error) {
+	key, at, err := ParseKey(key)
+	if err != nil {
+		return "", err
+	}
+	if age := now.Sub(at); age > retention-windowMargin {
+		return "", &KeyError{fmt.Sprintf("is %v old, at most %v is accepted", age.Round(time.Second), retention-windowMargin)}
+	}
+	if ahead := at.Sub(now); ahead > maxAhead {
+		return "", &KeyError{fmt.Sprintf("is %v ahead of the clock, at most %v is accepted", ahead.Round(time.Second), maxAhead)}
+	}
+	return key, nil
+}
+
+// NewKey returns a UUIDv7 for a time and random bits.
+func NewKey(at time.Time, hi, lo uint64) string {
+	ms := uint64(at.UnixMilli())
+	return fmt.Sprintf("%08x-%04x-7%03x-%04x-%012x", uint32(ms>>16), uint16(ms), hi&0xfff, 0x8000|(hi>>12)&0x3fff, lo&0xffffffffffff)
+}
--- /dev/null
+++ b/internal/ledger/record.go
@@ -0,0 +1,110 @@
+package ledger
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+const (
+	// MaxBody bounds the response body that a done record keeps.
+	MaxBody = 16 << 10
+	// idBytes is the length of attempts and hashes: 128 bits make a collision among billions of keys negligible.
+	idBytes = 16
+	// maxName bounds the strings of a record.
+	maxName = 256
+	// maxRecord bounds an encoded record: the body and the names.
+	maxRecord = MaxBody + 2048
+)
+
+// The kinds of records.
+const (
+	kindIntent  = "intent"
+	kindAbandon = "abandon"
+	kindDone    = "done"
+)
+
+// ID names an attempt.
+type ID [idBytes]byte
+
+// String returns the ID in hexadecimal.
+func (id ID) String() string { return hex.EncodeToString(id[:]) }
+
+// Hash is a truncated SHA-256.
+type Hash [idBytes]byte
+
+// HashOf hashes parts; the length of each is part of the hash.
+func HashOf(parts ...[]byte) Hash {
+	h := sha256.New()
+	for _, p := range parts {
+		fmt.Fprintf(h, "%d:", len(p))
+		h.Write(p)
+	}
+	return Hash(h.Sum(nil)[:idBytes])
+}
+
+// keyHash identifies a key of an account in the fold; two accounts never share one.
+func keyHash(account, key string) Hash { return HashOf([]byte(account), []byte(key)) }
+
+// Record is one record of the ledger.
+type Record struct {
+	Kind     string `msgpack:"kind"`
+	Key      string `msgpack:"key"`
+	Account  string `msgpack:"account"`
+	Attempt  []byte `msgpack:"attempt"`
+	Owner    string `msgpack:"owner,omitempty"`
+	BodyHash []byte `msgpack:"bodyHash,omitempty"`
+	AtMs     int64  `msgpack:"at,omitempty"`
+	// Status, Type, Body and Length are set in a done record. Length is that of the whole response body.
+	Status int    `msgpack:"status,omitempty"`
+	Type   string `msgpack:"type,omitempty"`
+	Body   []byte `msgpack:"body,omitempty"`
+	Length int    `msgpack:"length,omitempty"`
+}
+
+// Encode returns the record's bytes.
+func (r *Record) Encode() []byte {
+	data, err := msgpack.Marshal(r)
+	if err != nil {
+		panic(err) // the type holds nothing that cannot be encoded
+	}
+	return data
+}
+
+// Decode decodes and checks a record. The check is the same at every reader, so all ignore the same records.
+func Decode(data []byte) (*Record, error) {
+	if len(data) > maxRecord {
+		return nil, fmt.Errorf("record has %d bytes, at most %d are allowed", len(data), maxRecord)
+	}
+	r := new(Record)
+	if err := msgpack.Unmarshal(data, r); err != nil {
+		return nil, fmt.Errorf("record is malformed: %w", err)
+	}
+	if r.Key == "" || max(len(r.Key), len(r.Account), len(r.Owner), len(r.Type)) > maxName {
+		return nil, errors.New("record has no key or a name that is too long")
+	}
+	if len(r.Attempt) != idBytes {
+		return nil, fmt.Errorf("attempt has %d bytes, must have %d", len(r.Attempt), idBytes)
+	}
+	return r, r.checkKind()
+}
+
+func (r *Record) checkKind() error {
+	switch r.Kind {
+	case kindIntent:
+		if len(r.BodyHash) != idBytes {
+			return fmt.Errorf("body hash has %d bytes, must have %d", len(r.BodyHash), idBytes)
+		}
+	case kindDone:
+		if len(r.Body) > MaxBody || r.Status < 0 || r.Status > 999 || r.Length < len(r.Body) {
+			return errors.New("status, body or length of a done record is out of range")
+		}
+	case kindAbandon:
+	default:
+		return fmt.Errorf("unknown kind %q", r.Kind)
+	}
+	return nil
+}
--- a/internal/server/dispatcher/call.go
+++ b/internal/server/dispatcher/call.go
@@ -3,41 +3,131 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
+	"errors"
 	"io"
+	"net"
 	"net/http"
+	"net/http/httptrace"
+	"time"
 
 	"github.com/papayaworks/papayaworks/internal/failer"
+	"github.com/papayaworks/papayaworks/internal/ledger"
 	"github.com/papayaworks/papayaworks/internal/request"
 	"github.com/papayaworks/papayaworks/pkg/configurer"
 )
 
-// maxResponseBytes bounds the answer of a plain service.
-const maxResponseBytes = 1 << 20
+const (
+	// maxResponseBytes bounds the answer of a plain service.
+	maxResponseBytes = 1 << 20
+	// connectTimeout bounds the connecting to a target of a non-repeatable call.
+	connectTimeout = 2 * time.Second
+	// notRunRetryAfter is when a call that was not run is worth another try.
+	notRunRetryAfter = 250 * time.Millisecond
+)
+
+// single sends non-repeatable calls. net/http repeats a request with an Idempotency-Key by itself if it fails on a
+// connection that was used before, so each call gets a connection of its own; a redirect would repeat it as well.
+var single = &http.Client{
+	Transport: &http.Transport{
+		DialContext:        (&net.Dialer{Timeout: connectTimeout}).DialContext,
+		DisableKeepAlives:  true,
+		DisableCompression: true,
+	},
+	CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+}
 
 // call sends a call of a plain service to its target.
 func (s *Step) call(ctx context.Context, r *request.Request) error {
-	ctx, cancel := context.WithTimeout(ctx, configurer.Milliseconds(r.Call.Operation.DeadlineMs))
-	defer cancel()
+	deadline := r.Received.Add(configurer.Milliseconds(r.Call.Operation.DeadlineMs))
 	if !r.Call.Operation.Repeatable {
-		return request.Refuse(http.StatusServiceUnavailable, request.CodeNotRun, "", "the ledger is not available")
+		return s.callOnce(ctx, r, deadline)
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	res, sent, err := exchange(ctx, s.Client.HTTP(), r)
+	switch {
+	case err != nil && !sent:
+		return notRun(err.Error())
+	case err != nil:
+		return unknown(err.Error())
+	}
+	r.Response = &request.Response{Status: res.Status, Type: res.Type, Body: res.Body}
+	return nil
+}
+
+// callOnce has the ledger run a call at most once.
+func (s *Step) callOnce(ctx context.Context, r *request.Request, deadline time.Time) error {
+	if s.Ledger == nil {
+		return notRun("this instance has no log for non-repeatable calls")
+	}
+	c := ledger.Call{
+		Account: r.Account.Name, Key: r.IdempotencyKey, Deadline: deadline,
+		Body: ledger.HashOf([]byte(r.Call.Method), []byte(r.Call.Service), []byte(r.Call.Operation.Name), r.Call.Body),
+	}
+	res := s.Ledger.Do(ctx, c, func(ctx context.Context) (*ledger.Response, bool, error) {
+		return exchange(ctx, single, r)
+	})
+	r.Reason = res.Reason
+	switch res.Verdict {
+	case ledger.Responded:
+		r.Response = response(res.Response)
+		return nil
+	case ledger.NotRun:
+		return notRun(res.Reason)
+	case ledger.BadKey:
+		return request.Refuse(http.StatusBadRequest, request.CodeBadRequest, "Idempotency-Key", "%s", res.Reason)
+	case ledger.OtherBody:
+		// Not "not run": the key's own request may have been run.
+		e := request.Fail(http.StatusUnprocessableEntity, request.CodeBadRequest, "%s", res.Reason)
+		e.Field = "Idempotency-Key"
+		return e
 	}
+	return unknown(res.Reason)
+}
+
+func notRun(reason string) error {
+	return request.Refuse(http.StatusServiceUnavailable, request.CodeNotRun, "", "%s", reason).WithRetryAfter(notRunRetryAfter)
+}
+
+func unknown(reason string) error {
+	return request.Fail(http.StatusGatewayTimeout, request.CodeOutcomeUnknown, "%s", reason)
+}
+
+// response returns a recorded response; one without its body has a note as JSON instead.
+func response(in *ledger.Response) *request.Response {
+	out := &request.Response{Status: in.Status, Type: in.Type, Body: in.Body}
+	if in.Note != "" {
+		out.Type = "application/json"
+		out.Body, _ = json.Marshal(map[string]string{"note": in.Note})
+	}
+	return out
+}
+
+// exchange sends a call and reads its response. If it fails, sent says whether a byte may have reached the target:
+// nothing was sent if no connection came about.
+func exchange(ctx context.Context, client *http.Client, r *request.Request) (res *ledger.Response, sent bool, err error) {
 	u := "http://" + r.Target.Address + "/v1/operations/" + r.Call.Operation.Name
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent = true }})
 	req, err := http.NewRequestWithContext(ctx, r.Call.Method, u, bytes.NewReader(r.Call.Body))
 	if err != nil {
-		return failer.Wrap(err, "call target", r.Target.Address, "dispatch")
+		return nil, false, failer.Wrap(err, "call target", r.Target.Address, "dispatch")
 	}
 	req.Header.Set("Idempotency-Key", r.IdempotencyKey)
-	res, err := s.Client.HTTP().Do(req)
+	if t := r.HTTP.Header.Get("Content-Type"); t != "" {
+		req.Header.Set("Content-Type", t)
+	}
+	in, err := client.Do(req)
 	if err != nil {
-		return request.Fail(http.StatusBadGateway, request.CodeOutcomeUnknown, "%v",
-			failer.Wrap(err, "call target", r.Target.Address, "dispatch"))
+		return nil, sent, failer.Wrap(err, "call target", r.Target.Address, "dispatch")
+	}
+	defer in.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(in.Body, maxResponseBytes+1))
+	if err == nil && len(body) > maxResponseBytes {
+		err = errors.New("response is too long")
 	}
-	defer res.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes))
 	if err != nil {
-		return request.Fail(http.StatusBadGateway, request.CodeOutcomeUnknown, "%v",
-			failer.Wrap(err, "read answer of", r.Target.Address, "dispatch"))
+		return nil, true, failer.Wrap(err, "read response of target", r.Target.Address, "dispatch")
 	}
-	r.Response = &request.Response{Status: res.StatusCode, Type: res.Header.Get("Content-Type"), Body: body}
-	return nil
+	return &ledger.Response{Status: in.StatusCode, Type: in.Header.Get("Content-Type"), Body: body}, true, nil
 }
--- a/internal/server/dispatcher/dispatcher.go
+++ b/internal/server/dispatcher/dispatcher.go
@@ -2,11 +2,12 @@
 //
 // A chat becomes a run at an engine. The run's name is derived from the account
 // and the idempotency key or the request, so that a second dispatch of the same
-// request attaches to the same run. A call of a plain service is sent once.
+// request attaches to the same run. A call of a plain service is sent directly if
+// it may be repeated; otherwise the ledger decides whether it is sent.
 //
 // # Usage
 //
-//	s := &dispatcher.Step{Client: dialer.New()}
+//	s := &dispatcher.Step{Client: dialer.New(), Ledger: ledger, Now: time.Now}
 package dispatcher
 
 import (
@@ -15,9 +16,11 @@
 	"encoding/hex"
 	"errors"
 	"net/http"
+	"time"
 
 	"github.com/papayaworks/papayaworks/internal/dialer"
 	"github.com/papayaworks/papayaworks/internal/keyer"
+	"github.com/papayaworks/papayaworks/internal/ledger"
 	"github.com/papayaworks/papayaworks/internal/request"
 	"github.com/papayaworks/papayaworks/pkg/configurer"
 )
@@ -25,6 +28,10 @@
 // Step dispatches requests.
 type Step struct {
 	Client *dialer.Client
+	// Ledger runs non-repeatable calls; without one they are refused.
+	Ledger *ledger.Ledger
+	// Now is the clock of deadlines.
+	Now func() time.Time
 }
 
 // String names the step.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -23,10 +23,12 @@
 	"github.com/papayaworks/papayaworks/internal/controller"
 	"github.com/papayaworks/papayaworks/internal/dialer"
 	"github.com/papayaworks/papayaworks/internal/failer"
+	"github.com/papayaworks/papayaworks/internal/ledger"
 	"github.com/papayaworks/papayaworks/internal/listener"
 	"github.com/papayaworks/papayaworks/internal/logger"
 	"github.com/papayaworks/papayaworks/internal/request"
 	"github.com/papayaworks/papayaworks/internal/signer"
+	"github.com/papayaworks/papayaworks/internal/versioner"
 	"github.com/papayaworks/papayaworks/internal/view"
 	"github.com/papayaworks/papayaworks/pkg/configurer"
 	"github.com/papayaworks/papayaworks/pkg/recorder"
@@ -47,11 +49,14 @@
 	signer  *signer.Signer
 	client  *dialer.Client
 	control *controller.Controller
-	http    *listener.Server
-	path    atomic.Pointer[path]
-	ids     atomic.Uint64
-	addr    atomic.Value
-	ready   chan struct{}
+	// ledger and versions are nil if the settings name no log.
+	ledger   *ledger.Ledger
+	versions *versioner.Versioner
+	http     *listener.Server
+	path     atomic.Pointer[path]
+	ids      atomic.Uint64
+	addr     atomic.Value
+	ready    chan struct{}
 }
 
 // path is the list of steps of one configuration.
@@ -87,6 +92,7 @@
 	s.client = dialer.New()
 	s.control = controller.New(view.New(s.Initial, 0, s.Settings.Instance.DataCentre))
 	s.control.Published = s.published
+	s.startLog(ctx)
 	s.published(s.control.View())
 	go s.control.Run(ctx)
 	s.startPollers(ctx)
@@ -127,6 +133,7 @@
 	defer cancel()
 	err := s.http.Stop(ctx)
 	s.Asserter.Check(asserter.GracefulStop, err == nil, "stop cut off %d requests", s.http.Active())
+	s.flushLedger(ctx)
 	s.Recorder.Record(recorder.Event{Kind: "stopped"})
 	return err
 }
@@ -147,6 +154,7 @@
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	mux.HandleFunc("GET /readyz", s.readyz)
 	mux.HandleFunc("GET /events", s.events)
+	mux.HandleFunc("GET /config", s.config)
 	return mux
 }
 
--- /dev/null
+++ b/internal/versioner/record.go
@@ -0,0 +1,75 @@
+package versioner
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+const (
+	// Stream is the stream of configuration records.
+	Stream = "config"
+	// MaxText bounds the text of a configuration.
+	MaxText = 256 << 10
+	// maxName bounds the author and the id.
+	maxName = 256
+	// maxRecord bounds an encoded record.
+	maxRecord = MaxText + 2048
+)
+
+// Record is one record of the stream, and what peers send each other.
+type Record struct {
+	Version int64  `msgpack:"version"`
+	Base    int64  `msgpack:"base"`
+	Author  string `msgpack:"author"`
+	AtMs    int64  `msgpack:"at"`
+	Hash    string `msgpack:"hash"`
+	Text    string `msgpack:"text"`
+	// ID tells the records of one publisher from those of another with the same text.
+	ID string `msgpack:"id"`
+	// Snapshot: the record states an accepted version again, which is in force up to the offset AsOf of the stream.
+	Snapshot bool  `msgpack:"snapshot,omitempty"`
+	AsOf     int64 `msgpack:"asOf,omitempty"`
+	// StatedMs is when the log last got a record that states the version, as far as the sender knows.
+	StatedMs int64 `msgpack:"stated,omitempty"`
+}
+
+// HashText returns the hash of a configuration's text.
+func HashText(text string) string {
+	h := sha256.Sum256([]byte(text))
+	return hex.EncodeToString(h[:])
+}
+
+// Encode returns the record's bytes.
+func (r *Record) Encode() []byte {
+	data, err := msgpack.Marshal(r)
+	if err != nil {
+		panic(err) // the type holds nothing that cannot be encoded
+	}
+	return data
+}
+
+// Decode decodes a record and checks everything but the text, which the fold parses.
+func Decode(data []byte) (*Record, error) {
+	if len(data) > maxRecord {
+		return nil, fmt.Errorf("record has %d bytes, at most %d are allowed", len(data), maxRecord)
+	}
+	r := new(Record)
+	if err := msgpack.Unmarshal(data, r); err != nil {
+		return nil, fmt.Errorf("record is malformed: %w", err)
+	}
+	switch {
+	case len(r.Author) > maxName || len(r.ID) > maxName || len(r.Text) > MaxText:
+		return nil, errors.New("author, id or text of the record is too long")
+	case r.Base < 0 || r.Version != r.Base+1:
+		return nil, fmt.Errorf("version %d does not follow base %d", r.Version, r.Base)
+	case r.AsOf < 0 || (!r.Snapshot && r.AsOf != 0):
+		return nil, errors.New("offset of the record is out of range")
+	case r.Hash != HashText(r.Text):
+		return nil, errors.New("hash of the record does not fit its text")
+	}
+	return r, nil
+}
