--- a/cmd/papayaworks/commands_test.go
+++ b/cmd/papayaworks/commands_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/stretchr/testify/require"
@@ -166,7 +167,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			var out bytes.Buffer
-			c := &publishCommand{output: output{&out}, Log: "log", Base: 7, Author: "asha", Instances: []string{tt.addr}, Wait: 1}
+			c := &publishCommand{output: output{&out}, Log: "log", Base: 7, Author: "asha", Instances: []string{tt.addr}, Wait: 1, Timeout: time.Minute}
 			c.Args.File = write(t, "c.toml", cfg)
 			c.publish = func(_ context.Context, log string, base int64, author, text string) (int64, error) {
 				require.Equal(t, []any{"log", int64(7), "asha", cfg}, []any{log, base, author, text})
--- a/cmd/papayaworks/demo.go
+++ b/cmd/papayaworks/demo.go
@@ -1,14 +1,10 @@
 package main
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -19,31 +15,38 @@
 
 const demoHelp = `Starts a whole deployment at a first user's size in this process, with
 stand-ins for the platform, plays a seeded day in less than a minute and
-prints what callers saw.
+prints what callers saw. With --serve it runs the deployment at real speed
+until interrupted, and prints addresses, an API key and commands to try.
 
 Examples:
   papayaworks demo --seed 1
   papayaworks demo --user cooperative --duration 20s --json
+  papayaworks demo --serve --answers answers.toml
 
 Exit status: 0 if no answer was lost, no order ran twice and no invariant
-was violated, otherwise 1.`
+was violated, otherwise 1. With --serve: 0 after an interrupt, 1 on an error.`
 
 type demoCommand struct {
 	output
 	Seed     uint64        `long:"seed" default:"1" value-name:"N" description:"seed of the day's requests"`
 	User     string        `long:"user" default:"trust" choice:"trust" choice:"cooperative" description:"whose deployment"`
 	Duration time.Duration `long:"duration" default:"30s" description:"how long requests are sent"`
+	Serve    bool          `long:"serve" description:"run the deployment until interrupted"`
+	Answers  string        `long:"answers" value-name:"FILE" description:"with --serve: write the deployment's questionnaire to FILE"`
 	JSON     bool          `long:"json" description:"print the summary as a last line of JSON"`
 }
 
 // Execute implements flags.Commander.
 func (c *demoCommand) Execute([]string) error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	ctx, stop := untilInterrupted()
 	defer stop()
 	d := &demonstrator.Demo{
 		User: c.User, Seed: c.Seed, Duration: c.Duration, Out: c.out,
 		Log: logger.New(io.Discard, "demo", logrus.InfoLevel),
 	}
+	if c.Serve {
+		return d.Serve(ctx, c.Answers)
+	}
 	sum, err := d.Run(ctx)
 	if err != nil {
 		return err
--- a/cmd/papayaworks/diff.go
+++ b/cmd/papayaworks/diff.go
@@ -68,8 +68,10 @@
 		}
 	}
 	r := differ.Compare(old, next)
-	if st, err := client.Status(ctx, c.Instance); err == nil && len(st.Targets) > 0 {
-		r = r.WithLoad(st.Running())
+	if st, err := client.Status(ctx, c.Instance); err == nil {
+		if running, ok := st.Running(); ok {
+			r = r.WithLoad(running)
+		}
 	}
 	return c.print(r, p)
 }
--- a/cmd/papayaworks/publish.go
+++ b/cmd/papayaworks/publish.go
@@ -30,7 +30,7 @@
 const pollPeriod = 200 * time.Millisecond
 
 // errLostRace says that the base is not the version in force any more.
-var errLostRace = errors.New("another version was published meanwhile: run diff against the version in force and publish on that")
+var errLostRace = errors.New("the configuration was not published; run diff against the version in force and publish on that")
 
 // publisher appends a configuration to the log and reads back which version it became; errLostRace if it lost.
 type publisher func(ctx context.Context, log string, base int64, author, text string) (int64, error)
@@ -42,6 +42,7 @@
 	Author    string        `long:"author" value-name:"NAME" description:"who publishes (default: the user's name)"`
 	Instances []string      `long:"instance" value-name:"ADDR" description:"instance to ask for the version in force; may be repeated"`
 	Wait      time.Duration `long:"wait" default:"5s" description:"how long to wait until the version is in force"`
+	Timeout   time.Duration `long:"timeout" default:"30s" description:"how long to try to reach the log"`
 	JSON      bool          `long:"json" description:"print the result as JSON"`
 	Args      struct {
 		File string `positional-arg-name:"FILE" required:"true"`
@@ -71,12 +72,14 @@
 	if _, err := configurer.Parse(c.Args.File, text); err != nil {
 		return refused(c.Args.File, err)
 	}
-	version, err := c.publish(ctx, c.Log, c.Base, c.author(), text)
+	pctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	version, err := c.publish(pctx, c.Log, c.Base, c.author(), text)
 	if errors.Is(err, errLostRace) {
 		return &exitError{exitLostRace, err}
 	}
 	if err != nil {
-		return err
+		return fmt.Errorf("%w; whether it was published is not known: look with diff --instance", err)
 	}
 	p := c.await(ctx, version)
 	if err := c.print(p); err != nil {
--- a/cmd/papayaworks/publisher.go
+++ b/cmd/papayaworks/publisher.go
@@ -3,9 +3,18 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+
+	"github.com/papayaworks/papayaworks/internal/appender"
+	"github.com/papayaworks/papayaworks/internal/versioner"
 )
 
 // logPublisher publishes on the platform's log.
-func logPublisher(context.Context, string, int64, string, string) (int64, error) {
-	return 0, errors.New("publication is not connected yet")
+func logPublisher(ctx context.Context, log string, base int64, author, text string) (int64, error) {
+	version, err := versioner.Publish(ctx, &appender.Client{Addr: log}, base, author, text)
+	var lost *versioner.LostRaceError
+	if errors.As(err, &lost) {
+		return 0, fmt.Errorf("%w: %w", errLostRace, lost)
+	}
+	return version, err
 }
--- a/cmd/papayaworks/run.go
+++ b/cmd/papayaworks/run.go
@@ -1,10 +1,7 @@
 package main
 
 import (
-	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -58,7 +55,7 @@
 		defer f.Close()
 		rec = recorder.New(clk, set.Instance.ID, eventsKept, f)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	ctx, stop := untilInterrupted()
 	defer stop()
 	return server.New(set, cfg, log, rec, &asserter.Asserter{Log: log, Recorder: rec}).Run(ctx)
 }
--- a/internal/demonstrator/deployment.go
+++ b/internal/demonstrator/deployment.go
@@ -22,8 +22,8 @@
 	"github.com/papayaworks/papayaworks/internal/asserter"
 	"github.com/papayaworks/papayaworks/internal/emulator"
 	"github.com/papayaworks/papayaworks/internal/logger"
+	"github.com/papayaworks/papayaworks/internal/questioner"
 	"github.com/papayaworks/papayaworks/internal/server"
-	"github.com/papayaworks/papayaworks/internal/server/identifier"
 	"github.com/papayaworks/papayaworks/pkg/configurer"
 	"github.com/papayaworks/papayaworks/pkg/recorder"
 )
@@ -45,28 +45,8 @@
 	// PrefillRate and DecodeRate are tokens a second.
 	PrefillRate, DecodeRate int
 	LinkMiBPerSec           int
-}
 
-// Sizes are the deployments of today's users.
-var Sizes = map[string]Size{
-	"trust": {
-		DataCentres: []string{"kochi-a", "kochi-b", "kochi-c"}, Instances: 6, Engines: 12, Services: 3,
-		Accounts: []string{
-			"fishing-villages", "tea-estates", "schools", "post-offices", "volunteers",
-			"cobblers", "letters-desk", "dispatch", "sorting", "reports",
-		},
-		Model: "letters", Service: "dispatch", Operation: "order", Lookup: "lookup", Slots: 8, CacheBlocks: 24, LoadMs: 250,
-		PrefillRate: 16000, DecodeRate: 60, LinkMiBPerSec: 400,
-	},
-	"cooperative": {
-		DataCentres: []string{"medina", "port", "ville-nouvelle"}, Instances: 7, Engines: 12, Services: 3,
-		Accounts: []string{
-			"cutters", "shop-medina", "shop-port", "shop-ville", "weavers",
-			"orders", "deposits", "lookups", "pattern-office", "members",
-		},
-		Model: "drafting", Service: "cloth", Operation: "order", Lookup: "lookup", Slots: 8, CacheBlocks: 24, LoadMs: 500,
-		PrefillRate: 16000, DecodeRate: 60, LinkMiBPerSec: 400,
-	},
+	answers func() *questioner.User
 }
 
 // Deployment is everything that runs.
@@ -99,7 +79,7 @@
 }
 
 // Key returns the API key of an account in a demo deployment.
-func Key(account string) string { return "demo-key-" + account }
+func Key(account string) string { return questioner.DemoKey(account) }
 
 // Start starts everything; Close ends it.
 func Start(ctx context.Context, size Size, speed float64, log logger.Log) (*Deployment, error) {
@@ -149,38 +129,20 @@
 }
 
 func (d *Deployment) startTargets() error {
-	c := &configurer.Config{Deployment: configurer.Deployment{Name: "demo"}}
-	d.Config = c
-	for _, dc := range d.Size.DataCentres {
-		c.DataCentres = append(c.DataCentres, configurer.DataCentre{Name: dc, Region: "home"})
-	}
-	const version = 1
-	c.Models = []configurer.Model{{
-		Name: d.Size.Model, Version: version, LoadMs: d.Size.LoadMs,
-		PrefillTokensPerSecond: d.Size.PrefillRate, DecodeTokensPerSecond: d.Size.DecodeRate,
-	}}
-	c.Services = []configurer.Service{{Name: d.Size.Service, Operations: []configurer.Operation{
-		{Name: d.Size.Operation, Repeatable: false}, {Name: d.Size.Lookup, Repeatable: true},
-	}}}
-	for i, a := range d.Size.Accounts {
-		share := 1
-		if i < 2 {
-			share = 4 // a few accounts are large
-		}
-		c.Accounts = append(c.Accounts, configurer.Account{Name: a, KeySHA256: identifier.HashKey(Key(a)), Share: share})
+	if err := d.configure(); err != nil {
+		return err
 	}
-	for i := range d.Size.Engines + d.Size.Services {
+	for i := range d.Config.Stores {
 		if err := d.startStore(i); err != nil {
 			return err
 		}
 	}
-	for i := range d.Size.Engines {
-		if err := d.startEngine(i, version); err != nil {
-			return err
+	for i := range d.Config.Targets {
+		start := d.startEngine
+		if d.Config.Targets[i].Kind == configurer.KindService {
+			start = d.startService
 		}
-	}
-	for i := range d.Size.Services {
-		if err := d.startService(i); err != nil {
+		if err := start(&d.Config.Targets[i]); err != nil {
 			return err
 		}
 	}
@@ -191,52 +153,49 @@
 
 func (d *Deployment) startStore(i int) error {
 	const mib = 1 << 20
+	c := &d.Config.Stores[i]
 	s := &emulator.Store{
-		ID: fmt.Sprintf("store-%d", i+1), LinkBytesPerSec: float64(d.Size.LinkMiBPerSec) * mib,
-		DiskBytesPerSec: float64(d.Size.LinkMiBPerSec) * mib / 4, MemoryBytes: 1024 * mib, DiskBytes: 8192 * mib, Speed: d.Speed,
+		ID: c.ID, LinkBytesPerSec: float64(c.LinkMiBPerSec) * mib, DiskBytesPerSec: float64(c.DiskMiBPerSec) * mib,
+		MemoryBytes: int64(c.MemoryMiB) * mib, DiskBytes: int64(c.DiskMiB) * mib, Speed: d.Speed,
 	}
 	addr, err := s.Start()
 	if err != nil {
 		return err
 	}
 	d.Stores, d.stops = append(d.Stores, s), append(d.stops, s.Kill)
-	d.Config.Stores = append(d.Config.Stores, configurer.Store{
-		ID: s.ID, Address: addr, DataCentre: d.dataCentre(i), LinkMiBPerSec: d.Size.LinkMiBPerSec,
-	})
+	c.Address = addr
 	return nil
 }
 
-func (d *Deployment) startEngine(i int, version int64) error {
+func (d *Deployment) startEngine(c *configurer.Target) error {
 	e := &emulator.Engine{
-		ID: fmt.Sprintf("%s-%d", d.Size.Model, i+1), Models: map[string]int64{d.Size.Model: version}, Slots: d.Size.Slots,
-		CacheBlocks: d.Size.CacheBlocks, PrefillRate: float64(d.Size.PrefillRate), DecodeRate: float64(d.Size.DecodeRate),
-		LoadMs: d.Size.LoadMs, WeightsAddr: d.Weights.Addr, ReportLag: time.Second, Speed: d.Speed, ChecksFencing: i%2 == 0,
+		ID: c.ID, Models: map[string]int64{}, Slots: c.Slots, CacheBlocks: c.CacheBlocks,
+		PrefillRate: float64(d.Size.PrefillRate), DecodeRate: float64(d.Size.DecodeRate),
+		LoadMs: d.Size.LoadMs, WeightsAddr: d.Weights.Addr, ReportLag: time.Second, Speed: d.Speed, ChecksFencing: c.ChecksFencing,
+	}
+	for _, name := range c.Models {
+		m, _ := d.Config.Model(name)
+		e.Models[name] = m.Version
 	}
 	addr, err := e.Start()
 	if err != nil {
 		return err
 	}
 	d.Engines, d.stops = append(d.Engines, e), append(d.stops, e.Kill)
-	d.Config.Targets = append(d.Config.Targets, configurer.Target{
-		ID: e.ID, Address: addr, DataCentre: d.dataCentre(i), Kind: configurer.KindEngine, Models: []string{d.Size.Model},
-		Store: d.Stores[i].ID, Slots: e.Slots, CacheBlocks: e.CacheBlocks, ChecksFencing: e.ChecksFencing,
-	})
-	d.List.Set(emulator.Listed{ID: e.ID, Kind: "target", Address: addr, DataCentre: d.dataCentre(i)})
+	c.Address = addr
+	d.List.Set(emulator.Listed{ID: e.ID, Kind: "target", Address: addr, DataCentre: c.DataCentre})
 	return nil
 }
 
-func (d *Deployment) startService(i int) error {
-	s := &emulator.Service{ID: fmt.Sprintf("%s-%d", d.Size.Service, i+1)}
+func (d *Deployment) startService(c *configurer.Target) error {
+	s := &emulator.Service{ID: c.ID}
 	addr, err := s.Start()
 	if err != nil {
 		return err
 	}
 	d.Services, d.stops = append(d.Services, s), append(d.stops, s.Kill)
-	d.Config.Targets = append(d.Config.Targets, configurer.Target{
-		ID: s.ID, Address: addr, DataCentre: d.dataCentre(i), Kind: configurer.KindService,
-		Services: []string{d.Size.Service}, Store: d.Stores[d.Size.Engines+i].ID,
-	})
-	d.List.Set(emulator.Listed{ID: s.ID, Kind: "target", Address: addr, DataCentre: d.dataCentre(i)})
+	c.Address = addr
+	d.List.Set(emulator.Listed{ID: s.ID, Kind: "target", Address: addr, DataCentre: c.DataCentre})
 	return nil
 }
 
--- /dev/null
+++ b/internal/demonstrator/serve.go
@@ -0,0 +1,58 @@
+package demonstrator
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"time"
+
+	"github.com/papayaworks/papayaworks/internal/ledger"
+)
+
+// Serve starts the deployment at real speed, prints how to reach it and runs until ctx ends. If answers is not empty,
+// the questionnaire of the deployment with its addresses is written to that file.
+func (d *Demo) Serve(ctx context.Context, answers string) error {
+	size, ok := Sizes[d.User]
+	if !ok {
+		return fmt.Errorf("unknown user %q: must be trust or cooperative", d.User)
+	}
+	dep, err := Start(ctx, size, 1, d.Log)
+	if err != nil {
+		return err
+	}
+	defer dep.Close()
+	if answers != "" {
+		if err := os.WriteFile(answers, []byte(dep.Answers()), 0o600); err != nil {
+			return err
+		}
+	}
+	fmt.Fprint(d.Out, dep.Welcome())
+	if answers != "" {
+		fmt.Fprintf(d.Out, "\nthe questionnaire of this deployment is in %s\n", answers)
+	}
+	<-ctx.Done()
+	return nil
+}
+
+// Welcome says how to reach the deployment.
+func (d *Deployment) Welcome() string {
+	out := "instances:\n"
+	for _, e := range d.Instances {
+		out += fmt.Sprintf("  %-18s %s\n", e.ID, e.Server.Addr())
+	}
+	account := d.Size.Accounts[0]
+	url := "http://" + d.Instances[0].Server.Addr()
+	return out + fmt.Sprintf(`log of the platform: %s
+account: %s, API key: %s
+
+A chat:
+  curl -N %s/v1/chat/completions -H 'Authorization: Bearer %s' \
+    -d '{"model":"%s","stream":true,"max_tokens":40,"messages":[{"role":"user","content":"Dear sirs, my shoes"}]}'
+
+A call that may not be repeated, with its idempotency key; sent again, it gets the first outcome:
+  curl %s/v1/services/%s/%s -H 'Authorization: Bearer %s' \
+    -H 'Idempotency-Key: %s' -d '{"parcel":1}'
+`, d.Log.Addr, account, Key(account), url, Key(account), d.Size.Model, url, d.Size.Service, d.Size.Operation, Key(account),
+		ledger.NewKey(time.Now(), rand.Uint64(), rand.Uint64()))
+}
--- a/internal/inquirer/inquirer.go
+++ b/internal/inquirer/inquirer.go
@@ -52,10 +52,11 @@
 // Target is a target as an instance sees it.
 type Target struct {
 	ID   string `json:"id"`
-	Load struct {
-		Running int `json:"running"`
-		Waiting int `json:"waiting"`
-	} `json:"load"`
+	Load *Load  `json:"load"`
+}
+
+// Load is a target's load as an instance sees it.
+type Load struct {
 	Running int `json:"running"`
 	Waiting int `json:"waiting"`
 }
@@ -126,13 +127,15 @@
 	}
 }
 
-// Running returns the requests in progress at each target, as the instance sees them.
-func (s *Status) Running() map[string]int {
+// Running returns the requests in progress at each target, and whether the instance tells them of any.
+func (s *Status) Running() (map[string]int, bool) {
 	out := map[string]int{}
 	for _, t := range s.Targets {
-		out[t.ID] = max(t.Load.Running+t.Load.Waiting, t.Running+t.Waiting)
+		if t.Load != nil {
+			out[t.ID] = t.Load.Running + t.Load.Waiting
+		}
 	}
-	return out
+	return out, len(out) > 0
 }
 
 // Events returns the page /events, or another page if the URL names one.
