feat(admitter): admission with max-min fair shares

Cause: under overload a large account's backlog pushed small ones past their first-token target. Change: pure policy that bounds the wait by the account's target and lowers that bound for lent capacity.

--- /dev/null
+++ b/internal/admitter/admitter.go
@@ -0,0 +1,164 @@
+// Package admitter is the policy that admits a request or refuses it at once.
+//
+// A request is admitted if it can be answered in full and on time: its expected
+// wait and service must fit the first-token target and the deadline of its
+// client account. Nothing queues here; the queue is at the targets, and the
+// caller passes in how long it expects the request to wait there.
+//
+// Under overload the wait that an account may cause depends on its weighted fair
+// share. An account within its share may use the whole time that the tightest
+// target of the active accounts leaves for waiting. An account above its share
+// may use only the lower part of it, so it is served while there is room and
+// stops before it pushes others past their targets. The fair share is max-min:
+// what one account leaves unused is lent to those that want more. A higher
+// priority moves the bound of lent capacity up.
+//
+// The package has no clock, goroutine or random source: meters and levels are
+// immutable values, and [Decide] is a function of them, the time and a seed.
+//
+// # Usage
+//
+//	b := admitter.NewBook()
+//	d := b.Decide(account, admitter.Expected{Wait: wait, First: first, Full: full, Cost: tokens}, now, seed)
+//	if !d.Accept { refuse(d.Reason, d.RetryAfter) }
+//
+// A [Book] holds the meters of all accounts and belongs to one goroutine or lock.
+package admitter
+
+import (
+	"math"
+	"time"
+
+	"github.com/papayaworks/papayaworks/pkg/configurer"
+)
+
+const (
+	// lentFraction is the part of the waiting time that lent capacity may use; the rest is kept for accounts within
+	// their share.
+	lentFraction = 0.5
+	// priorityFraction is the further part that the highest priorities may use of lent capacity.
+	priorityFraction = 0.25
+	// nearShare is the part of its share from which an account's bound falls linearly; at its whole share it has the
+	// bound of lent capacity. A bound that only falls above the share lets large accounts settle above it, at the cost of
+	// small ones.
+	nearShare = 0.9
+)
+
+// Reason says why a request was admitted or refused.
+type Reason string
+
+// The reasons of decisions.
+const (
+	// WithinShare: the account uses less than its fair share.
+	WithinShare Reason = "within share"
+	// Lent: the account uses more than its share, and there is room.
+	Lent Reason = "lent"
+	// TooLong: the prompt alone takes longer than the first-token target, and there is room to answer it by the deadline.
+	TooLong Reason = "longer than the target without a wait"
+	// PastDeadline: the whole answer would be late.
+	PastDeadline Reason = "past the deadline"
+	// PastTarget: the first token would be late.
+	PastTarget Reason = "past the first-token target"
+	// OverShare: the account uses more than its share, and others need the room.
+	OverShare Reason = "over the account's share"
+)
+
+// Expected is what the caller expects of a request at its best target.
+type Expected struct {
+	// Wait is the time before the target begins with it.
+	Wait time.Duration
+	// First is the time from then to the first token.
+	First time.Duration
+	// Full is the time from then to the end of the answer.
+	Full time.Duration
+	// Cost is the work of the request in any unit that is the same for all, such as tokens to compute.
+	Cost float64
+}
+
+// Decision is the result for one request.
+type Decision struct {
+	Accept bool
+	Reason Reason
+	// RetryAfter is when a retry of a refused request is worth while.
+	RetryAfter time.Duration
+}
+
+// Input is what [Decide] looks at.
+type Input struct {
+	Account  configurer.Account
+	Expected Expected
+	Meter    Meter
+	Level    Level
+}
+
+// Decide admits or refuses one request; seed spreads the Retry-After of simultaneous refusals.
+func Decide(in Input, now time.Time, seed uint64) Decision {
+	e := in.Expected
+	within, limit := in.limit(now)
+	reason := in.refusal(within, limit)
+	if reason != "" {
+		return Decision{Reason: reason, RetryAfter: in.retryAfter(limit, now, seed)}
+	}
+	switch {
+	case e.First > configurer.Milliseconds(in.Account.FirstTokenMs):
+		return Decision{Accept: true, Reason: TooLong}
+	case within:
+		return Decision{Accept: true, Reason: WithinShare}
+	}
+	return Decision{Accept: true, Reason: Lent}
+}
+
+// refusal returns why the request cannot be admitted, or "".
+func (in Input) refusal(within bool, limit time.Duration) Reason {
+	e := in.Expected
+	switch {
+	case e.Wait+e.Full > configurer.Milliseconds(in.Account.DeadlineMs):
+		return PastDeadline
+	case e.Wait <= limit:
+		return ""
+	case within:
+		return PastTarget
+	}
+	return OverShare
+}
+
+// limit returns whether the account is within its share, and the longest wait that the request may have.
+func (in Input) limit(now time.Time) (bool, time.Duration) {
+	slack := slackOf(in.Account, in.Expected)
+	within, fraction := true, 1.0
+	if in.Expected.First > configurer.Milliseconds(in.Account.FirstTokenMs) {
+		// No wait makes such a request punctual. Refusing it for ever would lose it, so it runs while there is room.
+		slack = configurer.Milliseconds(in.Account.FirstTokenMs)
+		fraction = lentFraction
+	}
+	slack = min(slack, in.Level.slack())
+	if used := in.used(now); used > nearShare {
+		within = used <= 1
+		lent := lentFraction + priorityFraction*priorityWeight(in.Account.Priority)
+		near := min(1, (used-nearShare)/(1-nearShare))
+		fraction = min(fraction, 1-near*(1-lent))
+	}
+	return within, time.Duration(fraction * float64(slack))
+}
+
+// used returns the account's admitted work relative to its fair share.
+func (in Input) used(now time.Time) float64 {
+	fair := in.Level.Rate * float64(max(1, in.Account.Share))
+	if math.IsInf(fair, 1) || fair <= 0 {
+		return 0
+	}
+	return in.Meter.Admitted(now) / fair
+}
+
+// slackOf returns the time that the first-token target leaves for waiting.
+func slackOf(a configurer.Account, e Expected) time.Duration {
+	return max(0, configurer.Milliseconds(a.FirstTokenMs)-e.First)
+}
+
+// priorityWeight maps a priority to 0 (lowest) up to, but not including, 1.
+func priorityWeight(p int) float64 {
+	if p <= 0 {
+		return 0
+	}
+	return float64(p) / float64(p+1)
+}
--- /dev/null
+++ b/internal/admitter/admitter_test.go
@@ -0,0 +1,121 @@
+package admitter
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/papayaworks/papayaworks/pkg/configurer"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func account(share int) configurer.Account {
+	return configurer.Account{Name: "a", Share: share, FirstTokenMs: 550, DeadlineMs: 10000}
+}
+
+func TestDecide(t *testing.T) {
+	const ms = time.Millisecond
+	over := Meter{}.With(1000, true, 500*ms, epoch)
+	overload := Level{Rate: 10, Slack: 500 * ms}
+	tests := map[string]struct {
+		in     Input
+		accept bool
+		reason Reason
+	}{
+		// Guards against refusals while there is no load.
+		"idle": {Input{Expected: Expected{First: 100 * ms, Full: time.Second}}, true, WithinShare},
+		// Guards against accepting an answer whose first token is late.
+		"late first token": {Input{Expected: Expected{Wait: 500 * ms, First: 100 * ms, Full: time.Second}}, false, PastTarget},
+		// Guards against accepting an answer that is cut off at the deadline.
+		"late end": {Input{Expected: Expected{First: 100 * ms, Full: 11 * time.Second}}, false, PastDeadline},
+		// Guards against losing a long prompt for ever.
+		"long prompt on idle targets": {Input{Expected: Expected{First: 900 * ms, Full: 2 * time.Second}}, true, TooLong},
+		// Guards against a long prompt that runs before punctual requests.
+		"long prompt under load": {Input{Expected: Expected{Wait: 300 * ms, First: 900 * ms, Full: 2 * time.Second}}, false, PastTarget},
+		// Guards against unused capacity.
+		"over share with room": {Input{Expected: Expected{Wait: 100 * ms, First: 50 * ms}, Meter: over, Level: overload}, true, Lent},
+		// Guards against a large account that fills the queue of all.
+		"over share without room": {Input{Expected: Expected{Wait: 300 * ms, First: 50 * ms}, Meter: over, Level: overload}, false, OverShare},
+		// Guards against an account with a generous target that queues others past theirs.
+		"tighter target of another": {
+			Input{Expected: Expected{Wait: 300 * ms, First: 50 * ms}, Level: Level{Rate: math.Inf(1), Slack: 200 * ms}}, false, PastTarget,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			tt.in.Account = account(1)
+			if tt.in.Level.Rate == 0 {
+				tt.in.Level.Rate = math.Inf(1)
+			}
+			d := Decide(tt.in, epoch, 1)
+			require.Equal(t, tt.accept, d.Accept)
+			require.Equal(t, tt.reason, d.Reason)
+			require.Equal(t, !tt.accept, d.RetryAfter > 0)
+		})
+	}
+}
+
+// Guards against a priority that has no effect on lent capacity.
+func TestPriorityRaisesLentBound(t *testing.T) {
+	in := Input{
+		Account: account(1), Expected: Expected{Wait: 300 * time.Millisecond},
+		Meter: Meter{}.With(1000, true, 500*time.Millisecond, epoch), Level: Level{Rate: 10, Slack: 500 * time.Millisecond},
+	}
+	require.False(t, Decide(in, epoch, 1).Accept)
+	in.Account.Priority = 3
+	require.True(t, Decide(in, epoch, 1).Accept)
+}
+
+// Guards against a level that gives out more than the capacity, leaves some unused or cuts an account below its share.
+func TestRandomLevelIsMaxMinFair(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ds := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Demand {
+			off := rapid.Float64Range(0.1, 100).Draw(t, "offered")
+			return Demand{
+				Share: rapid.IntRange(1, 8).Draw(t, "share"), Offered: off,
+				Admitted: off * rapid.Float64Range(0, 1).Draw(t, "admitted"),
+			}
+		}), 1, 20).Draw(t, "demands")
+		l := NewLevel(ds)
+		capacity, used := 0.0, 0.0
+		for _, d := range ds {
+			capacity += d.Admitted
+			used += min(d.Offered, l.Rate*float64(d.Share))
+		}
+		require.InDelta(t, capacity, used, 1e-6*capacity+1e-9)
+	})
+}
+
+// Guards against refused callers that all come back at the same time.
+func TestRetryAfterIsSpread(t *testing.T) {
+	in := Input{
+		Account: account(1), Expected: Expected{Wait: 2 * time.Second, First: 50 * time.Millisecond}, Level: Level{Rate: math.Inf(1)},
+	}
+	seen := map[time.Duration]bool{}
+	for seed := range uint64(100) {
+		d := Decide(in, epoch, seed).RetryAfter
+		require.InDelta(t, 1500*float64(time.Millisecond), float64(d), 400*float64(time.Millisecond))
+		seen[d] = true
+	}
+	require.Greater(t, len(seen), 90)
+}
+
+// BenchmarkDecide measures one decision among 1,200 active accounts.
+func BenchmarkDecide(b *testing.B) {
+	book := NewBook()
+	as := make([]configurer.Account, 1200)
+	for i := range as {
+		as[i] = account(1 + i%4)
+		as[i].Name = fmt.Sprintf("account-%d", i)
+	}
+	b.ReportAllocs()
+	for i := range b.N {
+		now := epoch.Add(time.Duration(i) * 50 * time.Microsecond)
+		book.Decide(as[i%len(as)], Expected{Wait: 200 * time.Millisecond, First: 50 * time.Millisecond, Cost: 1000}, now, uint64(i))
+	}
+}
--- /dev/null
+++ b/internal/admitter/book.go
@@ -0,0 +1,60 @@
+package admitter
+
+import (
+	"math"
+	"time"
+
+	"github.com/papayaworks/papayaworks/pkg/configurer"
+)
+
+// levelPeriod is how often the fair shares are computed; a sort of 1,200 accounts takes longer than one decision.
+const levelPeriod = 100 * time.Millisecond
+
+// Book holds the meters of all accounts. It belongs to one goroutine or lock.
+type Book struct {
+	entries map[string]entry
+	level   Level
+	levelAt time.Time
+}
+
+type entry struct {
+	share int
+	meter Meter
+}
+
+// NewBook returns a book without demand.
+func NewBook() *Book {
+	return &Book{entries: map[string]entry{}, level: Level{Rate: math.Inf(1)}}
+}
+
+// Decide admits or refuses a request and counts it.
+func (b *Book) Decide(a configurer.Account, e Expected, now time.Time, seed uint64) Decision {
+	if b.levelAt.IsZero() || now.Sub(b.levelAt) >= levelPeriod {
+		b.refresh(now)
+	}
+	m := b.entries[a.Name].meter
+	d := Decide(Input{Account: a, Expected: e, Meter: m, Level: b.level}, now, seed)
+	b.entries[a.Name] = entry{share: a.Share, meter: m.With(e.Cost, d.Accept, slackOf(a, e), now)}
+	return d
+}
+
+// Level returns the fair shares in force.
+func (b *Book) Level() Level { return b.level }
+
+// Meter returns the meter of an account.
+func (b *Book) Meter(account string) Meter { return b.entries[account].meter }
+
+// refresh computes the level and forgets accounts without demand.
+func (b *Book) refresh(now time.Time) {
+	ds := make([]Demand, 0, len(b.entries))
+	for name, e := range b.entries {
+		if !e.meter.Active(now) {
+			delete(b.entries, name)
+			continue
+		}
+		ds = append(ds, Demand{
+			Share: e.share, Offered: e.meter.Offered(now), Admitted: e.meter.Admitted(now), Slack: e.meter.slack,
+		})
+	}
+	b.level, b.levelAt = NewLevel(ds), now
+}
--- /dev/null
+++ b/internal/admitter/overload_test.go
@@ -0,0 +1,225 @@
+package admitter
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/papayaworks/papayaworks/pkg/configurer"
+)
+
+// simulation is a pool of equal servers with one queue, and instances in front of it, on virtual time.
+type simulation struct {
+	servers, instances int
+	service            time.Duration
+	accounts           []configurer.Account
+	// load is the demand of each account relative to the capacity.
+	load []float64
+	// lag is the period of load reports; each instance adds its own dispatches since, times the number of instances.
+	lag time.Duration
+	// early drops a request that would use lent capacity; nil is off.
+	early func(rate float64, r *rand.Rand) bool
+	// fifo admits by the wait alone, for comparison.
+	fifo bool
+}
+
+type result struct {
+	admitted, late, offered []int
+	// goodput is the on-time work relative to the capacity.
+	goodput float64
+}
+
+// times is a heap of times at which servers are free.
+type times []time.Duration
+
+func (h times) Len() int           { return len(h) }
+func (h times) Less(i, j int) bool { return h[i] < h[j] }
+func (h times) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *times) Push(x any)        { *h = append(*h, x.(time.Duration)) }
+func (h *times) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
+
+// run plays the accounts' Poisson arrivals; the first tenth of the time does not count.
+func (s simulation) run(seed uint64, length time.Duration) result {
+	r := rand.New(rand.NewPCG(seed, 7))
+	free := make(times, s.servers)
+	heap.Init(&free)
+	res := result{admitted: make([]int, len(s.accounts)), late: make([]int, len(s.accounts)), offered: make([]int, len(s.accounts))}
+	capacity := float64(s.servers) / s.service.Seconds()
+	total := 0.0
+	for _, l := range s.load {
+		total += l
+	}
+	books, own := make([]*Book, s.instances), make([]int, s.instances)
+	for i := range books {
+		books[i] = NewBook()
+	}
+	var seenAt, seen time.Duration
+	good, warm := 0, length/10
+	for now := time.Duration(0); now < length; {
+		now += time.Duration(r.ExpFloat64() / (total * capacity) * float64(time.Second))
+		i := s.pick(r.Float64() * total)
+		wait := max(0, free[0]-now)
+		if now-seenAt >= s.lag {
+			seenAt, seen = now, wait
+			clear(own)
+		}
+		n := r.IntN(s.instances)
+		mine := time.Duration(own[n]*s.instances) * s.service / time.Duration(s.servers)
+		known := max(0, seen+mine-(now-seenAt))
+		counts := now > warm
+		if counts {
+			res.offered[i]++
+		}
+		if !s.admit(books[n], i, known, now, func() bool { return s.early(total, r) }) {
+			continue
+		}
+		own[n]++
+		begin := max(now, heap.Pop(&free).(time.Duration))
+		heap.Push(&free, begin+s.service)
+		if !counts {
+			continue
+		}
+		res.admitted[i]++
+		if begin+s.service-now > configurer.Milliseconds(s.accounts[i].FirstTokenMs) {
+			res.late[i]++
+		} else {
+			good++
+		}
+	}
+	res.goodput = float64(good) / (capacity * (length - warm).Seconds())
+	return res
+}
+
+func (s simulation) admit(b *Book, i int, wait, now time.Duration, drop func() bool) bool {
+	a := s.accounts[i]
+	if s.fifo {
+		return wait+s.service <= configurer.Milliseconds(a.FirstTokenMs)
+	}
+	e, at := Expected{Wait: wait, First: s.service, Full: s.service, Cost: 1}, epoch.Add(now)
+	before := b.entries[a.Name].meter
+	d := b.Decide(a, e, at, uint64(now))
+	if d.Accept && s.early != nil && d.Reason == Lent && drop() {
+		b.entries[a.Name] = entry{share: a.Share, meter: before.With(1, false, slackOf(a, e), at)}
+		return false
+	}
+	return d.Accept
+}
+
+func (s simulation) pick(x float64) int {
+	for i, l := range s.load {
+		if x -= l; x < 0 {
+			return i
+		}
+	}
+	return len(s.load) - 1
+}
+
+// fair returns the max-min fair number of requests of each account for what was offered.
+func (s simulation) fair(offered []int, capacity float64) []float64 {
+	ds := make([]Demand, len(s.accounts))
+	for i, a := range s.accounts {
+		ds[i] = Demand{Share: a.Share, Offered: float64(offered[i])}
+	}
+	ds[0].Admitted = capacity
+	l := NewLevel(ds)
+	out := make([]float64, len(ds))
+	for i, d := range ds {
+		out[i] = min(d.Offered, l.Rate*float64(d.Share))
+	}
+	return out
+}
+
+// deadlineDay is 5 times the capacity: two large accounts, one of them within its share, and small ones.
+func deadlineDay() simulation {
+	s := simulation{servers: 12, instances: 1, service: 100 * time.Millisecond}
+	add := func(share int, load float64, targetMs int) {
+		s.accounts = append(s.accounts, configurer.Account{
+			Name: string(rune('a' + len(s.accounts))), Share: share, FirstTokenMs: targetMs, DeadlineMs: 60000,
+		})
+		s.load = append(s.load, load)
+	}
+	add(4, 3.2, 550)
+	add(4, 0.9, 2000)
+	add(1, 0.5, 550)
+	add(1, 0.2, 400)
+	for range 4 {
+		add(1, 0.04, 550)
+	}
+	add(1, 0.04, 250)
+	return s
+}
+
+// Guards against lost capacity and broken shares at five times the capacity.
+func TestOverloadKeepsGoodputAndShares(t *testing.T) {
+	const length = 10 * time.Minute
+	s := deadlineDay()
+	for seed := range uint64(3) {
+		res := s.run(seed, length)
+		fair := s.fair(res.offered, float64(s.servers)/s.service.Seconds()*(length-length/10).Seconds())
+		t.Logf("seed %d: goodput %.3f of capacity", seed, res.goodput)
+		require.GreaterOrEqual(t, res.goodput, 0.95)
+		for i, n := range res.admitted {
+			t.Logf("account %s: offered %d fair %.0f admitted %d late %d", s.accounts[i].Name, res.offered[i], fair[i], n, res.late[i])
+			require.Zero(t, res.late[i], "account %s", s.accounts[i].Name)
+			require.GreaterOrEqual(t, float64(n), 0.95*fair[i], "account %s", s.accounts[i].Name)
+		}
+	}
+}
+
+// earlyDrop drops what exceeds the rate at which the mean wait of an M/D/c queue fits the target.
+func earlyDrop(s simulation, target time.Duration) func(float64, *rand.Rand) bool {
+	return func(rate float64, r *rand.Rand) bool {
+		fit := 0.0
+		for rho := 0.01; rho < 1; rho += 0.01 {
+			if mdcWait(s.servers, rho, s.service) <= target {
+				fit = rho
+			}
+		}
+		return r.Float64() > fit/rate
+	}
+}
+
+// mdcWait is the mean wait in an M/D/c queue, taken as half of that in M/M/c (Erlang C).
+func mdcWait(c int, rho float64, service time.Duration) time.Duration {
+	a := rho * float64(c)
+	term, sum := 1.0, 1.0
+	for k := 1; k < c; k++ {
+		term *= a / float64(k)
+		sum += term
+	}
+	last := term * a / float64(c) / (1 - rho)
+	mean := last / (sum + last) * service.Seconds() / (float64(c) * (1 - rho))
+	return time.Duration(math.Round(mean / 2 * float64(time.Second)))
+}
+
+// Measures early drop from an M/D/c estimate; docs/admission.md holds the figures and the decision.
+func TestEarlyDropMeasured(t *testing.T) {
+	const length = 5 * time.Minute
+	for _, lag := range []time.Duration{0, 100 * time.Millisecond, time.Second} {
+		for _, mode := range []string{"wait alone", "shares", "shares and early drop"} {
+			s := deadlineDay()
+			s.lag, s.fifo, s.instances = lag, mode == "wait alone", 6
+			if mode == "shares and early drop" {
+				s.early = earlyDrop(s, 150*time.Millisecond)
+			}
+			res := s.run(1, length)
+			worst, late, n := math.Inf(1), 0, 0
+			fair := s.fair(res.offered, float64(s.servers)/s.service.Seconds()*(length-length/10).Seconds())
+			for i := range res.admitted {
+				worst = min(worst, float64(res.admitted[i]-res.late[i])/fair[i])
+				late, n = late+res.late[i], n+res.admitted[i]
+			}
+			t.Logf("lag %v, %s: goodput %.3f, late %.3f of admitted, worst account %.3f of its fair share on time",
+				lag, mode, res.goodput, float64(late)/float64(n), worst)
+		}
+	}
+}
--- /dev/null
+++ b/internal/admitter/retryafter.go
@@ -0,0 +1,28 @@
+package admitter
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 30 * time.Second
+	// retryJitter spreads a Retry-After from 1 - retryJitter to 1 + retryJitter times its value.
+	retryJitter = 0.25
+)
+
+// retryAfter returns when the backlog has drained to the limit and the account's refused work had its turn.
+func (in Input) retryAfter(limit time.Duration, now time.Time, seed uint64) time.Duration {
+	d := max(0, in.Expected.Wait-limit)
+	fair := in.Level.Rate * float64(max(1, in.Account.Share))
+	if fair > 0 && !math.IsInf(fair, 1) {
+		// The refused work comes back as well; at the fair rate it needs this long.
+		turns := min(maxRetryAfter.Seconds(), in.Meter.Refused(now)/fair)
+		d += time.Duration(turns * float64(time.Second))
+	}
+	r := rand.New(rand.NewPCG(seed, uint64(now.UnixNano())))
+	d = max(minRetryAfter, min(maxRetryAfter, d))
+	return time.Duration(float64(d) * (1 - retryJitter + 2*retryJitter*r.Float64()))
+}
