feat(admitter): early drop of work above the share

Change: requests above the share are dropped with the probability that leaves the account's demand at its share, once a quarter of the longest wait is used. A drop rate from an M/D/c estimate was measured beside it and is not used.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -13,6 +13,11 @@
 // what one account leaves unused is lent to those that want more. A higher
 // priority moves the bound of lent capacity up.
 //
+// The wait that instances know lags behind. So that lent capacity is not overdrawn
+// by all of them at once, a request above the share is also dropped early, with a
+// probability that leaves the account's demand at its share, once there is a
+// backlog. docs/admission.md holds the measurement that led to this.
+//
 // The package has no clock, goroutine or random source: meters and levels are
 // immutable values, and [Decide] is a function of them, the time and a seed.
 //
@@ -27,6 +32,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"github.com/papayaworks/papayaworks/pkg/configurer"
@@ -42,6 +48,9 @@
 	// bound of lent capacity. A bound that only falls above the share lets large accounts settle above it, at the cost of
 	// small ones.
 	nearShare = 0.9
+	// earlyDropWait is the part of the longest wait from which requests above the share are dropped early. Dropping
+	// at shorter waits would leave targets idle.
+	earlyDropWait = 0.25
 )
 
 // Reason says why a request was admitted or refused.
@@ -89,15 +98,21 @@
 	Expected Expected
 	Meter    Meter
 	Level    Level
+	// EarlyDrop drops requests above the share before their wait is too long.
+	EarlyDrop bool
 }
 
 // Decide admits or refuses one request; seed spreads the Retry-After of simultaneous refusals.
 func Decide(in Input, now time.Time, seed uint64) Decision {
 	e := in.Expected
+	r := rand.New(rand.NewPCG(seed, uint64(now.UnixNano())))
 	within, limit := in.limit(now)
 	reason := in.refusal(within, limit)
+	if reason == "" && !within && in.drop(now, r) {
+		reason = OverShare
+	}
 	if reason != "" {
-		return Decision{Reason: reason, RetryAfter: in.retryAfter(limit, now, seed)}
+		return Decision{Reason: reason, RetryAfter: in.retryAfter(limit, now, r)}
 	}
 	switch {
 	case e.First > configurer.Milliseconds(in.Account.FirstTokenMs):
@@ -141,6 +156,15 @@
 	return within, time.Duration(fraction * float64(slack))
 }
 
+// drop reports whether a request above the share is dropped early.
+func (in Input) drop(now time.Time, r *rand.Rand) bool {
+	slack := min(slackOf(in.Account, in.Expected), in.Level.slack())
+	if !in.EarlyDrop || float64(in.Expected.Wait) < earlyDropWait*float64(slack) {
+		return false
+	}
+	return r.Float64()*in.Meter.Offered(now) > in.Level.Rate*float64(max(1, in.Account.Share))
+}
+
 // used returns the account's admitted work relative to its fair share.
 func (in Input) used(now time.Time) float64 {
 	fair := in.Level.Rate * float64(max(1, in.Account.Share))
--- a/internal/admitter/book.go
+++ b/internal/admitter/book.go
@@ -12,6 +12,9 @@
 
 // Book holds the meters of all accounts. It belongs to one goroutine or lock.
 type Book struct {
+	// EarlyDrop is passed on to [Decide]; [NewBook] sets it.
+	EarlyDrop bool
+
 	entries map[string]entry
 	level   Level
 	levelAt time.Time
@@ -24,7 +27,7 @@
 
 // NewBook returns a book without demand.
 func NewBook() *Book {
-	return &Book{entries: map[string]entry{}, level: Level{Rate: math.Inf(1)}}
+	return &Book{EarlyDrop: true, entries: map[string]entry{}, level: Level{Rate: math.Inf(1)}}
 }
 
 // Decide admits or refuses a request and counts it.
@@ -33,7 +36,7 @@
 		b.refresh(now)
 	}
 	m := b.entries[a.Name].meter
-	d := Decide(Input{Account: a, Expected: e, Meter: m, Level: b.level}, now, seed)
+	d := Decide(Input{Account: a, Expected: e, Meter: m, Level: b.level, EarlyDrop: b.EarlyDrop}, now, seed)
 	b.entries[a.Name] = entry{share: a.Share, meter: m.With(e.Cost, d.Accept, slackOf(a, e), now)}
 	return d
 }
--- a/internal/admitter/overload_test.go
+++ b/internal/admitter/overload_test.go
@@ -21,7 +21,9 @@
 	load []float64
 	// lag is the period of load reports; each instance adds its own dispatches since, times the number of instances.
 	lag time.Duration
-	// early drops a request that would use lent capacity; nil is off.
+	// boundOnly turns off early drop by share.
+	boundOnly bool
+	// early drops a request above the share instead of early drop by share; nil is off.
 	early func(rate float64, r *rand.Rand) bool
 	// fifo admits by the wait alone, for comparison.
 	fifo bool
@@ -61,6 +63,7 @@
 	books, own := make([]*Book, s.instances), make([]int, s.instances)
 	for i := range books {
 		books[i] = NewBook()
+		books[i].EarlyDrop = !s.boundOnly && s.early == nil
 	}
 	var seenAt, seen time.Duration
 	good, warm := 0, length/10
@@ -205,10 +208,12 @@
 func TestEarlyDropMeasured(t *testing.T) {
 	const length = 5 * time.Minute
 	for _, lag := range []time.Duration{0, 100 * time.Millisecond, time.Second} {
-		for _, mode := range []string{"wait alone", "shares", "shares and early drop"} {
+		bound := 0.0
+		for _, mode := range []string{"wait alone", "shares", "shares, early drop by share", "shares, early drop by M/D/c"} {
 			s := deadlineDay()
 			s.lag, s.fifo, s.instances = lag, mode == "wait alone", 6
-			if mode == "shares and early drop" {
+			s.boundOnly = mode == "shares"
+			if mode == "shares, early drop by M/D/c" {
 				s.early = earlyDrop(s, 150*time.Millisecond)
 			}
 			res := s.run(1, length)
@@ -218,8 +223,27 @@
 				worst = min(worst, float64(res.admitted[i]-res.late[i])/fair[i])
 				late, n = late+res.late[i], n+res.admitted[i]
 			}
+			if mode == "shares" {
+				bound = worst
+			}
 			t.Logf("lag %v, %s: goodput %.3f, late %.3f of admitted, worst account %.3f of its fair share on time",
 				lag, mode, res.goodput, float64(late)/float64(n), worst)
+			if mode == "shares, early drop by share" {
+				require.GreaterOrEqual(t, worst, bound, "lag %v", lag)
+			}
 		}
 	}
 }
+
+// Guards against refusals although there is room for everything. Bursts past the tightest target of 250 ms are refused
+// at 0.7 of the capacity as well, a few in ten thousand.
+func TestNoRefusalBelowCapacity(t *testing.T) {
+	s := deadlineDay()
+	for i := range s.load {
+		s.load[i] *= 0.7 / 5
+	}
+	res := s.run(1, 5*time.Minute)
+	for i, n := range res.admitted {
+		require.GreaterOrEqual(t, float64(n), 0.995*float64(res.offered[i]), "account %s", s.accounts[i].Name)
+	}
+}
--- a/internal/admitter/retryafter.go
+++ b/internal/admitter/retryafter.go
@@ -14,7 +14,7 @@
 )
 
 // retryAfter returns when the backlog has drained to the limit and the account's refused work had its turn.
-func (in Input) retryAfter(limit time.Duration, now time.Time, seed uint64) time.Duration {
+func (in Input) retryAfter(limit time.Duration, now time.Time, r *rand.Rand) time.Duration {
 	d := max(0, in.Expected.Wait-limit)
 	fair := in.Level.Rate * float64(max(1, in.Account.Share))
 	if fair > 0 && !math.IsInf(fair, 1) {
@@ -22,7 +22,6 @@
 		turns := min(maxRetryAfter.Seconds(), in.Meter.Refused(now)/fair)
 		d += time.Duration(turns * float64(time.Second))
 	}
-	r := rand.New(rand.NewPCG(seed, uint64(now.UnixNano())))
 	d = max(minRetryAfter, min(maxRetryAfter, d))
 	return time.Duration(float64(d) * (1 - retryJitter + 2*retryJitter*r.Float64()))
 }
