feat(router): routing, context placement and link policies in the request path

Cause: a request ran at the home target of the data centre of whichever instance the balancer chose, so nearly every return recomputed its context, and every run exported its whole context again.

The keeper asks internal/placer whether the context is worth the link and queues the export through internal/shaper. What an instance learns from its traffic is in internal/tracker. An export names the blocks that the store holds already, so only new ones are written.

--- a/internal/dialer/protocol.go
+++ b/internal/dialer/protocol.go
@@ -66,6 +66,8 @@
 	StoreAddress string      `json:"storeAddress"`
 	Tier         string      `json:"tier"`
 	Generation   int64       `json:"generation"`
+	// Stored are the leading blocks that the store holds already; they are listed in the new manifest, not written again.
+	Stored []ManifestBlock `json:"stored,omitempty"`
 }
 
 // CacheEvent tells that a block came or went.
--- a/internal/emulator/engine_cache.go
+++ b/internal/emulator/engine_cache.go
@@ -122,7 +122,11 @@
 		Generation: in.Generation, Tier: in.Tier,
 	}
 	length := int64(keyer.BlockTokens * e.BytesPerToken)
-	for _, k := range in.Keys {
+	for i, k := range in.Keys {
+		if i < len(in.Stored) && in.Stored[i].Key == k {
+			m.Blocks = append(m.Blocks, in.Stored[i])
+			continue
+		}
 		e.mu.Lock()
 		b, ok := e.cache.get(k)
 		e.mu.Unlock()
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -95,6 +95,9 @@
 	// Alternatives are further targets, best first, for a retry of what certainly did not run.
 	Alternatives []*view.Target
 
+	// Known is what the selector found out about the context, for the keeper.
+	Known Known
+
 	// Run and Stream are set by the dispatcher.
 	Run    string
 	Stream Pieces
@@ -112,6 +115,25 @@
 	Release func()
 }
 
+// Known is what is known of a conversation's context before its run.
+type Known struct {
+	// Returning: the conversation has had an answer before; Gap is the time since, 0 if that is not known.
+	Returning bool
+	Gap       time.Duration
+	// LastTarget, LastBlocks and LastVersion tell where it ran last.
+	LastTarget  string
+	LastBlocks  int
+	LastVersion int64
+	// Store is the store that holds the blocks of Stored, which match the request's own keys.
+	Store  string
+	Tier   string
+	Stored []dialer.ManifestBlock
+	// Version is the weight version of Stored.
+	Version int64
+	// Expected is the time to the first token that the decision was based on.
+	Expected time.Duration
+}
+
 // Pieces is an ordered stream of an answer's pieces.
 type Pieces interface {
 	// Next returns the next pieces, or end if the answer is complete.
--- a/internal/server/selector/selector.go
+++ b/internal/server/selector/selector.go
@@ -1,23 +1,40 @@
 // Package selector is the step that chooses where a request runs.
 //
+// It finds out what is known of the conversation's context (the caller's token,
+// the hints of the tracker, the manifest in a store), asks the policy, and sets
+// the target, the import and the alternatives. A manifest is only used as far
+// as it matches the request's own account, model, weight version and block
+// keys. The lookup has a short timeout, so a dead store costs little.
+//
 // # Usage
 //
-//	s := &selector.Step{}
+//	s := &selector.Step{Client: client, Tracker: tracker, Policy: router.New(), Seed: rand.Uint64}
 package selector
 
 import (
 	"context"
+	"crypto/sha256"
+	"errors"
 	"net/http"
 
+	"github.com/papayaworks/papayaworks/internal/dialer"
 	"github.com/papayaworks/papayaworks/internal/keyer"
 	"github.com/papayaworks/papayaworks/internal/request"
+	"github.com/papayaworks/papayaworks/internal/router"
 	"github.com/papayaworks/papayaworks/internal/server/identifier"
+	"github.com/papayaworks/papayaworks/internal/tracker"
 	"github.com/papayaworks/papayaworks/internal/view"
 	"github.com/papayaworks/papayaworks/pkg/configurer"
 )
 
 // Step selects targets.
-type Step struct{}
+type Step struct {
+	Client  *dialer.Client
+	Tracker *tracker.Tracker
+	Policy  router.Policy
+	// Seed gives the random choices of each decision.
+	Seed func() uint64
+}
 
 // String names the step.
 func (s *Step) String() string { return "route" }
@@ -26,7 +43,7 @@
 func (s *Step) Default(*configurer.Config) {}
 
 // Run selects the target.
-func (s *Step) Run(_ context.Context, r *request.Request) error {
+func (s *Step) Run(ctx context.Context, r *request.Request) error {
 	if r.Call != nil {
 		return selectService(r)
 	}
@@ -38,25 +55,100 @@
 		r.Target, r.Run, r.Reason = t, r.Resume.Run, "stream position names the target"
 		return nil
 	}
-	model, _ := r.View.Config.Model(r.Chat.Model)
-	identifier.SetScope(r, model.Version)
-	t := home(r.Anchor, r.View.Engines(r.Chat.Model), r.View.DataCentre)
-	if t == nil {
+	identifier.SetScope(r, version(r))
+	m := s.find(ctx, r)
+	in := s.input(r)
+	now := s.Tracker.Now()
+	d, err := s.Policy.Choose(in, now)
+	if errors.Is(err, router.ErrNoTarget) {
 		return request.Refuse(http.StatusServiceUnavailable, request.CodeNotRun, "", "no target serves model %q", r.Chat.Model)
 	}
-	if v := t.Version(r.Chat.Model); v != 0 {
-		identifier.SetScope(r, v)
+	if err != nil {
+		return err
 	}
-	r.Target, r.Reason = t, "home of the conversation"
+	s.apply(r, d, m)
+	d.Target.Own.Sent(now, d.Computed)
 	return nil
 }
 
+// apply writes the decision into the request.
+func (s *Step) apply(r *request.Request, d router.Decision, m *dialer.Manifest) {
+	r.Target, r.Reason, r.Alternatives, r.Known.Expected = d.Target, d.Reason, d.Alternatives, d.Expected
+	if d.Version != 0 {
+		identifier.SetScope(r, d.Version)
+	}
+	if d.Import.Blocks == 0 || m == nil || m.Version != r.Scope.Version {
+		return
+	}
+	st, ok := r.View.StoreConfig(d.Import.Store)
+	if !ok {
+		return
+	}
+	part := *m
+	part.Blocks = m.Blocks[:d.Import.Blocks]
+	r.Import = &dialer.Import{StoreAddress: st.Address, Manifest: part}
+	if r.Reason != router.ReasonCached {
+		s.Tracker.Importing(st.ID, linkRate(st, m.Tier), bytesOf(part.Blocks))
+	}
+}
+
+// version is the weight version under which the context is looked for: that of the caller's last run while its
+// target serves it still, otherwise that of the conversation's home.
+func version(r *request.Request) int64 {
+	model, _ := r.View.Config.Model(r.Chat.Model)
+	if c := r.Continuation; c != nil && c.Version != 0 {
+		if t, ok := r.View.Target(c.Target); ok && t.Usable() && t.Version(r.Chat.Model) == c.Version {
+			return c.Version
+		}
+	}
+	identifier.SetScope(r, model.Version)
+	var buf [8]*view.Target
+	home := r.View.HomeDataCentre(r.Chat.Model, r.Anchor)
+	for _, t := range r.View.AppendHomes(buf[:0], r.Chat.Model, home, r.Anchor) {
+		if v := t.Version(r.Chat.Model); t.Usable() && v != 0 {
+			return v
+		}
+	}
+	return model.Version
+}
+
+// input collects what the policy needs.
+func (s *Step) input(r *request.Request) router.Input {
+	means := s.Tracker.Means(r.Chat.Model)
+	in := router.Input{
+		View: r.View, Model: r.Chat.Model, Anchor: r.Anchor, Blocks: len(r.Keys), PromptTokens: keyer.Tokens(len(r.Prompt)),
+		ComputedShare: means.ComputedShare, RunTime: means.RunTime, Seed: s.Seed(),
+	}
+	k := &r.Known
+	if k.LastTarget != "" {
+		in.Last = router.Last{
+			Target: k.LastTarget, Version: k.LastVersion, Blocks: k.LastBlocks, Resident: s.Tracker.Resident(k.Gap),
+		}
+	}
+	if len(k.Stored) > 0 {
+		st, _ := r.View.StoreConfig(k.Store)
+		rate, backlog := s.Tracker.Rate(k.Store, linkRate(st, k.Tier))
+		reported := configurer.Milliseconds(int(r.View.Store(k.Store).State.LinkBacklogMs))
+		in.Stored = router.Stored{
+			Store: k.Store, Version: k.Version, Blocks: len(k.Stored), Bytes: bytesOf(k.Stored),
+			Backlog: max(backlog, reported), BytesPerSec: rate,
+		}
+	}
+	return in
+}
+
+// selectService chooses a target of a plain service by the key of the call, so that a repeated call meets the same one.
 func selectService(r *request.Request) error {
-	t := home(keyer.Key{}, r.View.Services(r.Call.Service), r.View.DataCentre)
+	id := r.IdempotencyKey
+	if id == "" {
+		id = r.ID
+	}
+	sum := sha256.Sum256([]byte(r.Account.Name + "\x00" + id))
+	t := home(keyer.Key(sum[:keyer.KeyBytes]), r.View.Services(r.Call.Service), r.View.DataCentre)
 	if t == nil {
 		return request.Refuse(http.StatusServiceUnavailable, request.CodeNotRun, "", "no target offers service %q", r.Call.Service)
 	}
-	r.Target, r.Reason = t, "first usable"
+	r.Target, r.Reason = t, "home of the call"
 	return nil
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -27,6 +27,7 @@
 	"github.com/papayaworks/papayaworks/internal/logger"
 	"github.com/papayaworks/papayaworks/internal/request"
 	"github.com/papayaworks/papayaworks/internal/signer"
+	"github.com/papayaworks/papayaworks/internal/tracker"
 	"github.com/papayaworks/papayaworks/internal/view"
 	"github.com/papayaworks/papayaworks/pkg/configurer"
 	"github.com/papayaworks/papayaworks/pkg/recorder"
@@ -47,6 +48,7 @@
 	signer  *signer.Signer
 	client  *dialer.Client
 	control *controller.Controller
+	tracker *tracker.Tracker
 	http    *listener.Server
 	path    atomic.Pointer[path]
 	ids     atomic.Uint64
@@ -85,11 +87,13 @@
 		s.signer.Keys = append(s.signer.Keys, raw)
 	}
 	s.client = dialer.New()
+	s.tracker = tracker.New(time.Now)
 	s.control = controller.New(view.New(s.Initial, 0, s.Settings.Instance.DataCentre))
 	s.control.Published = s.published
 	s.published(s.control.View())
 	go s.control.Run(ctx)
 	s.startPollers(ctx)
+	s.startStorePollers(ctx)
 	s.http = &listener.Server{
 		Addr: s.Settings.Instance.Listen, Handler: s.routes(),
 		MaxBodyBytes:     bodyHeadroom * s.Initial.Limits.MaxBodyBytes,
--- a/internal/server/steps.go
+++ b/internal/server/steps.go
@@ -1,9 +1,12 @@
 package server
 
 import (
+	"math/rand/v2"
 	"time"
 
+	"github.com/papayaworks/papayaworks/internal/placer"
 	"github.com/papayaworks/papayaworks/internal/request"
+	"github.com/papayaworks/papayaworks/internal/router"
 	"github.com/papayaworks/papayaworks/internal/server/deliverer"
 	"github.com/papayaworks/papayaworks/internal/server/dispatcher"
 	"github.com/papayaworks/papayaworks/internal/server/gatekeeper"
@@ -20,10 +23,10 @@
 		&reader.Step{},
 		&identifier.Step{Signer: s.signer},
 		&gatekeeper.Step{},
-		&selector.Step{},
+		&selector.Step{Client: s.client, Tracker: s.tracker, Policy: router.New(), Seed: rand.Uint64},
 		&dispatcher.Step{Client: s.client},
 		&deliverer.Step{Signer: s.signer, Now: time.Now},
-		&keeper.Step{Client: s.client, Log: s.Log},
+		&keeper.Step{Client: s.client, Tracker: s.tracker, Policy: placer.New(), Log: s.Log},
 	}
 	for _, st := range steps {
 		st.Default(cfg)
--- /dev/null
+++ b/internal/tracker/tracker.go
@@ -0,0 +1,191 @@
+// Package tracker holds what an instance learned from its own traffic.
+//
+// It remembers recent placements of conversations (a bounded map that is only
+// ever a hint), how long blocks stay on the accelerators, when conversations
+// return, what the links to the stores achieve, and mean run times. All of it is
+// kept in memory, lost on restart and learned again; the policies that use it
+// are pure and get it as values.
+//
+// # Usage
+//
+//	t := tracker.New(time.Now)
+//	t.Remember(anchor, tracker.Hint{Target: "letters-1", At: now})
+//	h, ok := t.Hint(anchor)
+package tracker
+
+import (
+	"container/list"
+	"sync"
+	"time"
+
+	"github.com/papayaworks/papayaworks/internal/keyer"
+	"github.com/papayaworks/papayaworks/internal/placer"
+	"github.com/papayaworks/papayaworks/internal/router"
+	"github.com/papayaworks/papayaworks/internal/shaper"
+)
+
+const (
+	// maxHints bounds the remembered placements.
+	maxHints = 4096
+	// meanWeight is the weight of one run in the moving averages.
+	meanWeight = 0.05
+	// suspicion is how long a store that did not answer is not asked.
+	suspicion = 2 * time.Second
+)
+
+// Hint tells where a conversation ran last.
+type Hint struct {
+	Target  string
+	Version int64
+	Blocks  int
+	At      time.Time
+}
+
+type hinted struct {
+	anchor keyer.Key
+	hint   Hint
+}
+
+// Means are moving averages of a model's runs.
+type Means struct {
+	// ComputedShare is the share of prompt tokens that engines computed.
+	ComputedShare float64
+	// RunTime is how long runs decode.
+	RunTime time.Duration
+}
+
+// Tracker is safe for concurrent use.
+type Tracker struct {
+	now func() time.Time
+
+	mu        sync.Mutex
+	hints     map[keyer.Key]*list.Element
+	order     *list.List
+	residency router.Residency
+	returns   *placer.Returns
+	means     map[string]Means
+	links     map[string]*link
+	suspects  map[string]time.Time
+	ids       uint64
+}
+
+// New returns an empty tracker with a clock.
+func New(now func() time.Time) *Tracker {
+	return &Tracker{
+		now: now, hints: map[keyer.Key]*list.Element{}, order: list.New(), returns: placer.NewReturns(),
+		means: map[string]Means{}, links: map[string]*link{}, suspects: map[string]time.Time{},
+	}
+}
+
+// Now returns the tracker's time.
+func (t *Tracker) Now() time.Time { return t.now() }
+
+// Hint returns the last placement of a conversation.
+func (t *Tracker) Hint(anchor keyer.Key) (Hint, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	el, ok := t.hints[anchor]
+	if !ok {
+		return Hint{}, false
+	}
+	t.order.MoveToFront(el)
+	return el.Value.(hinted).hint, true
+}
+
+// Remember notes a placement and forgets the one that was used least recently if there are too many.
+func (t *Tracker) Remember(anchor keyer.Key, h Hint) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if el, ok := t.hints[anchor]; ok {
+		el.Value = hinted{anchor, h}
+		t.order.MoveToFront(el)
+		return
+	}
+	t.hints[anchor] = t.order.PushFront(hinted{anchor, h})
+	if t.order.Len() > maxHints {
+		old := t.order.Remove(t.order.Back()).(hinted)
+		delete(t.hints, old.anchor)
+	}
+}
+
+// Resident returns the chance that blocks are still on an accelerator after a time.
+func (t *Tracker) Resident(age time.Duration) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.residency.Chance(age)
+}
+
+// Found counts the share of blocks that a run found on the accelerator.
+func (t *Tracker) Found(age time.Duration, share float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.residency.Observe(age, share)
+}
+
+// Ended counts a finished run, and the return that it was.
+func (t *Tracker) Ended(k placer.Key, returning bool, gap time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	if returning {
+		t.returns.Returned(k, gap, now)
+	}
+	t.returns.Ended(k, now)
+}
+
+// Decide asks the placer with what was learned of returns and residency.
+func (t *Tracker) Decide(p *placer.Placer, run placer.Run) placer.Decision {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	run.Resident = t.residency.Life()
+	return p.Decide(run, t.returns)
+}
+
+// Means returns the averages of a model; before the first run everything counts as computed.
+func (t *Tracker) Means(model string) Means {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if m, ok := t.means[model]; ok {
+		return m
+	}
+	return Means{ComputedShare: 1}
+}
+
+// Ran counts a run in the averages of its model.
+func (t *Tracker) Ran(model string, computedShare float64, runTime time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m, ok := t.means[model]
+	if !ok {
+		m = Means{ComputedShare: computedShare, RunTime: runTime}
+	}
+	m.ComputedShare += meanWeight * (computedShare - m.ComputedShare)
+	m.RunTime += time.Duration(meanWeight * float64(runTime-m.RunTime))
+	t.means[model] = m
+}
+
+// Suspect notes that a store did not answer.
+func (t *Tracker) Suspect(store string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.suspects[store] = t.now().Add(suspicion)
+}
+
+// Suspected reports whether a store did not answer lately.
+func (t *Tracker) Suspected(store string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	until, ok := t.suspects[store]
+	if ok && t.now().After(until) {
+		delete(t.suspects, store)
+		return false
+	}
+	return ok
+}
+
+// link is the shaper of one link with what its queued transfers do.
+type link struct {
+	*shaper.Link
+	moves map[uint64]func() bool
+	timer bool
+}
--- /dev/null
+++ b/internal/view/homes.go
@@ -0,0 +1,165 @@
+package view
+
+import (
+	"math/bits"
+
+	"github.com/papayaworks/papayaworks/internal/keyer"
+	"github.com/papayaworks/papayaworks/pkg/configurer"
+)
+
+const (
+	// homesPerSlot is how many targets a conversation can fall back to before it is placed by sampling.
+	homesPerSlot = 4
+	// slotsPerTarget evens the shares: the number of slots of a target deviates by about 1/sqrt(64) = 12 %.
+	slotsPerTarget = 64
+	minSlots       = 256
+	// maxSlots bounds the table of one model and data centre to 128 KiB.
+	maxSlots = 8192
+)
+
+// fleet is what lookup of homes needs of one model; it changes with the configuration only.
+// It holds positions in the list of the model's targets, which all views of a configuration share.
+type fleet struct {
+	places []place
+	byName map[string]int
+}
+
+// place is the targets of a model in one data centre, with the home targets of each slot of anchors.
+type place struct {
+	dataCentre string
+	region     string
+	members    []int32
+	slots      [][homesPerSlot]int32
+}
+
+func buildFleets(cfg *configurer.Config) map[string]*fleet {
+	regions := map[string]string{}
+	for _, dc := range cfg.DataCentres {
+		regions[dc.Name] = dc.Region
+	}
+	fleets, ids, count := map[string]*fleet{}, map[string][]string{}, map[string]int32{}
+	for _, t := range cfg.Targets {
+		for _, m := range t.Models {
+			f := fleets[m]
+			if f == nil {
+				f = &fleet{byName: map[string]int{}}
+				fleets[m] = f
+			}
+			i, ok := f.byName[t.DataCentre]
+			if !ok {
+				i = len(f.places)
+				f.byName[t.DataCentre] = i
+				f.places = append(f.places, place{dataCentre: t.DataCentre, region: regions[t.DataCentre]})
+			}
+			f.places[i].members = append(f.places[i].members, count[m])
+			count[m]++
+			ids[m] = append(ids[m], t.ID)
+		}
+	}
+	for m, f := range fleets {
+		for i := range f.places {
+			f.places[i].fill(ids[m])
+		}
+	}
+	return fleets
+}
+
+// fill computes the rendezvous order of every slot, so that a lookup costs the same for any number of targets.
+func (p *place) fill(ids []string) {
+	n := 1 << bits.Len(uint(min(maxSlots, max(minSlots, slotsPerTarget*len(p.members)))-1))
+	p.slots = make([][homesPerSlot]int32, n)
+	seeds := make([]uint64, len(p.members))
+	for i, m := range p.members {
+		seeds[i] = keyer.Weight(keyer.Key{}, ids[m])
+	}
+	for s := range p.slots {
+		var weights [homesPerSlot]uint64
+		best := &p.slots[s]
+		for i := range best {
+			best[i] = -1
+		}
+		for i, m := range p.members {
+			w := mix(seeds[i] ^ uint64(s)*0x9e3779b97f4a7c15)
+			for at := range best {
+				if best[at] < 0 || w > weights[at] {
+					copy(best[at+1:], best[at:homesPerSlot-1])
+					copy(weights[at+1:], weights[at:homesPerSlot-1])
+					best[at], weights[at] = m, w
+					break
+				}
+			}
+		}
+	}
+}
+
+// mix is the finalizer of a 64-bit hash.
+func mix(w uint64) uint64 {
+	w ^= w >> 33
+	w *= 0xff51afd7ed558ccd
+	w ^= w >> 33
+	w *= 0xc4ceb9fe1a85ec53
+	return w ^ w>>33
+}
+
+// HomeDataCentre returns the data centre of the region that conversations with the anchor call home.
+// It is the same at every instance of the region that has the same configuration.
+func (v *View) HomeDataCentre(model string, anchor keyer.Key) string {
+	f := v.fleets[model]
+	if f == nil {
+		return ""
+	}
+	region := v.regions[v.DataCentre]
+	best, bestWeight := "", uint64(0)
+	for i := range f.places {
+		p := &f.places[i]
+		if p.region != region {
+			continue
+		}
+		if w := keyer.Weight(anchor, p.dataCentre); best == "" || w > bestWeight {
+			best, bestWeight = p.dataCentre, w
+		}
+	}
+	return best
+}
+
+// AppendHomes appends the home targets of an anchor in a data centre, best first, usable or not.
+func (v *View) AppendHomes(to []*Target, model, dataCentre string, anchor keyer.Key) []*Target {
+	f := v.fleets[model]
+	if f == nil {
+		return to
+	}
+	i, ok := f.byName[dataCentre]
+	if !ok {
+		return to
+	}
+	p := &f.places[i]
+	ts := v.byModel[model]
+	for _, m := range p.slots[keyer.Weight(anchor, dataCentre)&uint64(len(p.slots)-1)] {
+		if m >= 0 {
+			to = append(to, ts[m])
+		}
+	}
+	return to
+}
+
+// DataCentres returns the number of data centres that serve a model.
+func (v *View) DataCentres(model string) int {
+	if f := v.fleets[model]; f != nil {
+		return len(f.places)
+	}
+	return 0
+}
+
+// Place returns the name of data centre i of a model and the number of its targets.
+func (v *View) Place(model string, i int) (dataCentre string, n int) {
+	p := &v.fleets[model].places[i]
+	return p.dataCentre, len(p.members)
+}
+
+// Member returns target j of data centre i of a model.
+func (v *View) Member(model string, i, j int) *Target {
+	return v.byModel[model][v.fleets[model].places[i].members[j]]
+}
+
+// Region returns the region of a data centre.
+func (v *View) Region(dataCentre string) string { return v.regions[dataCentre] }
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -37,6 +37,8 @@
 type Own struct {
 	Running       atomic.Int64
 	PendingTokens atomic.Int64
+
+	sent [sentBuckets]sent
 }
 
 // Target is a target of the configuration with its present status.
@@ -80,6 +82,9 @@
 	byModel  map[string][]*Target
 	services map[string][]*Target
 	stores   map[string]StoreStatus
+	fleets   map[string]*fleet
+	regions  map[string]string
+	storeOf  map[string]configurer.Store
 }
 
 // New returns a view of a configuration in which nothing is known of the targets.
@@ -100,6 +105,14 @@
 		}
 		n.targets[ct.ID] = t
 	}
+	n.fleets, n.regions = buildFleets(cfg), make(map[string]string, len(cfg.DataCentres))
+	for _, dc := range cfg.DataCentres {
+		n.regions[dc.Name] = dc.Region
+	}
+	n.storeOf = make(map[string]configurer.Store, len(cfg.Stores))
+	for _, st := range cfg.Stores {
+		n.storeOf[st.ID] = st
+	}
 	n.index()
 	return &n
 }
@@ -161,6 +174,12 @@
 	return t, ok
 }
 
+// StoreConfig returns the configuration of a store by id.
+func (v *View) StoreConfig(id string) (configurer.Store, bool) {
+	s, ok := v.storeOf[id]
+	return s, ok
+}
+
 // Store returns what is known of a store.
 func (v *View) Store(id string) StoreStatus { return v.stores[id] }
 
