--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -14,6 +14,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -23,11 +24,14 @@
 	"github.com/papayaworks/papayaworks/internal/controller"
 	"github.com/papayaworks/papayaworks/internal/dialer"
 	"github.com/papayaworks/papayaworks/internal/failer"
+	"github.com/papayaworks/papayaworks/internal/fencer"
+	"github.com/papayaworks/papayaworks/internal/ledger"
 	"github.com/papayaworks/papayaworks/internal/listener"
 	"github.com/papayaworks/papayaworks/internal/logger"
 	"github.com/papayaworks/papayaworks/internal/request"
 	"github.com/papayaworks/papayaworks/internal/signer"
 	"github.com/papayaworks/papayaworks/internal/tracker"
+	"github.com/papayaworks/papayaworks/internal/versioner"
 	"github.com/papayaworks/papayaworks/internal/view"
 	"github.com/papayaworks/papayaworks/pkg/configurer"
 	"github.com/papayaworks/papayaworks/pkg/recorder"
@@ -49,11 +53,18 @@
 	client  *dialer.Client
 	control *controller.Controller
 	tracker *tracker.Tracker
-	http    *listener.Server
-	path    atomic.Pointer[path]
-	ids     atomic.Uint64
-	addr    atomic.Value
-	ready   chan struct{}
+	// ledger and versions are nil if the settings name no log.
+	ledger   *ledger.Ledger
+	versions *versioner.Versioner
+	// leases is nil if the settings name no log.
+	leases *fencer.Fencer
+	http   *listener.Server
+	path   atomic.Pointer[path]
+	ids    atomic.Uint64
+	// boot makes request ids differ from those of an earlier process with the same instance id.
+	boot  string
+	addr  atomic.Value
+	ready chan struct{}
 }
 
 // path is the list of steps of one configuration.
@@ -64,7 +75,8 @@
 
 // New returns an instance that is ready to run.
 func New(set *configurer.Settings, cfg *configurer.Config, log logger.Log, rec *recorder.Recorder, as *asserter.Asserter) *Server {
-	return &Server{Settings: set, Initial: cfg, Log: log, Recorder: rec, Asserter: as, ready: make(chan struct{})}
+	return &Server{Settings: set, Initial: cfg, Log: log, Recorder: rec, Asserter: as, ready: make(chan struct{}),
+		boot: strconv.FormatUint(rand.Uint64(), 36)}
 }
 
 // Ready is closed once the instance serves.
@@ -90,6 +102,7 @@
 	s.tracker = tracker.New(time.Now)
 	s.control = controller.New(view.New(s.Initial, 0, s.Settings.Instance.DataCentre))
 	s.control.Published = s.published
+	s.startLog(ctx)
 	s.published(s.control.View())
 	go s.control.Run(ctx)
 	s.startPollers(ctx)
@@ -131,6 +144,7 @@
 	defer cancel()
 	err := s.http.Stop(ctx)
 	s.Asserter.Check(asserter.GracefulStop, err == nil, "stop cut off %d requests", s.http.Active())
+	s.flushLedger(ctx)
 	s.Recorder.Record(recorder.Event{Kind: "stopped"})
 	return err
 }
@@ -151,6 +165,7 @@
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	mux.HandleFunc("GET /readyz", s.readyz)
 	mux.HandleFunc("GET /events", s.events)
+	mux.HandleFunc("GET /config", s.config)
 	return mux
 }
 
@@ -177,7 +192,7 @@
 func (s *Server) serve(w http.ResponseWriter, hr *http.Request) {
 	r := &request.Request{
 		W: w, HTTP: hr, Received: time.Now(), View: s.control.View(),
-		ID: s.Settings.Instance.ID + "-" + strconv.FormatUint(s.ids.Add(1), 36),
+		ID: s.Settings.Instance.ID + "-" + s.boot + "-" + strconv.FormatUint(s.ids.Add(1), 36),
 	}
 	defer func() {
 		if r.Release != nil {
--- /dev/null
+++ b/internal/swapper/swapper.go
@@ -0,0 +1,194 @@
+// Package swapper brings targets to the weight versions and roles that the configuration wants.
+//
+// Whoever holds the lease "targets" runs the rounds. A round reads the state of
+// every engine, plans orders from nothing but these reports and the
+// configuration (see [Plan]), and sends them under the lease. At most two targets
+// load at once, three quarters of a model's targets keep serving, and a target
+// loads only after its last run has ended. Since the plan has no memory, a
+// controller that dies at any step is succeeded by one that goes on, and a
+// configuration that wants the old version again undoes the swap.
+//
+// Targets that check fencing numbers refuse the order of an earlier lease. For
+// the others the state is read before, the order carries the end of the lease as
+// its deadline, and the next round reads the state again and corrects it.
+//
+// # Usage
+//
+//	s := &swapper.Swapper{Client: client, Lease: fencer, View: control.View, Logger: log}
+//	go s.Run(ctx)
+package swapper
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/papayaworks/papayaworks/internal/dialer"
+	"github.com/papayaworks/papayaworks/internal/fencer"
+	"github.com/papayaworks/papayaworks/internal/logger"
+	"github.com/papayaworks/papayaworks/internal/view"
+	"github.com/papayaworks/papayaworks/pkg/configurer"
+	"github.com/papayaworks/papayaworks/pkg/recorder"
+)
+
+const (
+	// Resource is the lease under which orders are sent.
+	Resource = "targets"
+	// orderTimeout bounds one order; loads may wait for the weight store.
+	orderTimeout = 30 * time.Second
+	reportLimit  = 2 * time.Second
+)
+
+// Leases grants the right to send orders.
+type Leases interface {
+	Under(resource string, send func(fencer.Lease) error) error
+	Held(resource string) (fencer.Lease, bool)
+}
+
+// Targets reads states and sends orders.
+type Targets interface {
+	State(ctx context.Context, addr string) (*dialer.EngineState, error)
+	Order(ctx context.Context, addr string, o *dialer.Order) error
+}
+
+// Swapper runs the rounds of the lease's holder.
+type Swapper struct {
+	Client   Targets
+	Lease    Leases
+	View     func() *view.View
+	Logger   logger.Log
+	Recorder *recorder.Recorder
+	// Period is the time between two rounds.
+	Period time.Duration
+
+	mu      sync.Mutex
+	loading map[string]bool
+}
+
+// Run runs rounds while the lease is held, until ctx ends.
+func (s *Swapper) Run(ctx context.Context) {
+	t := time.NewTicker(s.Period)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		if _, ok := s.Lease.Held(Resource); ok {
+			s.Round(ctx)
+		}
+	}
+}
+
+// Round reads the engines' states, plans and sends the orders of one round.
+func (s *Swapper) Round(ctx context.Context) {
+	v := s.View()
+	reports := s.reports(ctx, v)
+	loading := 0
+	for _, r := range reports {
+		if r.State.Loading || s.isLoading(r.Target.ID) {
+			loading++
+		}
+	}
+	for _, m := range v.Config.Models {
+		var of []Report
+		for _, r := range reports {
+			if _, ok := r.State.Versions[m.Name]; ok && !s.isLoading(r.Target.ID) {
+				of = append(of, r)
+			}
+		}
+		for _, a := range Plan(m, of, loading) {
+			if a.Kind == dialer.OrderLoad {
+				loading++
+			}
+			s.carryOut(ctx, a)
+		}
+	}
+	s.drainWanted(ctx, v, reports)
+}
+
+// drainWanted orders the targets that the operator wants out of service to drain.
+func (s *Swapper) drainWanted(ctx context.Context, v *view.View, reports []Report) {
+	for _, r := range reports {
+		t, ok := v.Config.Target(r.Target.ID)
+		if ok && t.Leaving && r.Known && !r.State.Draining {
+			s.carryOut(ctx, Action{Target: t, Kind: dialer.OrderDrain, Reason: "the configuration says leaving"})
+		}
+	}
+}
+
+func (s *Swapper) isLoading(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.loading[id]
+}
+
+func (s *Swapper) setLoading(id string, on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.loading == nil {
+		s.loading = map[string]bool{}
+	}
+	if on {
+		s.loading[id] = true
+	} else {
+		delete(s.loading, id)
+	}
+}
+
+// reports asks all engines at once.
+func (s *Swapper) reports(ctx context.Context, v *view.View) []Report {
+	ctx, cancel := context.WithTimeout(ctx, reportLimit)
+	defer cancel()
+	var engines []configurer.Target
+	for _, t := range v.Config.Targets {
+		if t.Kind == configurer.KindEngine {
+			engines = append(engines, t)
+		}
+	}
+	out := make([]Report, len(engines))
+	var wg sync.WaitGroup
+	for i, t := range engines {
+		wg.Go(func() {
+			out[i] = Report{Target: t, Leaving: t.Leaving}
+			st, err := s.Client.State(ctx, t.Address)
+			if err == nil {
+				out[i].State, out[i].Known = *st, true
+				out[i].Leaving = out[i].Leaving || st.Leaving
+			}
+		})
+	}
+	wg.Wait()
+	return out
+}
+
+// carryOut sends one order under the lease. A load takes long and must not hold up the round.
+func (s *Swapper) carryOut(ctx context.Context, a Action) {
+	if a.Kind != dialer.OrderLoad {
+		s.send(ctx, a)
+		return
+	}
+	s.setLoading(a.Target.ID, true)
+	go func() {
+		defer s.setLoading(a.Target.ID, false)
+		s.send(ctx, a)
+	}()
+}
+
+func (s *Swapper) send(ctx context.Context, a Action) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	err := s.Lease.Under(Resource, func(l fencer.Lease) error {
+		s.Recorder.Record(recorder.Event{
+			Kind: "order", Target: a.Target.ID, Step: a.Kind, Reason: a.Reason, Version: l.Fence,
+		})
+		return s.Client.Order(ctx, a.Target.Address, &dialer.Order{
+			Kind: a.Kind, Model: a.Model, Version: a.Version, Fence: l.Fence, NotAfterMs: l.Until.UnixMilli(),
+		})
+	})
+	if err != nil {
+		// The next round reads the target's state and decides again.
+		logger.WithError(s.Logger, err).WithField("target", a.Target.ID).Warn("order failed")
+	}
+}
