--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -30,6 +30,7 @@
 	"github.com/papayaworks/papayaworks/internal/logger"
 	"github.com/papayaworks/papayaworks/internal/request"
 	"github.com/papayaworks/papayaworks/internal/signer"
+	"github.com/papayaworks/papayaworks/internal/tracker"
 	"github.com/papayaworks/papayaworks/internal/versioner"
 	"github.com/papayaworks/papayaworks/internal/view"
 	"github.com/papayaworks/papayaworks/pkg/configurer"
@@ -51,6 +52,7 @@
 	signer  *signer.Signer
 	client  *dialer.Client
 	control *controller.Controller
+	tracker *tracker.Tracker
 	// ledger and versions are nil if the settings name no log.
 	ledger   *ledger.Ledger
 	versions *versioner.Versioner
@@ -100,12 +102,14 @@
 		s.signer.Keys = append(s.signer.Keys, raw)
 	}
 	s.client = dialer.New()
+	s.tracker = tracker.New(time.Now)
 	s.control = controller.New(view.New(s.Initial, 0, s.Settings.Instance.DataCentre))
 	s.control.Published = s.published
 	s.startLog(ctx)
 	s.published(s.control.View())
 	go s.control.Run(ctx)
 	s.startPollers(ctx)
+	s.startStorePollers(ctx)
 	s.http = &listener.Server{
 		Addr: s.Settings.Instance.Listen, Handler: s.routes(),
 		MaxBodyBytes:     bodyHeadroom * s.Initial.Limits.MaxBodyBytes,
