feat(gossiper): membership between instances over QUIC

Cause: instances knew nothing of each other; a leaving target was avoided only by who saw its own report. Change: protocol state without sockets (ring, fingers, suspicion, incarnations, change queue, full sync) and a transport over QUIC with mutual TLS and reloaded certificates; leaving marks, load reports and configuration pulls; wired into the server with the pages /status and the platform's list as seed; certificates in the demo.

--- a/internal/demonstrator/deployment.go
+++ b/internal/demonstrator/deployment.go
@@ -17,10 +17,12 @@
 	"crypto/rand"
 	"encoding/hex"
 	"fmt"
+	"os"
 	"time"
 
 	"github.com/papayaworks/papayaworks/internal/asserter"
 	"github.com/papayaworks/papayaworks/internal/emulator"
+	"github.com/papayaworks/papayaworks/internal/gossiper/certtest"
 	"github.com/papayaworks/papayaworks/internal/logger"
 	"github.com/papayaworks/papayaworks/internal/server"
 	"github.com/papayaworks/papayaworks/internal/server/identifier"
@@ -83,7 +85,10 @@
 	Instances []*Entry
 
 	tokenKey string
-	stops    []func()
+	// authority issues the certificates between instances; their files are in the directory certificates.
+	authority    *certtest.Authority
+	certificates string
+	stops        []func()
 }
 
 // Entry is one entry instance of the deployment.
@@ -104,6 +109,10 @@
 // Start starts everything; Close ends it.
 func Start(ctx context.Context, size Size, speed float64, log logger.Log) (*Deployment, error) {
 	d := &Deployment{Size: size, Speed: speed, tokenKey: randomKey()}
+	if err := d.makeAuthority(); err != nil {
+		d.Close()
+		return nil, err
+	}
 	if err := d.startPlatform(); err != nil {
 		d.Close()
 		return nil, err
@@ -126,6 +135,18 @@
 	return d, nil
 }
 
+// makeAuthority prepares the certificates between instances, in a directory that Close removes.
+func (d *Deployment) makeAuthority() (err error) {
+	if d.authority, err = certtest.New("papayaworks demo"); err != nil {
+		return err
+	}
+	if d.certificates, err = os.MkdirTemp("", "papayaworks-demo-"); err != nil {
+		return err
+	}
+	d.stops = append(d.stops, func() { _ = os.RemoveAll(d.certificates) })
+	return nil
+}
+
 func randomKey() string {
 	var k [32]byte
 	_, _ = rand.Read(k[:])
@@ -245,10 +266,18 @@
 	e := &Entry{ID: fmt.Sprintf("%s-%d", d.dataCentre(i), i/len(d.Size.DataCentres)+1)}
 	e.ctx, e.cancel = context.WithCancel(ctx)
 	e.Settings = &configurer.Settings{
-		Instance: configurer.Instance{ID: e.ID, DataCentre: d.dataCentre(i), Listen: "127.0.0.1:0"},
+		Instance: configurer.Instance{
+			ID: e.ID, DataCentre: d.dataCentre(i), Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", Seeds: d.peerAddresses(),
+		},
 		Platform: configurer.Platform{Log: d.Log.Addr, List: d.List.Addr},
 		Keys:     configurer.Keys{Token: []string{d.tokenKey}},
 	}
+	cert, err := d.authority.Issue(d.certificates, e.ID)
+	if err != nil {
+		e.cancel()
+		return nil, err
+	}
+	e.Settings.TLS = configurer.TLS{Certificate: cert.Certificate, Key: cert.Key, Authority: cert.Authority}
 	e.Recorder = recorder.New(recorder.NewClock(time.Now), e.ID, 1<<16, nil)
 	e.Asserter = &asserter.Asserter{Log: log, Recorder: e.Recorder}
 	e.Server = server.New(e.Settings, d.Config, log.WithField("instance", e.ID), e.Recorder, e.Asserter)
@@ -257,9 +286,19 @@
 		return nil, err
 	}
 	d.Instances = append(d.Instances, e)
+	d.List.Set(emulator.Listed{ID: e.ID, Kind: "instance", Address: e.Server.PeerAddr(), DataCentre: d.dataCentre(i)})
 	return e, nil
 }
 
+// peerAddresses returns the addresses at which the running instances talk to each other.
+func (d *Deployment) peerAddresses() []string {
+	var out []string
+	for _, e := range d.Instances {
+		out = append(out, e.Server.PeerAddr())
+	}
+	return out
+}
+
 // Kill ends the instance at once, as the death of its process would.
 func (e *Entry) Kill() {
 	e.cancel()
--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"iter"
@@ -35,6 +36,18 @@
 // Error implements error.
 func (e *StatusError) Error() string { return fmt.Sprintf("status %d: %s", e.Status, e.Body) }
 
+// Draining reports whether err is the refusal of a target that takes no new work because it is leaving.
+func Draining(err error) bool {
+	var se *StatusError
+	if !errors.As(err, &se) || se.Status != http.StatusServiceUnavailable {
+		return false
+	}
+	var body struct {
+		Error string `json:"error"`
+	}
+	return json.Unmarshal([]byte(se.Body), &body) == nil && body.Error == "draining"
+}
+
 // Client talks to engines and stores; it may be used by any number of goroutines.
 type Client struct {
 	http *http.Client
--- a/internal/server/dispatcher/dispatcher.go
+++ b/internal/server/dispatcher/dispatcher.go
@@ -22,9 +22,19 @@
 	"github.com/papayaworks/papayaworks/pkg/configurer"
 )
 
+// Leaving is told of new work and of targets that refuse it because they are leaving.
+type Leaving interface {
+	// Dispatching is called before new work is sent to a target.
+	Dispatching(target string)
+	// Refused is called when a target says that it is leaving.
+	Refused(target string)
+}
+
 // Step dispatches requests.
 type Step struct {
 	Client *dialer.Client
+	// Leaving may be nil.
+	Leaving Leaving
 }
 
 // String names the step.
@@ -35,6 +45,9 @@
 
 // Run dispatches the request.
 func (s *Step) Run(ctx context.Context, r *request.Request) error {
+	if s.Leaving != nil && r.Resume == nil {
+		s.Leaving.Dispatching(r.Target.ID)
+	}
 	if r.Call != nil {
 		return s.call(ctx, r)
 	}
@@ -46,6 +59,9 @@
 		st.in = runRequest(r)
 	}
 	if err := st.open(ctx); err != nil {
+		if s.Leaving != nil && dialer.Draining(err) {
+			s.Leaving.Refused(r.Target.ID)
+		}
 		return refusal(err, r)
 	}
 	r.Stream = st
--- a/internal/server/pollers.go
+++ b/internal/server/pollers.go
@@ -46,7 +46,7 @@
 	out := make(chan report)
 	n := 0
 	for _, t := range v.Config.Targets {
-		if t.Kind != configurer.KindEngine {
+		if t.Kind != configurer.KindEngine || !s.peers.responsible(v, t) {
 			continue
 		}
 		n++
@@ -59,6 +59,7 @@
 		if r.ok {
 			failed[r.id] = 0
 			r.status.Leaving = r.status.Load.Draining
+			s.peers.draining(r.id, r.status.Leaving)
 			changes[r.id] = r.status
 			continue
 		}
@@ -68,6 +69,7 @@
 			changes[r.id] = st
 		}
 	}
+	s.peers.share(v, changes)
 	if len(changes) > 0 {
 		s.control.Update(func(v *view.View) *view.View { return v.WithTargets(changes) })
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -23,6 +23,7 @@
 	"github.com/papayaworks/papayaworks/internal/controller"
 	"github.com/papayaworks/papayaworks/internal/dialer"
 	"github.com/papayaworks/papayaworks/internal/failer"
+	"github.com/papayaworks/papayaworks/internal/gossiper"
 	"github.com/papayaworks/papayaworks/internal/listener"
 	"github.com/papayaworks/papayaworks/internal/logger"
 	"github.com/papayaworks/papayaworks/internal/request"
@@ -43,9 +44,14 @@
 	Log      logger.Log
 	Recorder *recorder.Recorder
 	Asserter *asserter.Asserter
+	// Records is the configuration record that peers which are behind get; nil if there is none.
+	Records gossiper.ConfigSource
+	// Usage is what the instances of a data centre tell each other each period; it may be nil.
+	Usage gossiper.Payload
 
 	signer  *signer.Signer
 	client  *dialer.Client
+	peers   *membership
 	control *controller.Controller
 	http    *listener.Server
 	path    atomic.Pointer[path]
@@ -86,9 +92,13 @@
 	}
 	s.client = dialer.New()
 	s.control = controller.New(view.New(s.Initial, 0, s.Settings.Instance.DataCentre))
+	s.peers = &membership{s: s, local: map[string]time.Time{}, drained: map[string]bool{}, listed: map[string]bool{}}
 	s.control.Published = s.published
 	s.published(s.control.View())
 	go s.control.Run(ctx)
+	if err := s.peers.start(ctx); err != nil {
+		return err
+	}
 	s.startPollers(ctx)
 	s.http = &listener.Server{
 		Addr: s.Settings.Instance.Listen, Handler: s.routes(),
@@ -127,18 +137,23 @@
 	defer cancel()
 	err := s.http.Stop(ctx)
 	s.Asserter.Check(asserter.GracefulStop, err == nil, "stop cut off %d requests", s.http.Active())
+	s.peers.leave(ctx)
 	s.Recorder.Record(recorder.Event{Kind: "stopped"})
 	return err
 }
 
 // Kill stops at once, as the death of the process would; only tests and the demo use it.
-func (s *Server) Kill() { s.http.Kill() }
+func (s *Server) Kill() {
+	s.http.Kill()
+	s.peers.kill()
+}
 
 // published builds the request path anew when the configuration changed; it runs on the controller's goroutine.
 func (s *Server) published(v *view.View) {
 	if p := s.path.Load(); p == nil || p.cfg != v.Config {
 		s.path.Store(&path{cfg: v.Config, steps: s.newSteps(v.Config)})
 	}
+	s.peers.published(v)
 }
 
 func (s *Server) routes() http.Handler {
@@ -147,6 +162,7 @@
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	mux.HandleFunc("GET /readyz", s.readyz)
 	mux.HandleFunc("GET /events", s.events)
+	mux.HandleFunc("GET /status", s.status)
 	return mux
 }
 
--- a/internal/server/steps.go
+++ b/internal/server/steps.go
@@ -21,7 +21,7 @@
 		&identifier.Step{Signer: s.signer},
 		&gatekeeper.Step{},
 		&selector.Step{},
-		&dispatcher.Step{Client: s.client},
+		&dispatcher.Step{Client: s.client, Leaving: s.peers},
 		&deliverer.Step{Signer: s.signer, Now: time.Now},
 		&keeper.Step{Client: s.client, Log: s.Log},
 	}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -43,14 +43,19 @@
 type Target struct {
 	configurer.Target
 	Status
-	Own *Own
+	// MarkedAt is when this instance learned from another or from the platform's list that the target is leaving;
+	// zero if it is not. Unlike Status.Leaving it stays when a load report from before the mark arrives.
+	MarkedAt time.Time
+	Own      *Own
 }
 
 // Version returns the weight version that the target serves of a model; 0 if it is not known.
 func (t *Target) Version(model string) int64 { return t.Versions[model] }
 
 // Usable reports whether new work may be sent to the target.
-func (t *Target) Usable() bool { return !t.Target.Leaving && !t.Status.Leaving && !t.Down }
+func (t *Target) Usable() bool {
+	return !t.Target.Leaving && !t.Status.Leaving && t.MarkedAt.IsZero() && !t.Down
+}
 
 // StoreStatus is what is known of a store and its link at present.
 type StoreStatus struct {
@@ -96,7 +101,7 @@
 	for _, ct := range cfg.Targets {
 		t := &Target{Target: ct, Own: new(Own)}
 		if old, ok := v.targets[ct.ID]; ok {
-			t.Status, t.Own = old.Status, old.Own
+			t.Status, t.MarkedAt, t.Own = old.Status, old.MarkedAt, old.Own
 		}
 		n.targets[ct.ID] = t
 	}
@@ -119,6 +124,26 @@
 	return &n
 }
 
+// WithLeaving returns a view in which exactly the given targets are marked as leaving.
+func (v *View) WithLeaving(ids map[string]time.Time, now time.Time) *View {
+	n := *v
+	n.targets = maps.Clone(v.targets)
+	for id, old := range v.targets {
+		_, marked := ids[id]
+		if marked != old.MarkedAt.IsZero() {
+			continue
+		}
+		t := *old
+		t.MarkedAt = time.Time{}
+		if marked {
+			t.MarkedAt = now
+		}
+		n.targets[id] = &t
+	}
+	n.index()
+	return &n
+}
+
 // WithStores returns a view with other statuses of some stores.
 func (v *View) WithStores(changes map[string]StoreStatus) *View {
 	n := *v
