test(gossiper): random membership and dissemination on virtual time

Cause: convergence was only seen in the demo. Change: a simulated network with loss, duplicates, delays, pauses, crashes and partitions.

--- /dev/null
+++ b/internal/gossiper/cluster_test.go
@@ -0,0 +1,261 @@
+package gossiper
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/papayaworks/papayaworks/pkg/recorder"
+)
+
+// node is one simulated instance.
+type node struct {
+	Identity
+	p      *Protocol
+	up     bool
+	paused bool
+	// held are the messages that arrived during a pause; the kernel keeps a bounded number.
+	held  [][]byte
+	group int
+	// seen is the highest incarnation that this process knew of each member.
+	seen map[string]uint64
+	sent int
+	wire int
+}
+
+// cluster is a network of simulated instances on virtual time.
+type cluster struct {
+	now      time.Time
+	nodes    map[string]*node
+	order    []*node
+	flight   flight
+	rng      *rand.Rand
+	period   time.Duration
+	minDelay time.Duration
+	maxDelay time.Duration
+	drop     float64
+	dup      float64
+	// pulled is called for a peer with a newer configuration.
+	faults []string
+	serial int
+}
+
+type delivery struct {
+	at     time.Time
+	serial int
+	from   *node
+	to     string
+	data   []byte
+	adopt  int64
+}
+
+type flight []delivery
+
+func (f flight) Len() int { return len(f) }
+func (f flight) Less(i, j int) bool {
+	return f[i].at.Before(f[j].at) || (f[i].at.Equal(f[j].at) && f[i].serial < f[j].serial)
+}
+func (f flight) Swap(i, j int) { f[i], f[j] = f[j], f[i] }
+func (f *flight) Push(x any)   { *f = append(*f, x.(delivery)) }
+func (f *flight) Pop() any {
+	last := (*f)[len(*f)-1]
+	*f = (*f)[:len(*f)-1]
+	return last
+}
+
+func newCluster(seed uint64) *cluster {
+	return &cluster{
+		now: time.UnixMilli(1_800_000_000_000), nodes: map[string]*node{}, rng: rand.New(rand.NewPCG(seed, 7)), period: time.Second,
+		minDelay: time.Millisecond, maxDelay: 3 * time.Millisecond,
+	}
+}
+
+// start starts an instance; an earlier process with the same id must be down.
+func (c *cluster) start(i int, seeds ...string) *node {
+	n := &node{up: true, seen: map[string]uint64{}}
+	c.serial++
+	n.Identity = Identity{ID: fmt.Sprintf("kochi-%c-%d", 'a'+i%3, i), DataCentre: fmt.Sprintf("kochi-%c", 'a'+i%3)}
+	n.Address = fmt.Sprintf("10.%d.%d.%d:7000", c.serial>>16, c.serial>>8&255, c.serial&255)
+	c.boot(n, seeds)
+	return n
+}
+
+func (c *cluster) boot(n *node, seeds []string) {
+	n.p = NewProtocol(n.Identity, Options{
+		Period: c.period, Clock: recorder.NewClock(func() time.Time { return c.now }), Seeds: seeds,
+		Incarnation: uint64(c.now.UnixMilli()), Rand: c.rng,
+	}, c.now.Add(time.Duration(c.rng.Int64N(int64(c.period)))))
+	c.order = slices.DeleteFunc(c.order, func(o *node) bool { return o.ID == n.ID })
+	c.order = append(c.order, n)
+	c.nodes[n.Address] = n
+}
+
+// join makes every node know every other at once, as a full sync does.
+func (c *cluster) join() {
+	for _, n := range c.order {
+		for _, o := range c.order {
+			if n != o {
+				n.p.table.add(o.p.self, c.now)
+			}
+		}
+		n.p.lastSync = c.now
+	}
+}
+
+func (c *cluster) send(n *node, out []Packet) {
+	for _, p := range out {
+		n.sent++
+		n.wire += len(p.Data)
+		if !p.Stream && len(p.Data) > MaxMessageBytes {
+			c.faults = append(c.faults, fmt.Sprintf("message of %d bytes", len(p.Data)))
+		}
+		copies := 1
+		if c.rng.Float64() < c.dup {
+			copies = 2
+		}
+		for range copies {
+			if c.rng.Float64() >= c.drop {
+				c.push(delivery{at: c.now.Add(c.delay()), from: n, to: p.To, data: p.Data})
+			}
+		}
+	}
+}
+
+func (c *cluster) push(d delivery) {
+	c.serial++
+	d.serial = c.serial
+	heap.Push(&c.flight, d)
+}
+
+func (c *cluster) delay() time.Duration {
+	return c.minDelay + time.Duration(c.rng.Int64N(int64(c.maxDelay-c.minDelay)+1))
+}
+
+// run lets time pass.
+func (c *cluster) run(d time.Duration) {
+	end := c.now.Add(d)
+	for {
+		next, n := end, (*node)(nil)
+		for _, o := range c.order {
+			if o.up && !o.paused && o.p.Next().Before(next) {
+				next, n = o.p.Next(), o
+			}
+		}
+		if len(c.flight) > 0 && !c.flight[0].at.After(next) {
+			d := heap.Pop(&c.flight).(delivery)
+			c.now = later(c.now, d.at)
+			c.deliver(d)
+			continue
+		}
+		if n == nil {
+			c.now = end
+			return
+		}
+		c.now = later(c.now, next)
+		c.send(n, n.p.Tick(c.now))
+		c.observe(n)
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func (c *cluster) deliver(d delivery) {
+	if d.adopt > 0 {
+		if d.from.up {
+			d.from.p.SetConfig(d.adopt)
+			c.send(d.from, d.from.p.Tick(c.now))
+		}
+		return
+	}
+	to := c.nodes[d.to]
+	if to == nil || !to.up || to.group != d.from.group {
+		return
+	}
+	if to.paused {
+		if len(to.held) < 32 {
+			to.held = append(to.held, d.data)
+		}
+		return
+	}
+	c.receive(to, d.data)
+}
+
+func (c *cluster) receive(n *node, data []byte) {
+	out, err := n.p.Receive(data, c.now)
+	if err != nil {
+		c.faults = append(c.faults, err.Error())
+	}
+	c.send(n, out)
+	c.observe(n)
+}
+
+// observe checks what must hold at every step.
+func (c *cluster) observe(n *node) {
+	e := n.p.Events()
+	for _, err := range e.Errors {
+		c.faults = append(c.faults, err.Error())
+	}
+	for _, r := range e.Changes {
+		if r.Incarnation < n.seen[r.ID] {
+			c.faults = append(c.faults, fmt.Sprintf("%s saw the incarnation of %s fall from %d to %d", n.ID, r.ID, n.seen[r.ID], r.Incarnation))
+		}
+		n.seen[r.ID] = r.Incarnation
+	}
+	for _, b := range e.Behind {
+		const pull = 20 * time.Millisecond // handshake, transfer and check of a record
+		c.push(delivery{at: c.now.Add(pull + 2*c.delay()), from: n, adopt: b.Version})
+	}
+}
+
+func (c *cluster) resume(n *node) {
+	n.paused = false
+	held := n.held
+	n.held = nil
+	for _, data := range held {
+		c.receive(n, data)
+	}
+}
+
+// live returns the nodes that run.
+func (c *cluster) live() []*node {
+	return slices.DeleteFunc(slices.Clone(c.order), func(n *node) bool { return !n.up })
+}
+
+func (c *cluster) addresses() (out []string) {
+	for _, n := range c.live() {
+		out = append(out, n.Address)
+	}
+	return out
+}
+
+// disagreement describes the first node whose live members are not the nodes that run.
+func (c *cluster) disagreement() string {
+	var want []Record
+	for _, n := range c.live() {
+		r := n.p.Self()
+		r.ConfigVersion = 0
+		want = append(want, r)
+	}
+	slices.SortFunc(want, func(a, b Record) int { return cmp.Compare(a.ID, b.ID) })
+	for _, n := range c.live() {
+		var got []Record
+		for _, r := range n.p.Members() {
+			if r.State.Live() {
+				r.ConfigVersion = 0
+				got = append(got, r)
+			}
+		}
+		if !slices.Equal(got, want) {
+			return fmt.Sprintf("%s has %v, want %v", n.ID, got, want)
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/gossiper/gossiper_test.go
@@ -0,0 +1,151 @@
+package gossiper
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+const quiet = 120 * time.Second
+
+// Guards against views that stay different after joins, crashes, pauses and partitions, against a live member that
+// stays dead for others, incarnations that fall and messages that grow with what happened.
+func TestRandomMembership(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(rapid.Uint64().Draw(t, "seed"))
+		c.drop = rapid.Float64Range(0, 0.2).Draw(t, "drop")
+		c.dup = rapid.Float64Range(0, 0.2).Draw(t, "dup")
+		c.maxDelay = time.Duration(rapid.IntRange(3, 400).Draw(t, "delayMs")) * time.Millisecond
+		size := rapid.IntRange(2, 10).Draw(t, "size")
+		for i := range size {
+			c.start(i, c.addresses()...)
+		}
+		c.run(10 * c.period)
+		c.disturb(t, size)
+		c.settle()
+		if s := c.disagreement(); s != "" {
+			t.Fatal(s)
+		}
+		if len(c.faults) > 0 {
+			t.Fatal(c.faults[0])
+		}
+		c.checkRate(t)
+	})
+}
+
+// disturb does random things to the cluster.
+func (c *cluster) disturb(t *rapid.T, size int) {
+	next := size
+	for range rapid.IntRange(1, 12).Draw(t, "steps") {
+		ns := c.live()
+		n := rapid.SampledFrom(ns).Draw(t, "node")
+		switch rapid.SampledFrom([]string{"join", "leave", "crash", "restart", "pause", "resume", "split", "heal"}).Draw(t, "what") {
+		case "join":
+			c.start(next, c.addresses()...)
+			next++
+		case "leave":
+			if len(ns) > 2 {
+				c.send(n, n.p.Leave(c.now))
+				n.up = false
+			}
+		case "crash":
+			n.up = len(ns) <= 2
+		case "restart":
+			// The same id at another address, as a replaced instance has.
+			n.up = false
+			var i int
+			_, _ = fmt.Sscanf(n.ID[len("kochi-a-"):], "%d", &i)
+			c.start(i, c.addresses()...).group = n.group
+		case "pause":
+			n.paused = true
+		case "resume":
+			c.resume(n)
+		case "split":
+			for _, o := range ns {
+				o.group = rapid.IntRange(0, 1).Draw(t, "group")
+			}
+		case "heal":
+			c.heal()
+		}
+		c.run(time.Duration(rapid.IntRange(1, 15).Draw(t, "periods")) * c.period)
+	}
+}
+
+func (c *cluster) heal() {
+	for _, n := range c.order {
+		n.group = 0
+	}
+}
+
+// settle ends all faults but losses and waits. An instance that knows no other gets the platform's list again.
+func (c *cluster) settle() {
+	c.heal()
+	for _, n := range c.live() {
+		c.resume(n)
+		if len(n.p.table.members) == 0 {
+			n.p.SetSeeds(c.addresses())
+		}
+	}
+	c.run(quiet)
+	c.drop, c.dup, c.maxDelay = 0, 0, c.minDelay
+	c.run(quiet)
+}
+
+// checkRate checks the number of messages while nothing changes.
+func (c *cluster) checkRate(t require.TestingT) {
+	for _, n := range c.live() {
+		n.sent = 0
+	}
+	const periods = 60
+	c.run(periods * c.period)
+	for _, n := range c.live() {
+		// A round in each period, and in every fifth one a dead member and a seed that is gone.
+		require.LessOrEqual(t, n.sent, periods*fanout+2*periods/retryEvery+2)
+	}
+}
+
+// Guards against dissemination that slows down with the number of instances and against load that grows with it.
+func TestDisseminationTime(t *testing.T) {
+	for _, size := range []int{7, 70, 420} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			c := newCluster(uint64(size))
+			c.drop = 0.02
+			for i := range size {
+				c.start(i)
+			}
+			c.join()
+			c.run(20 * c.period)
+			var worstMark, worstConfig time.Duration
+			for i := range 5 {
+				n := c.order[c.rng.IntN(size)]
+				target := fmt.Sprintf("letters-%d", i)
+				n.p.Mark(target, true, c.now.Add(time.Minute), c.now)
+				worstMark = max(worstMark, c.until(func(o *node) bool { return !o.p.Leaving()[target].IsZero() }))
+				version := int64(i + 1)
+				n.p.SetConfig(version)
+				worstConfig = max(worstConfig, c.until(func(o *node) bool { return o.p.Self().ConfigVersion >= version }))
+			}
+			t.Logf("%d instances: leaving target known after %s, configuration after %s", size, worstMark, worstConfig)
+			require.LessOrEqual(t, worstMark, 3*time.Second)
+			require.LessOrEqual(t, worstConfig, 5*time.Second)
+			require.Empty(t, c.faults)
+			c.drop = 0
+			c.run(quiet)
+			require.Empty(t, c.disagreement())
+			c.checkRate(t)
+		})
+	}
+}
+
+// until runs the cluster until all nodes satisfy ok and returns how long that took, at most 10 s.
+func (c *cluster) until(ok func(*node) bool) time.Duration {
+	begun := c.now
+	for c.now.Sub(begun) < 10*time.Second && slices.ContainsFunc(c.live(), func(n *node) bool { return !ok(n) }) {
+		c.run(10 * time.Millisecond)
+	}
+	return c.now.Sub(begun)
+}
