--- a/internal/server/config.go
+++ b/internal/server/config.go
@@ -42,6 +42,7 @@
 	s.versions = versioner.New(log, retention)
 	s.versions.Asserter, s.versions.Recorder, s.versions.Errors = s.Asserter, s.Recorder, s.Log
 	s.versions.Adopted = s.adopted
+	s.records = peerRecords{versions: s.versions}
 	go s.versions.Run(ctx)
 	s.startOrders(ctx, log)
 }
@@ -105,3 +106,23 @@
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(out)
 }
+
+// peerRecords hands the configuration record in force to peers that are behind and takes theirs.
+type peerRecords struct {
+	versions *versioner.Versioner
+}
+
+// Current implements gossiper.ConfigSource.
+func (p peerRecords) Current() []byte {
+	r := p.versions.Current()
+	if r == nil {
+		return nil
+	}
+	return r.Encode()
+}
+
+// Adopt implements gossiper.ConfigSource.
+func (p peerRecords) Adopt(record []byte) error {
+	_, err := p.versions.AdoptEncoded(record)
+	return err
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -25,6 +25,7 @@
 	"github.com/papayaworks/papayaworks/internal/dialer"
 	"github.com/papayaworks/papayaworks/internal/failer"
 	"github.com/papayaworks/papayaworks/internal/fencer"
+	"github.com/papayaworks/papayaworks/internal/gossiper"
 	"github.com/papayaworks/papayaworks/internal/ledger"
 	"github.com/papayaworks/papayaworks/internal/listener"
 	"github.com/papayaworks/papayaworks/internal/logger"
@@ -51,11 +52,16 @@
 
 	signer  *signer.Signer
 	client  *dialer.Client
+	peers   *membership
 	control *controller.Controller
 	tracker *tracker.Tracker
 	// ledger and versions are nil if the settings name no log.
 	ledger   *ledger.Ledger
 	versions *versioner.Versioner
+	// records is the configuration record that peers which are behind get; nil without a log.
+	records gossiper.ConfigSource
+	// usage is what the instances of a data centre tell each other each period; it may be nil.
+	usage gossiper.Payload
 	// leases is nil if the settings name no log.
 	leases *fencer.Fencer
 	http   *listener.Server
@@ -104,10 +110,14 @@
 	s.client = dialer.New()
 	s.tracker = tracker.New(time.Now)
 	s.control = controller.New(view.New(s.Initial, 0, s.Settings.Instance.DataCentre))
+	s.peers = &membership{s: s, local: map[string]time.Time{}, drained: map[string]bool{}, listed: map[string]bool{}}
 	s.control.Published = s.published
 	s.startLog(ctx)
 	s.published(s.control.View())
 	go s.control.Run(ctx)
+	if err := s.peers.start(ctx); err != nil {
+		return err
+	}
 	s.startPollers(ctx)
 	s.startStorePollers(ctx)
 	s.http = &listener.Server{
@@ -148,18 +158,23 @@
 	err := s.http.Stop(ctx)
 	s.Asserter.Check(asserter.GracefulStop, err == nil, "stop cut off %d requests", s.http.Active())
 	s.flushLedger(ctx)
+	s.peers.leave(ctx)
 	s.Recorder.Record(recorder.Event{Kind: "stopped"})
 	return err
 }
 
 // Kill stops at once, as the death of the process would; only tests and the demo use it.
-func (s *Server) Kill() { s.http.Kill() }
+func (s *Server) Kill() {
+	s.http.Kill()
+	s.peers.kill()
+}
 
 // published builds the request path anew when the configuration changed; it runs on the controller's goroutine.
 func (s *Server) published(v *view.View) {
 	if p := s.path.Load(); p == nil || p.cfg != v.Config {
 		s.path.Store(&path{cfg: v.Config, steps: s.newSteps(v.Config)})
 	}
+	s.peers.published(v)
 }
 
 func (s *Server) routes() http.Handler {
@@ -169,6 +184,7 @@
 	mux.HandleFunc("GET /readyz", s.readyz)
 	mux.HandleFunc("GET /events", s.events)
 	mux.HandleFunc("GET /config", s.config)
+	mux.HandleFunc("GET /status", s.status)
 	return mux
 }
 
