--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -37,20 +37,27 @@
 type Own struct {
 	Running       atomic.Int64
 	PendingTokens atomic.Int64
+
+	sent [sentBuckets]sent
 }
 
 // Target is a target of the configuration with its present status.
 type Target struct {
 	configurer.Target
 	Status
-	Own *Own
+	// MarkedAt is when this instance learned from another or from the platform's list that the target is leaving;
+	// zero if it is not. Unlike Status.Leaving it stays when a load report from before the mark arrives.
+	MarkedAt time.Time
+	Own      *Own
 }
 
 // Version returns the weight version that the target serves of a model; 0 if it is not known.
 func (t *Target) Version(model string) int64 { return t.Versions[model] }
 
 // Usable reports whether new work may be sent to the target.
-func (t *Target) Usable() bool { return !t.Target.Leaving && !t.Status.Leaving && !t.Down }
+func (t *Target) Usable() bool {
+	return !t.Target.Leaving && !t.Status.Leaving && t.MarkedAt.IsZero() && !t.Down
+}
 
 // StoreStatus is what is known of a store and its link at present.
 type StoreStatus struct {
@@ -80,6 +87,9 @@
 	byModel  map[string][]*Target
 	services map[string][]*Target
 	stores   map[string]StoreStatus
+	fleets   map[string]*fleet
+	regions  map[string]string
+	storeOf  map[string]configurer.Store
 }
 
 // New returns a view of a configuration in which nothing is known of the targets.
@@ -96,10 +106,18 @@
 	for _, ct := range cfg.Targets {
 		t := &Target{Target: ct, Own: new(Own)}
 		if old, ok := v.targets[ct.ID]; ok {
-			t.Status, t.Own = old.Status, old.Own
+			t.Status, t.MarkedAt, t.Own = old.Status, old.MarkedAt, old.Own
 		}
 		n.targets[ct.ID] = t
 	}
+	n.fleets, n.regions = buildFleets(cfg), make(map[string]string, len(cfg.DataCentres))
+	for _, dc := range cfg.DataCentres {
+		n.regions[dc.Name] = dc.Region
+	}
+	n.storeOf = make(map[string]configurer.Store, len(cfg.Stores))
+	for _, st := range cfg.Stores {
+		n.storeOf[st.ID] = st
+	}
 	n.index()
 	return &n
 }
@@ -119,6 +137,26 @@
 	return &n
 }
 
+// WithLeaving returns a view in which exactly the given targets are marked as leaving.
+func (v *View) WithLeaving(ids map[string]time.Time, now time.Time) *View {
+	n := *v
+	n.targets = maps.Clone(v.targets)
+	for id, old := range v.targets {
+		_, marked := ids[id]
+		if marked != old.MarkedAt.IsZero() {
+			continue
+		}
+		t := *old
+		t.MarkedAt = time.Time{}
+		if marked {
+			t.MarkedAt = now
+		}
+		n.targets[id] = &t
+	}
+	n.index()
+	return &n
+}
+
 // WithStores returns a view with other statuses of some stores.
 func (v *View) WithStores(changes map[string]StoreStatus) *View {
 	n := *v
@@ -161,6 +199,12 @@
 	return t, ok
 }
 
+// StoreConfig returns the configuration of a store by id.
+func (v *View) StoreConfig(id string) (configurer.Store, bool) {
+	s, ok := v.storeOf[id]
+	return s, ok
+}
+
 // Store returns what is known of a store.
 func (v *View) Store(id string) StoreStatus { return v.stores[id] }
 
