feat(exporter): metrics page and events of decisions

An instance told nothing to a monitoring system, and the reasons of its decisions were lost but the last one. internal/exporter writes nine metrics with stable names at /metrics; docs/metrics.md is generated from the same table and checked by a test. Each step's reason becomes an event and a count.

--- /dev/null
+++ b/internal/exporter/exporter.go
@@ -0,0 +1,154 @@
+// Package exporter holds the metrics of one instance and writes them for the page /metrics.
+//
+// Each instance has a set of its own, so that several can run in one process.
+// The names are stable; docs/metrics.md lists them from the same table that
+// this package writes from.
+//
+// # Usage
+//
+//	m := exporter.New(exporter.Gauges{ConfigVersion: v, Members: n})
+//	m.Outcome("answered")
+//	m.Write(w)
+package exporter
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/papayaworks/papayaworks/internal/asserter"
+)
+
+// The names of the metrics.
+const (
+	Requests    = "papayaworks_requests_total"
+	FirstToken  = "papayaworks_first_token_seconds"
+	Tokens      = "papayaworks_prompt_tokens_total"
+	Decisions   = "papayaworks_decisions_total"
+	Violations  = "papayaworks_invariant_violations_total"
+	Streams     = "papayaworks_streams_active"
+	Version     = "papayaworks_config_version"
+	Members     = "papayaworks_members"
+	UsedTargets = "papayaworks_targets_usable"
+)
+
+// Answered is the outcome of a request that got its whole answer; every other outcome is an error code.
+const Answered = "answered"
+
+// The places that the tokens of a prompt come from.
+const (
+	Recomputed = "recomputed"
+	Cached     = "cached"
+	Imported   = "imported"
+)
+
+// firstTokenBounds are the upper bounds of the first-token histogram in seconds; 0.55 is the target at design scale.
+var firstTokenBounds = []float64{0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.55, 0.75, 1, 1.5, 2.5, 5, 10, 30}
+
+// Gauges are read when the metrics are written.
+type Gauges struct {
+	ConfigVersion, Members, Targets func() float64
+}
+
+// Metrics are the metrics of one instance; the methods may be called from any goroutine.
+type Metrics struct {
+	set     *metrics.Set
+	first   *metrics.PrometheusHistogram
+	streams atomic.Int64
+}
+
+// New returns the metrics of an instance; counters that are known in advance are there from the start.
+func New(g Gauges) *Metrics {
+	m := &Metrics{set: metrics.NewSet()}
+	m.first = m.set.NewPrometheusHistogramExt(FirstToken, firstTokenBounds)
+	m.set.NewGauge(Streams, func() float64 { return float64(m.streams.Load()) })
+	m.gauge(Version, g.ConfigVersion)
+	m.gauge(Members, g.Members)
+	m.gauge(UsedTargets, g.Targets)
+	m.count(Requests, "outcome", Answered, 0)
+	for _, s := range []string{Recomputed, Cached, Imported} {
+		m.count(Tokens, "source", s, 0)
+	}
+	for _, inv := range asserter.All {
+		m.count(Violations, "invariant", string(inv), 0)
+	}
+	return m
+}
+
+func (m *Metrics) gauge(name string, f func() float64) {
+	if f != nil {
+		m.set.NewGauge(name, f)
+	}
+}
+
+func (m *Metrics) count(name, label, value string, n int) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("%s{%s=%q}", name, label, value)).Add(n)
+}
+
+// Outcome counts a request by its outcome.
+func (m *Metrics) Outcome(code string) { m.count(Requests, "outcome", code, 1) }
+
+// FirstToken records the time from the arrival of a request to the first piece of its answer.
+func (m *Metrics) FirstToken(d time.Duration) { m.first.Update(d.Seconds()) }
+
+// Prompt counts the tokens of a prompt by where they came from.
+func (m *Metrics) Prompt(recomputed, cached, imported int) {
+	m.count(Tokens, "source", Recomputed, recomputed)
+	m.count(Tokens, "source", Cached, cached)
+	m.count(Tokens, "source", Imported, imported)
+}
+
+// Decision counts a decision of a step by its reason; reasons are constants of the policies, so that the labels are few.
+func (m *Metrics) Decision(step, reason string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("%s{step=%q,reason=%q}", Decisions, step, reason)).Inc()
+}
+
+// Violation counts a violated invariant.
+func (m *Metrics) Violation(inv asserter.Invariant) { m.count(Violations, "invariant", string(inv), 1) }
+
+// Begin counts a request in progress; the caller runs the returned function when it ends.
+func (m *Metrics) Begin() (end func()) {
+	m.streams.Add(1)
+	return func() { m.streams.Add(-1) }
+}
+
+// Write writes all metrics in the Prometheus text format.
+func (m *Metrics) Write(w io.Writer) { m.set.WritePrometheus(w) }
+
+// metric describes one metric for docs/metrics.md.
+type metric struct {
+	name, kind, labels, help string
+}
+
+var all = []metric{
+	{Requests, "counter", "outcome", "requests by outcome: answered, or the code of the error that the caller got"},
+	{FirstToken, "histogram", "le", "seconds from the arrival of a request to the first piece of its answer"},
+	{Tokens, "counter", "source", "tokens of prompts by where their context came from: recomputed, cached on the engine, or imported from a store"},
+	{Decisions, "counter", "step, reason", "decisions of the request path by step (admit, route, dispatch, keep) and reason"},
+	{Violations, "counter", "invariant", "violations of an invariant; every value above 0 is a fault of papayaworks to be reported"},
+	{Streams, "gauge", "", "requests in progress"},
+	{Version, "gauge", "", "version of the configuration in force at the instance"},
+	{Members, "gauge", "", "instances that the instance knows, itself included"},
+	{UsedTargets, "gauge", "", "targets that may get new work"},
+}
+
+// Page returns docs/metrics.md.
+func Page() string {
+	var b strings.Builder
+	b.WriteString("# Metrics\n\nEach instance serves its metrics at `GET /metrics` in the Prometheus text format. The names and labels are stable.\n" +
+		"This page is generated: `go test ./internal/exporter -run TestMetricsPage -update` rewrites it.\n\n" +
+		"| name | kind | labels | meaning |\n|---|---|---|---|\n")
+	for _, m := range all {
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", m.name, m.kind, m.labels, m.help)
+	}
+	b.WriteString("\nWhat to watch:\n\n" +
+		"- `" + Violations + "` above 0: an invariant of docs/design.md section 2 was violated.\n" +
+		"- `" + Version + "` differs between instances for more than 5 s: an instance does not follow the configuration.\n" +
+		"- share of recomputed context: `" + Tokens + "{source=\"recomputed\"}` divided by the sum over all sources.\n" +
+		"- share of late answers: 1 - `" + FirstToken + "_bucket{le=\"0.55\"}` / `" + FirstToken + "_count`.\n")
+	return b.String()
+}
--- a/internal/server/keeper/keeper.go
+++ b/internal/server/keeper/keeper.go
@@ -61,7 +61,8 @@
 		Recompute: time.Duration(float64(len(r.Keys)*keyer.BlockTokens) / float64(model.PrefillTokensPerSecond) * float64(time.Second)),
 		Places:    s.places(r),
 	}
-	if d := s.Tracker.Decide(s.Policy, run); d.Export {
+	d := s.Tracker.Decide(s.Policy, run)
+	if r.Reason = d.Reason; d.Export {
 		s.export(r, d, block)
 	}
 	return nil
--- /dev/null
+++ b/internal/server/metrics.go
@@ -0,0 +1,51 @@
+package server
+
+import (
+	"net/http"
+
+	"github.com/papayaworks/papayaworks/internal/exporter"
+	"github.com/papayaworks/papayaworks/internal/request"
+)
+
+// newMetrics returns the instance's metrics; the gauges read the view at each scrape.
+func (s *Server) newMetrics() *exporter.Metrics {
+	return exporter.New(exporter.Gauges{
+		ConfigVersion: func() float64 { return float64(s.control.View().ConfigVersion) },
+		Members:       func() float64 { return float64(max(1, len(s.control.View().Members))) },
+		Targets: func() float64 {
+			v, n := s.control.View(), 0
+			for _, ct := range v.Config.Targets {
+				if t, ok := v.Target(ct.ID); ok && t.Usable() {
+					n++
+				}
+			}
+			return float64(n)
+		},
+	})
+}
+
+func (s *Server) metricsPage(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+	s.metrics.Write(w)
+}
+
+// decided makes the reason that a step gave for its decision an event, and takes it from the request.
+func (s *Server) decided(r *request.Request, st request.Step) {
+	if r.Reason == "" {
+		return
+	}
+	s.record(r, st.String(), "", r.Reason)
+	s.metrics.Decision(st.String(), r.Reason)
+	r.Reason = ""
+}
+
+// measure counts a request that ended.
+func (s *Server) measure(r *request.Request, outcome string) {
+	s.metrics.Outcome(outcome)
+	if !r.FirstToken.IsZero() {
+		s.metrics.FirstToken(r.FirstToken.Sub(r.Received))
+	}
+	if r.Start != nil && r.Resume == nil {
+		s.metrics.Prompt(r.Start.RecomputedTokens, r.Start.CachedTokens, r.Start.ImportedTokens)
+	}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -23,6 +23,7 @@
 	"github.com/papayaworks/papayaworks/internal/asserter"
 	"github.com/papayaworks/papayaworks/internal/controller"
 	"github.com/papayaworks/papayaworks/internal/dialer"
+	"github.com/papayaworks/papayaworks/internal/exporter"
 	"github.com/papayaworks/papayaworks/internal/failer"
 	"github.com/papayaworks/papayaworks/internal/fencer"
 	"github.com/papayaworks/papayaworks/internal/gossiper"
@@ -63,10 +64,11 @@
 	// usage is what the instances of a data centre tell each other each period; it may be nil.
 	usage gossiper.Payload
 	// leases is nil if the settings name no log.
-	leases *fencer.Fencer
-	http   *listener.Server
-	path   atomic.Pointer[path]
-	ids    atomic.Uint64
+	leases  *fencer.Fencer
+	metrics *exporter.Metrics
+	http    *listener.Server
+	path    atomic.Pointer[path]
+	ids     atomic.Uint64
 	// boot makes request ids differ from those of an earlier process with the same instance id.
 	boot  string
 	addr  atomic.Value
@@ -81,8 +83,13 @@
 
 // New returns an instance that is ready to run.
 func New(set *configurer.Settings, cfg *configurer.Config, log logger.Log, rec *recorder.Recorder, as *asserter.Asserter) *Server {
-	return &Server{Settings: set, Initial: cfg, Log: log, Recorder: rec, Asserter: as, ready: make(chan struct{}),
+	s := &Server{Settings: set, Initial: cfg, Log: log, Recorder: rec, Asserter: as, ready: make(chan struct{}),
 		boot: strconv.FormatUint(rand.Uint64(), 36)}
+	s.metrics = s.newMetrics()
+	if as != nil && as.Count == nil {
+		as.Count = s.metrics.Violation
+	}
+	return s
 }
 
 // View returns the present view of control state.
@@ -183,6 +190,7 @@
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	mux.HandleFunc("GET /readyz", s.readyz)
 	mux.HandleFunc("GET /events", s.events)
+	mux.HandleFunc("GET /metrics", s.metricsPage)
 	mux.HandleFunc("GET /config", s.config)
 	mux.HandleFunc("GET /status", s.status)
 	return mux
@@ -213,18 +221,22 @@
 		W: w, HTTP: hr, Received: time.Now(), View: s.control.View(),
 		ID: s.Settings.Instance.ID + "-" + s.boot + "-" + strconv.FormatUint(s.ids.Add(1), 36),
 	}
+	defer s.metrics.Begin()()
 	defer func() {
 		if r.Release != nil {
 			r.Release()
 		}
 	}()
 	for _, st := range s.path.Load().steps {
-		if err := st.Run(hr.Context(), r); err != nil {
+		err := st.Run(hr.Context(), r)
+		s.decided(r, st)
+		if err != nil {
 			s.fail(r, st, err)
 			return
 		}
 	}
-	s.record(r, "answered", "", r.Reason)
+	s.record(r, "answered", "", "")
+	s.measure(r, exporter.Answered)
 }
 
 // fail answers with a JSON error unless the answer has already begun.
@@ -234,6 +246,7 @@
 		re = request.Fail(http.StatusInternalServerError, request.CodeInternal, "%v", err)
 	}
 	s.record(r, "failed", st.String(), err.Error())
+	s.measure(r, string(re.Code))
 	logger.WithError(s.Log, err).WithField("request", r.ID).WithField("step", st.String()).Info("request failed")
 	if r.Pieces > 0 || r.Finished || r.HTTP.Context().Err() != nil {
 		return
