--- a/internal/ledger/attempt.go
+++ b/internal/ledger/attempt.go
@@ -59,7 +59,8 @@
 	intentAt   int64 // offset of the newest intent, if its append was answered
 	abandoning bool
 	dispatched bool
-	notSent    bool // a dispatch failed before the first byte
+	notSent    bool  // a dispatch failed before the first byte
+	found      Entry // the finished key, if an earlier try's outcome is the answer
 	verdict    Verdict
 	reason     string
 }
@@ -86,6 +87,7 @@
 	case e.State == Finished && e.Status == 0:
 		return a.answer(Unknown, "the call was sent and its outcome is not known")
 	case e.State == Finished:
+		a.found = e
 		return a.answer(Responded, "the outcome is on the log")
 	case e.State == Held && e.Holder == a.ID:
 		return a.nextAsHolder(now)
@@ -184,6 +186,9 @@
 // Verdict returns what the caller is told, and why.
 func (a *Attempt) Verdict() (Verdict, string) { return a.verdict, a.reason }
 
+// Found returns the finished key whose outcome is the answer. The fold may have dropped it since.
+func (a *Attempt) Found() Entry { return a.found }
+
 // MustAbandon reports whether an attempt that ends without dispatch has to be abandoned still, because its intent may
 // be on the log or arrive there, and the key would stay held by nobody.
 func (a *Attempt) MustAbandon(e Entry) bool {
--- a/internal/ledger/owner.go
+++ b/internal/ledger/owner.go
@@ -152,7 +152,7 @@
 	res := Result{Verdict: v, Reason: reason, Response: o.response}
 	if v == Responded && o.response == nil {
 		res.Recorded = true
-		res.Response = o.recorded(ctx, e)
+		res.Response = o.recorded(ctx, o.a.Found())
 	}
 	o.l.Recorder.Record(recorder.Event{Kind: "ledger", Account: o.call.Account, Step: v.String(), Reason: reason})
 	return res
