--- a/internal/ledger/random_test.go
+++ b/internal/ledger/random_test.go
@@ -151,12 +151,19 @@
 	if _, err := CheckKey(key, s.now, simRetention); err != nil {
 		t.Skip("key is too old")
 	}
+	s.begin(key, rapid.IntRange(0, simOwners-1).Draw(t, "owner"))
+	if s.chance(40, "at once at another owner") {
+		s.begin(key, rapid.IntRange(0, simOwners-1).Draw(t, "other owner"))
+	}
+}
+
+func (s *sim) begin(key string, owner int) {
 	s.ids++
-	tr := &simTry{key: key, owner: rapid.IntRange(0, simOwners-1).Draw(t, "owner"), body: HashOf([]byte("body"))}
+	tr := &simTry{key: key, owner: owner, body: HashOf([]byte("body"))}
 	if s.chance(5, "other body") {
 		tr.body = HashOf([]byte("other"))
 	}
-	deadline := s.now.Add(time.Duration(rapid.IntRange(1, 20).Draw(t, "seconds")) * time.Second)
+	deadline := s.now.Add(time.Duration(rapid.IntRange(1, 20).Draw(s.t, "seconds")) * time.Second)
 	tr.a = NewAttempt(ID{byte(s.ids), byte(s.ids >> 8), 1}, keyHash("a", key), tr.body, s.now, deadline)
 	s.tries, s.active = append(s.tries, tr), append(s.active, tr)
 	if err := s.read(tr.owner, 0); err != nil {
@@ -266,7 +273,9 @@
 func (s *sim) advance(t *rapid.T) {
 	tr := pick(s, s.active, "try")
 	for range rapid.IntRange(1, 5).Draw(t, "steps") {
-		_ = s.read(tr.owner, 0)
+		if s.chance(70, "read") {
+			_ = s.read(tr.owner, 0)
+		}
 		if slices.Contains(s.active, tr) {
 			s.stepOf(tr)
 		}
