feat(limiter): account limits shared by N instances without a coordinator

Cause: each instance applied no limit; N independent limits would allow N times the limit. Change: each instance spends limit x (0.2/N + 0.8 x d/D); a demand is in force after it was advertised for 40 s, and the fractions of lost parts are fixed during a partition. Reports hold at most 32 changed accounts, data centres report sums. The fuzz target found a payload of a few bytes that made the codec allocate 190 GiB; the length is now checked first.

--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -1,6 +1,7 @@
 package admitter
 
 import (
+	"flag"
 	"fmt"
 	"math"
 	"testing"
@@ -12,6 +13,9 @@
 	"github.com/papayaworks/papayaworks/pkg/configurer"
 )
 
+// A fixed seed makes failures repeatable; -rapid.seed on the command line overrides it.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
 var epoch = time.Unix(1_000_000, 0)
 
 func account(share int) configurer.Account {
--- a/internal/admitter/overload_test.go
+++ b/internal/admitter/overload_test.go
@@ -244,6 +244,7 @@
 	}
 	res := s.run(1, 5*time.Minute)
 	for i, n := range res.admitted {
+		t.Logf("account %s: %d of %d", s.accounts[i].Name, n, res.offered[i])
 		require.GreaterOrEqual(t, float64(n), 0.995*float64(res.offered[i]), "account %s", s.accounts[i].Name)
 	}
 }
--- /dev/null
+++ b/internal/limiter/limiter_test.go
@@ -0,0 +1,326 @@
+package limiter
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/papayaworks/papayaworks/pkg/configurer"
+)
+
+// A fixed seed makes failures repeatable; -rapid.seed on the command line overrides it.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+var epoch = time.Unix(1_000_000, 0)
+
+func acct(rps, tps, streams int) configurer.Account {
+	return configurer.Account{Name: "a", RequestsPerSecond: rps, TokensPerSecond: tps, Streams: streams}
+}
+
+// Guards against an instance alone that does not give the whole limit, and against one that gives more.
+func TestAloneGivesTheWholeLimit(t *testing.T) {
+	tests := map[string]struct {
+		a      configurer.Account
+		tokens int
+		finish bool
+		want   int
+		limit  Limit
+	}{
+		"requests": {acct(20, 1_000_000, 1000), 1, true, 20 + 20*10, Requests},
+		"tokens":   {acct(1000, 100, 1000), 50, true, 22, Tokens},
+		"streams":  {acct(1000, 1_000_000, 7), 1, false, 7, Streams},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := New("i1", "d1")
+			n, last := 0, Decision{}
+			for ms := range 10_000 {
+				now := epoch.Add(time.Duration(ms) * time.Millisecond)
+				if d := l.Take(tt.a, tt.tokens, now); d.OK {
+					n++
+					if tt.finish {
+						l.Finish(tt.a, 0, now)
+					}
+				} else {
+					last = d
+				}
+			}
+			require.InDelta(t, tt.want, n, 1)
+			require.Equal(t, tt.limit, last.Limit)
+			require.Positive(t, last.RetryAfter)
+		})
+	}
+}
+
+// Guards against answers longer than expected that are never charged.
+func TestFinishChargesTokens(t *testing.T) {
+	l, a := New("i1", "d1"), acct(100, 100, 10)
+	require.True(t, l.Take(a, 10, epoch).OK)
+	l.Finish(a, 500, epoch)
+	d := l.Take(a, 10, epoch.Add(time.Second))
+	require.False(t, d.OK)
+	require.Equal(t, Tokens, d.Limit)
+	require.True(t, l.Take(a, 10, epoch.Add(6*time.Second)).OK)
+}
+
+// Guards against reports that do not fit a gossip message, that starve some accounts or that repeat what did not change.
+func TestReportIsSparse(t *testing.T) {
+	l := New("instance-1", "kochi-a")
+	now := epoch
+	for i := range 100 {
+		a := configurer.Account{Name: fmt.Sprintf("account-%04d", i), RequestsPerSecond: 100, TokensPerSecond: 1e5, Streams: 50}
+		for range 50 {
+			l.Take(a, 1000, now)
+		}
+	}
+	seen := map[string]int{}
+	for range 4 {
+		us := l.Report(now)
+		require.LessOrEqual(t, len(us), MaxUsages)
+		data, err := Encode(us)
+		require.NoError(t, err)
+		require.LessOrEqual(t, len(data), 1200)
+		back, err := Decode(data)
+		require.NoError(t, err)
+		require.Equal(t, us, back)
+		for _, u := range us {
+			seen[u.Account]++
+		}
+		now = now.Add(ReportPeriod)
+	}
+	require.Len(t, seen, 100)
+	require.Empty(t, l.Report(now.Add(-1)), "reports come at most once in a period")
+}
+
+// Guards against hostile or broken payloads.
+func FuzzDecode(f *testing.F) {
+	good, _ := Encode([]Usage{{Account: "a", Requests: 1}, {Account: "b", DataCentre: "d2", Tokens: 5}})
+	f.Add(good)
+	f.Add([]byte{0x92, 0xc0, 0x95})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		us, err := Decode(data)
+		if err != nil {
+			return
+		}
+		l, a := New("i1", "d1"), acct(10, 10, 10)
+		l.SetMembers([]Member{{ID: "i2", DataCentre: "d1"}, {ID: "i3", DataCentre: "d2"}}, epoch)
+		l.Merge(Member{ID: "i2", DataCentre: "d1"}, us, epoch)
+		l.Merge(Member{ID: "i3", DataCentre: "d2"}, us, epoch)
+		for k, v := range l.Share(a, epoch) {
+			if !(v >= 0 && v <= 10) {
+				t.Fatalf("share of %v is %v", Limit(k), v)
+			}
+		}
+	})
+}
+
+// network joins limiters by delayed messages on virtual time, in steps of one second.
+type network struct {
+	now   time.Time
+	delay int // longest way of a message in seconds
+	r     *rand.Rand
+	nodes []*node
+	mail  []letter
+	a     configurer.Account
+}
+
+type node struct {
+	Member
+	l      *Limiter
+	part   int
+	gone   bool
+	demand float64
+	// deadAt is when this node declares another one dead.
+	deadAt map[string]time.Time
+}
+
+type letter struct {
+	at       time.Time
+	from, to *node
+	us       []Usage
+}
+
+func newNetwork(centres, perCentre, delay int, seed uint64) *network {
+	n := &network{now: epoch, delay: delay, r: rand.New(rand.NewPCG(seed, 5)), a: acct(1000, 100000, 500)}
+	for c := range centres {
+		for range perCentre {
+			n.join(c)
+		}
+	}
+	return n
+}
+
+func (n *network) join(centre int) *node {
+	x := &node{Member: Member{ID: fmt.Sprintf("i%d", len(n.nodes)), DataCentre: fmt.Sprintf("d%d", centre)}}
+	x.l, x.deadAt = New(x.ID, x.DataCentre), map[string]time.Time{}
+	x.l.SetAccounts([]configurer.Account{n.a}, n.now)
+	n.nodes = append(n.nodes, x)
+	return x
+}
+
+// connected reports whether messages pass; a node that crashed sends none.
+func connected(x, y *node) bool { return !x.gone && !y.gone && x.part == y.part }
+
+// step passes one second: membership, messages, reports. It returns the sum of the parts that live nodes may spend.
+func (n *network) step() float64 {
+	n.now = n.now.Add(time.Second)
+	for _, x := range n.nodes {
+		if !x.gone {
+			x.l.SetMembers(n.members(x), n.now)
+			ac := x.l.account(n.a, n.now)
+			ac.demand = demand{requests: x.demand * demandTime.Seconds(), at: n.now}
+		}
+	}
+	rest := n.mail[:0]
+	for _, m := range n.mail {
+		switch {
+		case m.at.After(n.now):
+			rest = append(rest, m)
+		case connected(m.from, m.to):
+			m.to.l.Merge(m.from.Member, m.us, n.now)
+		}
+	}
+	n.mail = rest
+	sum := 0.0
+	for _, x := range n.nodes {
+		if x.gone {
+			continue
+		}
+		us := x.l.Report(n.now)
+		for _, y := range n.nodes {
+			if x != y && len(us) > 0 && connected(x, y) {
+				at := n.now.Add(time.Duration(n.r.IntN(n.delay+1)) * time.Second)
+				n.mail = append(n.mail, letter{at: at, from: x, to: y, us: us})
+			}
+		}
+		sum += x.l.Share(n.a, n.now)[Requests]
+	}
+	return sum / float64(n.a.RequestsPerSecond)
+}
+
+// members returns what x knows; another node is declared dead 7 to 10 s after the connection broke.
+func (n *network) members(x *node) []Member {
+	var out []Member
+	for _, y := range n.nodes {
+		m := y.Member
+		if connected(x, y) {
+			delete(x.deadAt, y.ID)
+		} else if x.deadAt[y.ID].IsZero() {
+			x.deadAt[y.ID] = n.now.Add(time.Duration(7+n.r.IntN(4)) * time.Second)
+		}
+		if at := x.deadAt[y.ID]; !at.IsZero() && !n.now.Before(at) {
+			m.DeadSince = at
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+// Guards against instances that together spend more than the limit while they are connected, during a partition, after
+// it and when instances crash, as long as messages take at most 3 s.
+func TestRandomSumStaysWithinLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := newNetwork(rapid.IntRange(1, 3).Draw(t, "centres"), rapid.IntRange(1, 4).Draw(t, "instances"), 3, rapid.Uint64().Draw(t, "seed"))
+		crashed := 0
+		for range rapid.IntRange(2, 12).Draw(t, "phases") {
+			for _, x := range n.nodes {
+				x.demand = rapid.SampledFrom([]float64{0, 0.1, 30, 300, 5000}).Draw(t, "demand")
+			}
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 0: // a partition between data centres
+				for _, x := range n.nodes {
+					x.part = int(x.DataCentre[1]-'0') % 2
+				}
+			case 1:
+				for _, x := range n.nodes {
+					x.part = 0
+				}
+			case 2:
+				if crashed+1 < len(n.nodes) {
+					n.nodes[crashed].gone = true
+					crashed++
+				}
+			}
+			for range rapid.IntRange(1, 100).Draw(t, "seconds") {
+				if sum := n.step(); sum > 1+1e-4 {
+					t.Fatalf("at %v the instances may spend %.4f of the limit", n.now.Sub(epoch), sum)
+				}
+				if n.now.Sub(epoch) > KeepDead {
+					return // a part may then spend the whole limit
+				}
+			}
+		}
+	})
+}
+
+// Guards against more than 1/N for each instance that has joined, and against parts that spend more than the whole
+// limit each after 10 minutes.
+func TestBoundWhenJoiningAndLongPartition(t *testing.T) {
+	n := newNetwork(2, 3, 3, 1)
+	for _, x := range n.nodes {
+		x.demand = 500
+	}
+	for range 60 {
+		require.LessOrEqual(t, n.step(), 1+1e-4)
+	}
+	n.join(0).demand = 5000
+	n.join(1).demand = 5000
+	worst := 0.0
+	for range 120 {
+		worst = max(worst, n.step())
+	}
+	t.Logf("two join six: at most %.3f of the limit", worst)
+	require.LessOrEqual(t, worst, 1+2.0/8+1e-4)
+	for _, x := range n.nodes {
+		x.part = int(x.DataCentre[1] - '0')
+	}
+	for s := range 900 {
+		sum := n.step()
+		if s < int(KeepDead.Seconds()) {
+			require.LessOrEqual(t, sum, 1+1e-4, "second %d of the partition", s)
+		}
+		worst = max(worst, sum)
+	}
+	t.Logf("15 min of partition: at most %.3f of the limit", worst)
+	require.LessOrEqual(t, worst, 2+1e-4)
+}
+
+// Guards against an unstated overshoot with reports older than Settle covers: each instance may then spend at most the
+// whole limit, and the sum must come back to the limit once reports are punctual.
+func TestStaleReports(t *testing.T) {
+	n := newNetwork(2, 3, 90, 2)
+	worst := 0.0
+	for s := range 600 {
+		if s%100 == 0 {
+			for i, x := range n.nodes {
+				x.demand = []float64{5000, 0, 50}[(i+s/100)%3]
+			}
+		}
+		worst = max(worst, n.step())
+	}
+	t.Logf("reports up to 90 s late: at most %.3f of the limit", worst)
+	require.LessOrEqual(t, worst, float64(len(n.nodes)))
+	n.delay = 3
+	last := 0.0
+	for range 200 {
+		last = n.step()
+	}
+	require.LessOrEqual(t, last, 1+1e-4)
+}
+
+// Guards against limits that are safe but useless: demand at one instance must get nearly the whole limit.
+func TestDemandDrawsTheLimit(t *testing.T) {
+	n := newNetwork(3, 2, 3, 3)
+	n.nodes[4].demand = 5000
+	for range 90 {
+		n.step()
+	}
+	got := n.nodes[4].l.Share(n.a, n.now)[Requests] / 1000
+	t.Logf("the only instance with demand may spend %.3f of the limit", got)
+	require.Greater(t, got, 0.2/6+0.8*0.99)
+}
--- /dev/null
+++ b/internal/limiter/report.go
@@ -0,0 +1,209 @@
+package limiter
+
+import (
+	"bytes"
+	"slices"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/papayaworks/papayaworks/internal/failer"
+)
+
+const (
+	// MaxUsages bounds the accounts in one report; with names of 12 bytes it then fits a gossip message of 1,200 bytes.
+	MaxUsages = 32
+	// ReportPeriod is the shortest time between two reports.
+	ReportPeriod = 5 * time.Second
+	// refreshPeriod is how often an unchanged demand is advertised again, for members that lost the last report.
+	// It is shorter than Settle, so that a restarted instance hears all before its own demand is in force.
+	refreshPeriod = 30 * time.Second
+	// changedBy is the relative change that is worth a report.
+	changedBy = 0.2
+	// repeats is how often a changed demand is sent, so that one of them is outside any gap of 10 s, which the
+	// membership may not notice.
+	repeats = 4
+)
+
+// Usage is the advertised demand of one account: of one instance, or of a whole data centre if one is named.
+type Usage struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // tells the codec to write fields without their names.
+
+	Account    string
+	DataCentre string
+	Requests   float32
+	Tokens     float32
+	Streams    float32
+}
+
+func (u Usage) vector() Vector {
+	return Vector{float64(u.Requests), float64(u.Tokens), float64(u.Streams)}
+}
+
+func usage(name, dataCentre string, v Vector) Usage {
+	return Usage{
+		Account: name, DataCentre: dataCentre,
+		Requests: float32(v[Requests]), Tokens: float32(v[Tokens]), Streams: float32(v[Streams]),
+	}
+}
+
+// Encode returns a report as the opaque payload of a gossip message; nil if there is nothing to report.
+func Encode(us []Usage) ([]byte, error) {
+	if len(us) == 0 {
+		return nil, nil
+	}
+	return msgpack.Marshal(us)
+}
+
+// Decode reads a payload of [Encode]. The length is checked before anything is allocated: the codec would make room
+// for as many entries as a broken payload claims.
+func Decode(data []byte) ([]Usage, error) {
+	d := msgpack.NewDecoder(bytes.NewReader(data))
+	n, err := d.DecodeArrayLen()
+	if err != nil {
+		return nil, failer.Wrap(err, "decode usage report", "", "merge")
+	}
+	if n < 0 || n > MaxUsages {
+		return nil, failer.New("usage report has %d entries, more than %d", n, MaxUsages)
+	}
+	us := make([]Usage, n)
+	for i := range us {
+		if err := d.Decode(&us[i]); err != nil {
+			return nil, failer.Wrap(err, "decode usage report", "", "merge")
+		}
+	}
+	return us, nil
+}
+
+// Report returns what is to be told to the other members now: the changed accounts, at most MaxUsages. Entries
+// without a data centre are for the own data centre only; the others are sums for all.
+func (l *Limiter) Report(now time.Time) []Usage {
+	if !l.reportAt.IsZero() && now.Sub(l.reportAt) < ReportPeriod {
+		return nil
+	}
+	l.reportAt = now
+	var out []Usage
+	names := sorted(l.accounts)
+	// The accounts after the last one of the previous report come first, so that all have their turn.
+	i, _ := slices.BinarySearch(names, l.cursor+"\x00")
+	for _, name := range slices.Concat(names[i:], names[:i]) {
+		out = l.reportAccount(out, name, l.accounts[name], now)
+		if len(out) >= MaxUsages-1 {
+			l.cursor = name
+			break
+		}
+	}
+	return out
+}
+
+// reportAccount adds up to two entries: the own demand, and the data centre's if this instance reports it.
+func (l *Limiter) reportAccount(out []Usage, name string, ac *account, now time.Time) []Usage {
+	v := ac.demand.vector(ac.streams, now)
+	refresh := now.Sub(ac.sentAt) >= refreshPeriod && ac.own.last != Vector{}
+	change := changed(ac.own.last, v, ac.floor(1))
+	if change {
+		ac.dirty = repeats
+		ac.own.set(rounded(v), now)
+	}
+	if ac.dirty > 0 || refresh {
+		ac.sentAt = now
+		ac.dirty = max(0, ac.dirty-1)
+		out = append(out, usage(name, "", ac.own.last))
+	}
+	if !l.leader || !l.manyCentres() {
+		return out
+	}
+	sum, n := l.centreSum(name, ac)
+	if rises(ac.sum, sum, ac.floor(n)) || changed(ac.sum, sum, ac.floor(n)) {
+		ac.sum, ac.dirtySum = sum, repeats
+	}
+	if refresh || ac.dirtySum > 0 {
+		ac.dirtySum = max(0, ac.dirtySum-1)
+		out = append(out, usage(name, l.dataCentre, ac.sum))
+	}
+	return out
+}
+
+// centreSum returns the demand of the own data centre and its number of members.
+func (l *Limiter) centreSum(name string, ac *account) (Vector, int) {
+	sum, n := ac.own.last.max(ac.floor(1)), 1
+	for unitName, u := range l.units {
+		if isInstance(unitName) {
+			sum, n = sum.add(u.last(name, ac)), n+1
+		}
+	}
+	return rounded(sum), n
+}
+
+// rises reports any rise: a sum that is told too low would let other data centres spend too much.
+func rises(old, v, floor Vector) bool {
+	for k := range v {
+		if v[k] > max(old[k], floor[k])*(1+1e-6) {
+			return true
+		}
+	}
+	return false
+}
+
+// rounded returns the value as the other members read it.
+func rounded(v Vector) Vector { return usage("", "", v).vector() }
+
+func isInstance(unit string) bool { return len(unit) > 9 && unit[:9] == "instance/" }
+
+func (l *Limiter) manyCentres() bool {
+	for name := range l.units {
+		if !isInstance(name) {
+			return true
+		}
+	}
+	return false
+}
+
+// changed reports whether a demand differs enough to be told.
+func changed(old, v, floor Vector) bool {
+	for k := range v {
+		a, b := max(old[k], floor[k]), max(v[k], floor[k])
+		if b > a*(1+changedBy) || b < a*(1-changedBy) {
+			return true
+		}
+	}
+	return false
+}
+
+// readvertise sends every demand again, for members that are new or were out of reach.
+func (l *Limiter) readvertise() {
+	for _, ac := range l.accounts {
+		if ac.own.last != (Vector{}) || ac.sum != (Vector{}) {
+			ac.dirty, ac.dirtySum = repeats, repeats
+		}
+	}
+}
+
+// Merge takes the report of another member. What is not meant for this instance is ignored.
+func (l *Limiter) Merge(from Member, us []Usage, now time.Time) {
+	for _, x := range us[:min(len(us), MaxUsages)] {
+		name := l.unitOf(from.ID, from.DataCentre)
+		if (x.DataCentre == "") != isInstance(name) {
+			continue
+		}
+		u := l.units[name]
+		if u == nil || !validVector(x.vector()) {
+			continue
+		}
+		t := u.demands[x.Account]
+		if t == nil {
+			t = new(track)
+			u.demands[x.Account] = t
+		}
+		t.set(x.vector(), now)
+	}
+}
+
+func validVector(v Vector) bool {
+	for _, x := range v {
+		if !(x >= 0 && x < 1e12) {
+			return false
+		}
+	}
+	return true
+}
