--- a/internal/dialer/protocol.go
+++ b/internal/dialer/protocol.go
@@ -66,6 +66,8 @@
 	StoreAddress string      `json:"storeAddress"`
 	Tier         string      `json:"tier"`
 	Generation   int64       `json:"generation"`
+	// Stored are the leading blocks that the store holds already; they are listed in the new manifest, not written again.
+	Stored []ManifestBlock `json:"stored,omitempty"`
 }
 
 // CacheEvent tells that a block came or went.
@@ -108,8 +110,10 @@
 	Versions map[string]int64 `json:"versions"`
 	Loading  bool             `json:"loading"`
 	Draining bool             `json:"draining"`
-	Running  int              `json:"running"`
-	Fence    int64            `json:"fence"`
+	// Leaving: the engine's machine is about to stop; no order ends that.
+	Leaving bool  `json:"leaving"`
+	Running int   `json:"running"`
+	Fence   int64 `json:"fence"`
 }
 
 // ManifestBlock describes one stored block.
--- a/internal/server/dispatcher/dispatcher.go
+++ b/internal/server/dispatcher/dispatcher.go
@@ -2,11 +2,12 @@
 //
 // A chat becomes a run at an engine. The run's name is derived from the account
 // and the idempotency key or the request, so that a second dispatch of the same
-// request attaches to the same run. A call of a plain service is sent once.
+// request attaches to the same run. A call of a plain service is sent directly if
+// it may be repeated; otherwise the ledger decides whether it is sent.
 //
 // # Usage
 //
-//	s := &dispatcher.Step{Client: dialer.New()}
+//	s := &dispatcher.Step{Client: dialer.New(), Ledger: ledger, Now: time.Now}
 package dispatcher
 
 import (
@@ -14,17 +15,27 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
+	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/papayaworks/papayaworks/internal/dialer"
 	"github.com/papayaworks/papayaworks/internal/keyer"
+	"github.com/papayaworks/papayaworks/internal/ledger"
 	"github.com/papayaworks/papayaworks/internal/request"
 	"github.com/papayaworks/papayaworks/pkg/configurer"
 )
 
+// runNameBytes is the length of a run's name before it is written in hexadecimal.
+const runNameBytes = 16
+
 // Step dispatches requests.
 type Step struct {
 	Client *dialer.Client
+	// Ledger runs non-repeatable calls; without one they are refused.
+	Ledger *ledger.Ledger
+	// Now is the clock of deadlines.
+	Now func() time.Time
 }
 
 // String names the step.
@@ -39,7 +50,7 @@
 		return s.call(ctx, r)
 	}
 	if r.Run == "" {
-		r.Run = RunName(r.Account.Name, r.IdempotencyKey, r.ID)
+		r.Run = RunName(r.Account.Name, r.IdempotencyKey, r.ID, r.Body)
 	}
 	st := &stream{client: s.Client, addr: r.Target.Address, run: r.Run, from: r.ResumeFrom}
 	if r.Resume == nil {
@@ -52,13 +63,17 @@
 	return nil
 }
 
-// RunName names the run of a request; the same account and idempotency key give the same run.
-func RunName(account, key, id string) string {
+// RunName names the run of a request. A retry with the same account, idempotency key and body gives the same
+// run; the body counts so that a key that is used again for another prompt does not get the earlier answer.
+func RunName(account, key, id string, body []byte) string {
+	h := sha256.New()
 	if key == "" {
 		key = id
 	}
-	h := sha256.Sum256([]byte(account + "\x00" + key))
-	return hex.EncodeToString(h[:12])
+	for _, part := range []string{account, key, string(body)} {
+		_, _ = fmt.Fprintf(h, "%d:%s", len(part), part)
+	}
+	return hex.EncodeToString(h.Sum(nil)[:runNameBytes])
 }
 
 func runRequest(r *request.Request) *dialer.RunRequest {
--- /dev/null
+++ b/internal/swapper/plan_test.go
@@ -0,0 +1,152 @@
+package swapper
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/papayaworks/papayaworks/internal/dialer"
+	"github.com/papayaworks/papayaworks/pkg/configurer"
+)
+
+// fleet models the targets of one model: an order takes effect at once, or is lost, or loses its answer.
+type fleet struct {
+	targets []*fakeTarget
+}
+
+type fakeTarget struct {
+	id       string
+	version  int64
+	loadingV int64
+	draining bool
+	running  int
+	leaving  bool
+}
+
+func (f *fleet) reports() []Report {
+	out := make([]Report, len(f.targets))
+	for i, t := range f.targets {
+		out[i] = Report{
+			Target: configurer.Target{ID: t.id}, Known: true, Leaving: t.leaving,
+			State: dialer.EngineState{
+				Versions: map[string]int64{"m": t.version}, Loading: t.loadingV != 0, Draining: t.draining, Running: t.running,
+			},
+		}
+	}
+	return out
+}
+
+func (f *fleet) find(id string) *fakeTarget {
+	for _, t := range f.targets {
+		if t.id == id {
+			return t
+		}
+	}
+	return nil
+}
+
+func (f *fleet) count(match func(*fakeTarget) bool) int {
+	n := 0
+	for _, t := range f.targets {
+		if match(t) {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *fleet) obey(t *rapid.T, a Action) {
+	tg := f.find(a.Target.ID)
+	switch a.Kind {
+	case dialer.OrderDrain:
+		tg.draining = true
+	case dialer.OrderResume:
+		tg.draining = tg.leaving
+	case dialer.OrderLoad:
+		if tg.running > 0 {
+			t.Fatalf("target %s was ordered to load with %d runs", tg.id, tg.running)
+		}
+		tg.loadingV = a.Version
+	}
+}
+
+// Guards against a swap that overloads the weight store, drops below the capacity floor, loads under running
+// answers, or stays half done when controllers die, orders get lost, loads fail or the wanted version changes.
+func TestRandomSwapConverges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 16).Draw(t, "targets")
+		f := &fleet{}
+		for i := range n {
+			f.targets = append(f.targets, &fakeTarget{id: fmt.Sprintf("t%02d", i), version: 1, running: rapid.IntRange(0, 3).Draw(t, "running"),
+				draining: rapid.IntRange(0, 2).Draw(t, "draining") == 0})
+		}
+		wanted := int64(2)
+		round := func(lossy bool) {
+			loading := f.count(func(x *fakeTarget) bool { return x.loadingV != 0 })
+			inService := func(x *fakeTarget) bool { return !x.draining && !x.leaving }
+			before := f.count(inService)
+			for _, a := range Plan(configurer.Model{Name: "m", Version: wanted}, f.reports(), loading) {
+				if lossy && rapid.IntRange(0, 3).Draw(t, "lost") == 0 {
+					continue // the controller died or the order was lost; the next round starts from reports only
+				}
+				f.obey(t, a)
+			}
+			staying := f.count(func(x *fakeTarget) bool { return !x.leaving })
+			// A fleet that others drained below the floor may only get better.
+			if serving := f.count(inService); serving < min(before, Floor(staying)) {
+				t.Fatalf("%d of %d targets serve, the floor is %d", serving, staying, Floor(staying))
+			}
+			if l := f.count(func(x *fakeTarget) bool { return x.loadingV != 0 }); l > MaxLoads {
+				t.Fatalf("%d targets load at once", l)
+			}
+		}
+		for range rapid.IntRange(0, 60).Draw(t, "rounds") {
+			round(true)
+			tg := f.targets[rapid.IntRange(0, n-1).Draw(t, "target")]
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 0:
+				tg.running = max(0, tg.running-1)
+			case 1:
+				tg.loadingV = 0 // the load failed
+			case 2:
+				if tg.loadingV != 0 {
+					tg.version, tg.loadingV = tg.loadingV, 0
+				}
+			case 3:
+				if !tg.draining {
+					tg.running++
+				}
+			case 4:
+				if rapid.IntRange(0, 9).Draw(t, "newVersion") == 0 {
+					wanted = 3 - wanted
+				}
+			}
+		}
+		for range 8 * (n + 1) {
+			round(false)
+			for _, tg := range f.targets {
+				tg.running = 0
+				if tg.loadingV != 0 {
+					tg.version, tg.loadingV = tg.loadingV, 0
+				}
+			}
+		}
+		for _, tg := range f.targets {
+			if tg.version != wanted || tg.draining {
+				t.Fatalf("target %s ended with version %d, draining %t; wanted version %d", tg.id, tg.version, tg.draining, wanted)
+			}
+		}
+	})
+}
+
+// Guards against a floor that would stop the only target for good or never swap a small pool.
+func TestFloor(t *testing.T) {
+	tests := map[string]struct{ n, want int }{
+		"one": {1, 0}, "two": {2, 1}, "three": {3, 2}, "four": {4, 3}, "twelve": {12, 9},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) { require.Equal(t, tt.want, Floor(tt.n)) })
+	}
+}
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -83,13 +83,17 @@
 // Client sends requests to the instances in turn, as a balancer would.
 type Client struct {
 	Addresses []string
-	Key       string
+	// Next returns the address for the next try; nil means the addresses in turn.
+	Next func() string
+	Key  string
 	// Attempts bounds the tries of one request; 0 means 8.
 	Attempts int
 	// Pause is the time between tries unless the refusal names one; 0 means 50 ms.
 	Pause time.Duration
 	// HTTP may be shared between clients; nil means a new pool of connections.
 	HTTP *http.Client
+	// OnPiece is called for each event with the bytes of answer read so far; it may be nil.
+	OnPiece func(bytes int)
 
 	turn atomic.Uint64
 }
@@ -108,6 +112,9 @@
 }
 
 func (c *Client) next() string {
+	if c.Next != nil {
+		return c.Next()
+	}
 	return c.Addresses[int(c.turn.Add(1)-1)%len(c.Addresses)]
 }
 
@@ -146,7 +153,7 @@
 
 // Chat sends a chat completion and collects its answer; a broken stream is continued at another instance.
 func (c *Client) Chat(ctx context.Context, in Chat) (*Answer, error) {
-	a := &collector{begun: time.Now(), max: maxAnswerBytes}
+	a := &collector{begun: time.Now(), max: maxAnswerBytes, onPiece: c.OnPiece}
 	body, err := json.Marshal(in)
 	if err != nil {
 		return nil, err
@@ -244,6 +251,8 @@
 	text   strings.Builder
 	max    int
 	ans    Answer
+	// onPiece may be nil.
+	onPiece func(int)
 }
 
 func (a *collector) answer() *Answer {
@@ -279,6 +288,9 @@
 			return errors.New("answer is too long")
 		}
 		a.text.WriteString(piece)
+		if piece != "" && a.onPiece != nil {
+			a.onPiece(a.text.Len())
+		}
 		if ch.FinishReason != "" {
 			a.ans.Finish = ch.FinishReason
 		}
