--- /dev/null
+++ b/internal/retrier/storm_test.go
@@ -0,0 +1,118 @@
+package retrier
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// storm plays the loss of a data centre on virtual time. Targets have one queue, serve every request in it, also those
+// whose caller has given up, and callers try again after a timeout. Admission is left out, so that only retries count.
+type storm struct {
+	servers  int // in three data centres
+	service  time.Duration
+	rate     float64 // requests a second
+	timeout  time.Duration
+	lost     time.Duration // when a data centre is lost
+	back     time.Duration // when it is back
+	length   time.Duration
+	budgeted bool
+}
+
+type arrival struct {
+	at    time.Duration
+	first bool
+	n     int
+}
+
+type arrivals []arrival
+
+func (h arrivals) Len() int           { return len(h) }
+func (h arrivals) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h arrivals) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *arrivals) Push(x any)        { *h = append(*h, x.(arrival)) }
+func (h *arrivals) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
+
+// run returns the share of on-time answers of the requests that began in each second.
+func (s storm) run(seed uint64) []float64 {
+	r := rand.New(rand.NewPCG(seed, 9))
+	var b Budget
+	good, all := make([]float64, s.length/time.Second+1), make([]float64, s.length/time.Second+1)
+	q := &arrivals{{at: 0, first: true, n: 1}}
+	work, last := time.Duration(0), time.Duration(0) // backlog of the pool, in time of one server
+	for q.Len() > 0 {
+		a := heap.Pop(q).(arrival)
+		if a.at >= s.length {
+			break
+		}
+		servers := s.servers
+		if a.at >= s.lost && a.at < s.back {
+			servers = s.servers * 2 / 3
+		}
+		work, last = max(0, work-time.Duration(servers)*(a.at-last)), a.at
+		if a.first {
+			heap.Push(q, arrival{at: a.at + time.Duration(r.ExpFloat64()/s.rate*float64(time.Second)), first: true, n: 1})
+			b = b.WithRequest()
+		}
+		all[a.at/time.Second]++
+		wait := work / time.Duration(servers)
+		work += s.service
+		if wait+s.service <= s.timeout {
+			good[a.at/time.Second]++
+			continue
+		}
+		budget := Budget{}
+		if s.budgeted {
+			budget = b
+		}
+		d := Decide(Attempt{N: a.n, Outcome: Repeatable, Left: time.Hour}, budget, r.Uint64())
+		if !d.Retry {
+			continue
+		}
+		b = b.WithRetry()
+		heap.Push(q, arrival{at: a.at + s.timeout + d.Pause, n: a.n + 1})
+	}
+	for i := range good {
+		good[i] /= max(1, all[i])
+	}
+	return good
+}
+
+// recovery returns the time from the return of the data centre until 10 s in a row were on time, or false.
+func (s storm) recovery(good []float64) (time.Duration, bool) {
+	row := 0
+	for i := int(s.back / time.Second); i < len(good)-1; i++ {
+		if row++; good[i] < 0.99 {
+			row = 0
+		}
+		if row == 10 {
+			return time.Duration(i-9)*time.Second - s.back, true
+		}
+	}
+	return 0, false
+}
+
+// Guards against retries that keep the targets overloaded after their cause has gone.
+func TestRecoveryFromLossOfDataCentre(t *testing.T) {
+	s := storm{
+		servers: 36, service: 100 * time.Millisecond, rate: 0.75 * 360, timeout: time.Second,
+		lost: 20 * time.Second, back: 50 * time.Second, length: 300 * time.Second,
+	}
+	for seed := range uint64(3) {
+		s.budgeted = true
+		with, ok := s.recovery(s.run(seed))
+		require.True(t, ok, "seed %d: no recovery with the budget", seed)
+		s.budgeted = false
+		without, ok2 := s.recovery(s.run(seed))
+		t.Logf("seed %d: recovery %v after the data centre is back with the budget; without: %v, recovered %t", seed, with, without, ok2)
+		require.True(t, !ok2 || without > 2*with, "the budget makes no difference")
+	}
+}
