--- a/internal/demonstrator/plan.go
+++ b/internal/demonstrator/plan.go
@@ -72,7 +72,7 @@
 	}
 	for i, e := range d.Instances {
 		if i < len(a.Instances) {
-			a.Instances[i].Listen = e.Server.Addr()
+			a.Instances[i].Listen, a.Instances[i].PeerListen = e.Server.Addr(), e.Server.PeerAddr()
 		}
 	}
 	return u.Text()
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -16,6 +16,9 @@
 	Draining      bool           `json:"draining"`
 	Members       []view.Member  `json:"members"`
 	Targets       []TargetStatus `json:"targets"`
+	Links         []LinkStatus   `json:"links"`
+	Limits        []LimitStatus  `json:"limits"`
+	Leases        []LeaseStatus  `json:"leases"`
 }
 
 // TargetStatus is one target on the page /status.
@@ -26,6 +29,7 @@
 	DataCentre string           `json:"dataCentre"`
 	State      string           `json:"state"`
 	Versions   map[string]int64 `json:"versions,omitempty"`
+	Load       *LoadStatus      `json:"load,omitempty"`
 }
 
 // Status returns what this instance knows of the deployment.
@@ -34,6 +38,7 @@
 	out := Status{
 		Instance: s.Settings.Instance.ID, DataCentre: s.Settings.Instance.DataCentre, PeerAddress: s.PeerAddr(),
 		ConfigVersion: v.ConfigVersion, Draining: v.Draining, Members: v.Members, Targets: []TargetStatus{},
+		Links: s.linkStatus(v), Limits: limitStatus(v), Leases: s.leaseStatus(),
 	}
 	if out.Members == nil {
 		out.Members = []view.Member{}
@@ -41,7 +46,7 @@
 	for _, ct := range v.Config.Targets {
 		t, _ := v.Target(ct.ID)
 		out.Targets = append(out.Targets, TargetStatus{
-			ID: t.ID, Kind: t.Kind, Address: t.Address, DataCentre: t.DataCentre, State: targetState(t), Versions: t.Versions,
+			ID: t.ID, Kind: t.Kind, Address: t.Address, DataCentre: t.DataCentre, State: targetState(t), Versions: t.Versions, Load: loadStatus(t),
 		})
 	}
 	return out
--- /dev/null
+++ b/internal/server/status_parts.go
@@ -0,0 +1,90 @@
+package server
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/papayaworks/papayaworks/internal/view"
+)
+
+// LoadStatus is the load of a target on the page /status; it lags behind by the target's report.
+type LoadStatus struct {
+	Running int   `json:"running"`
+	Waiting int   `json:"waiting"`
+	AgeMs   int64 `json:"ageMs"`
+}
+
+// LinkStatus is a store and the link in front of it on the page /status.
+type LinkStatus struct {
+	Store       string  `json:"id"`
+	DataCentre  string  `json:"dataCentre"`
+	State       string  `json:"state"`
+	MiBPerSec   float64 `json:"mibPerSecond"`
+	BacklogMs   int64   `json:"backlogMs"`
+	MemoryUsed  int64   `json:"memoryUsedBytes"`
+	ContextKept int     `json:"conversations"`
+}
+
+// LimitStatus are the limits of an account in the whole deployment on the page /status.
+type LimitStatus struct {
+	Account           string `json:"name"`
+	Share             int    `json:"share"`
+	RequestsPerSecond int    `json:"requestsPerSecond"`
+	TokensPerSecond   int    `json:"tokensPerSecond"`
+	Streams           int    `json:"streams"`
+}
+
+// LeaseStatus is a lease on the page /status.
+type LeaseStatus struct {
+	Resource string    `json:"id"`
+	Holder   string    `json:"holder"`
+	Fence    int64     `json:"fence"`
+	Until    time.Time `json:"until"`
+}
+
+// loadStatus returns the load of a target, or nil if it has not reported one.
+func loadStatus(t *view.Target) *LoadStatus {
+	if t.LoadAt.IsZero() {
+		return nil
+	}
+	return &LoadStatus{Running: t.Load.Running, Waiting: t.Load.Waiting, AgeMs: time.Since(t.LoadAt).Milliseconds()}
+}
+
+func (s *Server) linkStatus(v *view.View) []LinkStatus {
+	out := []LinkStatus{}
+	for _, c := range v.Config.Stores {
+		st := v.Store(c.ID)
+		rate, backlog := s.tracker.Rate(c.ID, float64(c.LinkMiBPerSec)*bytesPerMiB)
+		l := LinkStatus{Store: c.ID, DataCentre: c.DataCentre, State: "serving", MiBPerSec: rate / bytesPerMiB,
+			BacklogMs: max(backlog.Milliseconds(), st.State.LinkBacklogMs), MemoryUsed: st.State.MemoryUsed, ContextKept: st.State.Manifests}
+		if c.DisabledReason != "" {
+			l.State = "disabled: " + c.DisabledReason
+		}
+		if st.Down || s.tracker.Suspected(c.ID) {
+			l.State = "down"
+		}
+		out = append(out, l)
+	}
+	return out
+}
+
+func limitStatus(v *view.View) []LimitStatus {
+	out := []LimitStatus{}
+	for _, a := range v.Config.Accounts {
+		out = append(out, LimitStatus{a.Name, a.Share, a.RequestsPerSecond, a.TokensPerSecond, a.Streams})
+	}
+	return out
+}
+
+func (s *Server) leaseStatus() []LeaseStatus {
+	out := []LeaseStatus{}
+	if s.leases == nil {
+		return out
+	}
+	for id, g := range s.leases.Leases() {
+		out = append(out, LeaseStatus{Resource: id, Holder: g.Holder, Fence: g.Fence, Until: g.Until})
+	}
+	slices.SortFunc(out, func(a, b LeaseStatus) int { return cmp.Compare(a.Resource, b.Resource) })
+	return out
+}
