--- a/internal/emulator/network.go
+++ b/internal/emulator/network.go
@@ -127,3 +127,25 @@
 	}
 	return c.PacketConn.WriteTo(p, addr)
 }
+
+// buffered is a packet connection whose kernel buffers can be sized.
+type buffered interface {
+	SetReadBuffer(bytes int) error
+	SetWriteBuffer(bytes int) error
+}
+
+// SetReadBuffer sizes the kernel's receive buffer; the QUIC library asks for it.
+func (c *lossyConn) SetReadBuffer(n int) error {
+	if b, ok := c.PacketConn.(buffered); ok {
+		return b.SetReadBuffer(n)
+	}
+	return nil
+}
+
+// SetWriteBuffer sizes the kernel's send buffer.
+func (c *lossyConn) SetWriteBuffer(n int) error {
+	if b, ok := c.PacketConn.(buffered); ok {
+		return b.SetWriteBuffer(n)
+	}
+	return nil
+}
--- a/internal/gossiper/table.go
+++ b/internal/gossiper/table.go
@@ -39,7 +39,7 @@
 }
 
 // add takes in a member that was not known.
-func (t *Table) add(r Record, now time.Time) *member {
+func (t *Table) add(r Record, now time.Time) {
 	m := &member{Record: r, machine: chart.Start(), pos: position(r.ID), since: now}
 	if r.State != Alive {
 		m.machine, _ = m.machine.Next(stateEvent[r.State])
@@ -47,7 +47,6 @@
 	t.members[r.ID] = m
 	t.hash ^= m.digest()
 	t.stale = true
-	return m
 }
 
 // apply replaces the claim about a member by a newer one; the chart must have the transition.
