--- a/cmd/papayaworks/commands_test.go
+++ b/cmd/papayaworks/commands_test.go
@@ -159,7 +159,8 @@
 		says   string
 	}{
 		"in force":         {false, pages(t, members(8), ""), exitOK, "in force at 2: a, b"},
-		"behind":           {false, pages(t, members(7), ""), exitNotEverywhere, "not yet at b: it has version 7"},
+		"not asked":        {false, pages(t, members(7), ""), exitNotEverywhere, "not known at b: give its address"},
+		"behind":           {false, pages(t, map[string]any{"instance": "a", "configVersion": 7}, ""), exitNotEverywhere, "not yet at a: it has version 7"},
 		"silent":           {false, "127.0.0.1:1", exitNotEverywhere, "not known at 127.0.0.1:1"},
 		"lost race":        {true, "127.0.0.1:1", exitLostRace, "run diff"},
 		"instance no name": {false, pages(t, map[string]any{"instance": 3, "configVersion": 9}, ""), exitOK, "in force at 1"},
--- a/cmd/papayaworks/publish.go
+++ b/cmd/papayaworks/publish.go
@@ -10,17 +10,20 @@
 	"time"
 
 	"github.com/papayaworks/papayaworks/internal/inquirer"
+	"github.com/papayaworks/papayaworks/internal/questioner"
 	"github.com/papayaworks/papayaworks/pkg/configurer"
 )
 
 const publishHelp = `Publishes the configuration in FILE on the platform's log, on top of the
 version that diff compared it with. If another operator was faster, nothing
 is changed and the command says so. It then waits until the new version is
-in force at every instance and says where it is not yet.
+in force at every instance and says where it is not yet. With --answers the
+addresses of the log and of all instances come from the questionnaire.
 
-Example:
+Examples:
+  papayaworks publish config.toml --answers answers.toml --base 41 --author asha
   papayaworks publish config.toml --log 127.0.0.1:7000 --base 41 \
-    --author asha --instance 127.0.0.1:8080
+    --author asha --instance 127.0.0.1:8080 --instance 127.0.0.1:8081
 
 Exit status: 0 if the version is in force everywhere, 1 on an error, 2 if
 the command line is wrong, 3 if another version was published meanwhile (run
@@ -37,7 +40,8 @@
 
 type publishCommand struct {
 	output
-	Log       string        `long:"log" required:"true" value-name:"ADDR" description:"address of the platform's log"`
+	Log       string        `long:"log" value-name:"ADDR" description:"address of the platform's log"`
+	Answers   string        `long:"answers" value-name:"FILE" description:"questionnaire with the addresses of the log and the instances"`
 	Base      int64         `long:"base" required:"true" value-name:"N" description:"version that the change was made from"`
 	Author    string        `long:"author" value-name:"NAME" description:"who publishes (default: the user's name)"`
 	Instances []string      `long:"instance" value-name:"ADDR" description:"instance to ask for the version in force; may be repeated"`
@@ -59,8 +63,14 @@
 	Behind  map[string]int64 `json:"behind"`
 	// Unreachable are the addresses that did not answer.
 	Unreachable []string `json:"unreachable"`
+	// Unasked are members that were not asked and that the asked ones did not see with the version; an instance learns
+	// the version of a member only from messages of that member, so it may have it.
+	Unasked []string `json:"unasked"`
 }
 
+// everywhere reports whether the version is known to be in force at every instance.
+func (p *published) everywhere() bool { return len(p.Behind)+len(p.Unreachable)+len(p.Unasked) == 0 }
+
 // Execute implements flags.Commander.
 func (c *publishCommand) Execute([]string) error {
 	ctx, stop := untilInterrupted()
@@ -72,6 +82,9 @@
 	if _, err := configurer.Parse(c.Args.File, text); err != nil {
 		return refused(c.Args.File, err)
 	}
+	if err := c.addresses(); err != nil {
+		return err
+	}
 	pctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
 	version, err := c.publish(pctx, c.Log, c.Base, c.author(), text)
@@ -85,8 +98,32 @@
 	if err := c.print(p); err != nil {
 		return err
 	}
-	if len(p.Behind)+len(p.Unreachable) > 0 {
-		return &exitError{exitNotEverywhere, fmt.Errorf("version %d is published but not in force everywhere yet", version)}
+	if !p.everywhere() {
+		return &exitError{exitNotEverywhere, fmt.Errorf("version %d is published but not known to be in force everywhere yet", version)}
+	}
+	return nil
+}
+
+// addresses fills in the addresses that the questionnaire has.
+func (c *publishCommand) addresses() error {
+	if c.Answers != "" {
+		text, err := readFile(c.Answers)
+		if err != nil {
+			return err
+		}
+		a, err := questioner.Parse(c.Answers, text)
+		if err != nil {
+			return err
+		}
+		if c.Log == "" {
+			c.Log = a.Platform.Log
+		}
+		for _, n := range a.Instances {
+			c.Instances = append(c.Instances, n.Listen)
+		}
+	}
+	if c.Log == "" {
+		return &exitError{exitUsage, errors.New("give --log or --answers")}
 	}
 	return nil
 }
@@ -107,7 +144,7 @@
 	defer cancel()
 	for {
 		p := inForce(context.WithoutCancel(ctx), c.Instances, version)
-		if len(p.Behind)+len(p.Unreachable) == 0 {
+		if p.everywhere() {
 			return p
 		}
 		t := time.NewTimer(pollPeriod)
@@ -120,11 +157,11 @@
 	}
 }
 
-// inForce asks the instances, and through them all members, for their versions.
+// inForce asks the instances for their versions; what they see of other members is only a hint.
 func inForce(ctx context.Context, addrs []string, version int64) *published {
 	client := &inquirer.Client{}
-	p := &published{Version: version, InForce: []string{}, Behind: map[string]int64{}, Unreachable: []string{}}
-	seen := map[string]int64{}
+	p := &published{Version: version, InForce: []string{}, Behind: map[string]int64{}, Unreachable: []string{}, Unasked: []string{}}
+	asked, seen := map[string]int64{}, map[string]int64{}
 	for _, a := range addrs {
 		st, err := client.Status(ctx, a)
 		if err != nil {
@@ -135,36 +172,53 @@
 		if name == "" {
 			name = a
 		}
-		seen[name] = max(seen[name], st.ConfigVersion)
+		asked[name] = st.ConfigVersion
 		for _, m := range st.Members {
 			if m.State != "dead" && m.State != "left" {
 				seen[m.ID] = max(seen[m.ID], m.ConfigVersion)
 			}
 		}
 	}
+	p.sort(asked, seen)
+	return p
+}
+
+// sort puts each instance where it belongs.
+func (p *published) sort(asked, seen map[string]int64) {
+	for id, v := range asked {
+		if v < p.Version {
+			p.Behind[id] = v
+		}
+		seen[id] = v
+	}
 	for id, v := range seen {
-		if v >= version {
+		_, ok := asked[id]
+		switch {
+		case v >= p.Version:
 			p.InForce = append(p.InForce, id)
-		} else {
-			p.Behind[id] = v
+		case !ok:
+			p.Unasked = append(p.Unasked, id)
 		}
 	}
-	return p
+	slices.Sort(p.InForce)
+	slices.Sort(p.Unasked)
 }
 
 func (c *publishCommand) print(p *published) error {
-	slices.Sort(p.InForce)
 	if c.JSON {
 		return c.json(p)
 	}
 	out := fmt.Sprintf("published as version %d\n", p.Version)
 	if len(c.Instances) == 0 {
-		return c.text(out + "no --instance given: whether it is in force was not looked at\n")
+		return c.text(out + "neither --instance nor --answers given: whether it is in force was not looked at\n")
 	}
 	out += fmt.Sprintf("in force at %d: %s\n", len(p.InForce), list(p.InForce))
 	for _, id := range slices.Sorted(maps.Keys(p.Behind)) {
 		out += fmt.Sprintf("not yet at %s: it has version %d\n", id, p.Behind[id])
 	}
+	if len(p.Unasked) > 0 {
+		out += fmt.Sprintf("not known at %s: give its address with --instance, or --answers\n", list(p.Unasked))
+	}
 	for _, a := range p.Unreachable {
 		out += fmt.Sprintf("not known at %s: it did not answer\n", a)
 	}
--- a/cmd/papayaworks/serve_test.go
+++ b/cmd/papayaworks/serve_test.go
@@ -34,16 +34,16 @@
 	out, _ = command(t, exitOK, "diff", "--instance", addr, file)
 	require.Contains(t, out, "accounts[cutters].share: 26 -> 20")
 	base := strconv.FormatInt(dep.Instances[0].Server.View().ConfigVersion, 10)
-	args := []string{"publish", file, "--log", dep.Log.Addr, "--base", base, "--author", "asha", "--wait", "20s"}
-	for _, a := range dep.Addresses() {
-		args = append(args, "--instance", a)
-	}
+	args := []string{"publish", file, "--answers", write(t, "answers.toml", answers), "--base", base, "--author", "asha", "--wait", "20s"}
 	out, _ = command(t, exitOK, args...)
 	require.Contains(t, out, "in force at 7: medina-1")
 	_, errs := command(t, exitLostRace, args...)
 	require.Contains(t, errs, "by asha")
 	out, _ = command(t, exitOK, "status", "--instance", addr)
 	require.Contains(t, out, "drafting-12")
+	for _, part := range []string{"leases (", "limits (10)", "links (15)", "load.running"} {
+		require.Contains(t, out, part)
+	}
 
 	c := &caller.Client{Addresses: []string{addr}, Key: demonstrator.Key("cutters")}
 	ans, err := c.Chat(ctx, caller.Chat{Model: "drafting", MaxTokens: 4, Messages: []caller.Message{{Role: "user", Content: strings.Repeat("sleeve ", 2000)}}})
