docs(configuration): page generated from the types' tags

Keys had no described meaning. Every key of the settings and the configuration now has a comment tag, from which docs/configuration.md and the comments of generated files are made; a test fails if the page differs.

--- /dev/null
+++ b/internal/documenter/documenter.go
@@ -0,0 +1,121 @@
+// Package documenter writes the page of the settings and the configuration from their types.
+//
+// The keys, their meaning and their defaults come from the tags and the
+// defaults of package configurer, so that the page cannot differ from what the
+// program accepts. A test compares the committed page with this one.
+//
+// # Usage
+//
+//	go test ./internal/documenter -run TestConfigurationPage -update
+package documenter
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+
+	"github.com/papayaworks/papayaworks/pkg/configurer"
+)
+
+const introduction = `# Settings and configuration
+
+An instance reads its **settings** once, from the file given to ` + "`papayaworks run --config`" + `. The **configuration** belongs to
+the whole deployment: it is published on the platform's log, and every instance adopts the same version. Both are TOML
+with camelCase keys. An unknown key, a wrong type and a value out of range are errors, and all of them are reported at
+once, each with file and line, key, value and what is allowed (` + "`papayaworks check`" + `).
+
+Operators write neither by hand: both are made from the questionnaire (` + "`papayaworks generate`" + `).
+
+This page is generated: ` + "`go test ./internal/documenter -run TestConfigurationPage -update`" + ` rewrites it.
+`
+
+// Page returns docs/configuration.md.
+func Page() string {
+	var b strings.Builder
+	b.WriteString(introduction)
+	s := new(configurer.Settings)
+	s.SetDefaults()
+	section(&b, "Settings of an instance", reflect.ValueOf(s).Elem())
+	c := &configurer.Config{
+		DataCentres: make([]configurer.DataCentre, 1), Models: make([]configurer.Model, 1), Stores: make([]configurer.Store, 1),
+		Targets: make([]configurer.Target, 1), Accounts: make([]configurer.Account, 1),
+		Services: []configurer.Service{{Operations: make([]configurer.Operation, 1)}},
+	}
+	c.SetDefaults()
+	section(&b, "Published configuration", reflect.ValueOf(c).Elem())
+	return b.String()
+}
+
+// section writes the tables of a structure; the values of v are the defaults.
+func section(b *strings.Builder, title string, v reflect.Value) {
+	fmt.Fprintf(b, "\n## %s\n", title)
+	var own []string
+	for i := range v.NumField() {
+		if f := v.Type().Field(i); !isTable(f.Type) {
+			own = append(own, row(f, v.Field(i)))
+		}
+	}
+	if len(own) > 0 {
+		head(b, own)
+	}
+	tables(b, "", v)
+}
+
+// tables writes the tables in v, each before those inside it.
+func tables(b *strings.Builder, parent string, v reflect.Value) {
+	for i := range v.NumField() {
+		f := v.Type().Field(i)
+		if !isTable(f.Type) {
+			continue
+		}
+		name, e := parent+f.Tag.Get("toml"), v.Field(i)
+		title := "[" + name + "]"
+		if f.Type.Kind() == reflect.Slice {
+			title, e = "["+title+"]", e.Index(0)
+		}
+		fmt.Fprintf(b, "\n### `%s`\n\n%s\n", title, f.Tag.Get("comment"))
+		var rows []string
+		for j := range e.NumField() {
+			if k := e.Type().Field(j); !isTable(k.Type) {
+				rows = append(rows, row(k, e.Field(j)))
+			}
+		}
+		head(b, rows)
+		tables(b, name+".", e)
+	}
+}
+
+func head(b *strings.Builder, rows []string) {
+	b.WriteString("\n| key | type | default | meaning |\n|---|---|---|---|\n" + strings.Join(rows, ""))
+}
+
+func row(f reflect.StructField, v reflect.Value) string {
+	return fmt.Sprintf("| `%s` | %s | %s | %s |\n", f.Tag.Get("toml"), kind(f.Type), standard(v), f.Tag.Get("comment"))
+}
+
+func isTable(t reflect.Type) bool {
+	return t.Kind() == reflect.Struct || (t.Kind() == reflect.Slice && t.Elem().Kind() == reflect.Struct)
+}
+
+func kind(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.Slice:
+		return "list of " + kind(t.Elem()) + "s"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.String:
+		return "string"
+	}
+	return "whole number"
+}
+
+// standard returns the default of a key; zero values are what a key has that is left out.
+func standard(v reflect.Value) string {
+	switch {
+	case v.Kind() == reflect.Bool:
+		return fmt.Sprint(v.Bool())
+	case v.IsZero():
+		return ""
+	}
+	return fmt.Sprintf("`%v`", v.Interface())
+}
--- a/pkg/configurer/configurer.go
+++ b/pkg/configurer/configurer.go
@@ -20,94 +20,93 @@
 
 // Settings are the settings of one instance.
 type Settings struct {
-	Instance Instance `toml:"instance" comment:"Who this process is and where it listens."`
-	Platform Platform `toml:"platform" comment:"Addresses of the platform's services."`
-	TLS      TLS      `toml:"tls" comment:"Certificates between instances."`
-	Keys     Keys     `toml:"keys" comment:"Keys of the tokens that callers carry."`
-	Logging  Logging  `toml:"logging" comment:"Logs and time-line events."`
-	// Configuration is a file with a first configuration, used until one was read from the log or a peer.
-	Configuration string `toml:"configuration"`
+	Instance      Instance `toml:"instance" comment:"Who this process is and where it listens."`
+	Platform      Platform `toml:"platform" comment:"Addresses of the platform's services."`
+	TLS           TLS      `toml:"tls" comment:"Certificates between instances."`
+	Keys          Keys     `toml:"keys" comment:"Keys of the tokens that callers carry."`
+	Logging       Logging  `toml:"logging" comment:"Logs and time-line events."`
+	Configuration string   `toml:"configuration" comment:"File with a first configuration, used until one was read from the log or a peer; may be empty."`
 }
 
 // Instance names the process and its addresses.
 type Instance struct {
-	ID         string   `toml:"id"`
-	DataCentre string   `toml:"dataCentre"`
-	Listen     string   `toml:"listen"`
-	PeerListen string   `toml:"peerListen"`
-	Seeds      []string `toml:"seeds"`
+	ID         string   `toml:"id" comment:"Name of the instance, unique in the deployment; no spaces, slashes or quotes."`
+	DataCentre string   `toml:"dataCentre" comment:"Data centre that the instance is in; one of dataCentres of the configuration."`
+	Listen     string   `toml:"listen" comment:"IP address and port for callers and admin pages."`
+	PeerListen string   `toml:"peerListen" comment:"IP address and UDP port for other instances; empty: the instance stands alone."`
+	Seeds      []string `toml:"seeds" comment:"peerListen of some other instances, to join by while the platform's list is not reachable."`
 }
 
 // Platform holds the addresses of the platform's services.
 type Platform struct {
-	Log  string `toml:"log"`
-	List string `toml:"list"`
+	Log  string `toml:"log" comment:"IP address and port of the platform's log; empty: no configuration is followed and calls that may not be repeated are refused."`
+	List string `toml:"list" comment:"IP address and port of the platform's list of instances and targets; may be empty."`
 }
 
 // TLS names the files of the certificates between instances; all empty means a fresh self-signed one for tests.
 type TLS struct {
-	Certificate string `toml:"certificate"`
-	Key         string `toml:"key"`
-	Authority   string `toml:"authority"`
+	Certificate string `toml:"certificate" comment:"PEM file of the instance's certificate."`
+	Key         string `toml:"key" comment:"PEM file of its private key."`
+	Authority   string `toml:"authority" comment:"PEM file of the authority that signs the certificates of all instances."`
 }
 
 // Keys holds the hexadecimal keys of callers' tokens; the first signs, all verify.
 type Keys struct {
-	Token []string `toml:"token"`
+	Token []string `toml:"token" comment:"Secret keys of at least 32 bytes in hexadecimal, the same at every instance; the first signs, all verify."`
 }
 
 // Logging says what is logged and where events go.
 type Logging struct {
-	Level     string `toml:"level"`
-	EventFile string `toml:"eventFile"`
+	Level     string `toml:"level" comment:"debug, info, warning or error."`
+	EventFile string `toml:"eventFile" comment:"File to which time-line events are appended, one JSON object a line; may be empty."`
 }
 
 // Config is the published configuration of a deployment.
 type Config struct {
-	Deployment  Deployment   `toml:"deployment"`
-	DataCentres []DataCentre `toml:"dataCentres"`
-	Models      []Model      `toml:"models"`
-	Stores      []Store      `toml:"stores"`
-	Targets     []Target     `toml:"targets"`
-	Services    []Service    `toml:"services"`
-	Accounts    []Account    `toml:"accounts"`
-	Limits      Limits       `toml:"limits"`
-	Ledger      Ledger       `toml:"ledger"`
-	Timing      Timing       `toml:"timing"`
+	Deployment  Deployment   `toml:"deployment" comment:"The deployment as a whole."`
+	DataCentres []DataCentre `toml:"dataCentres" comment:"The data centres."`
+	Models      []Model      `toml:"models" comment:"The models that engines serve."`
+	Stores      []Store      `toml:"stores" comment:"The stores that keep context."`
+	Targets     []Target     `toml:"targets" comment:"The targets: model engines and machines of plain services."`
+	Services    []Service    `toml:"services" comment:"The plain services."`
+	Accounts    []Account    `toml:"accounts" comment:"The client accounts."`
+	Limits      Limits       `toml:"limits" comment:"Bounds of one request."`
+	Ledger      Ledger       `toml:"ledger" comment:"The ledger of calls that may not be repeated."`
+	Timing      Timing       `toml:"timing" comment:"Periods of control work."`
 }
 
 // Deployment names the deployment.
 type Deployment struct {
-	Name string `toml:"name"`
+	Name string `toml:"name" comment:"Name of the deployment."`
 }
 
 // DataCentre is one data centre and its region.
 type DataCentre struct {
-	Name   string `toml:"name"`
-	Region string `toml:"region"`
+	Name   string `toml:"name" comment:"Name of the data centre, unique."`
+	Region string `toml:"region" comment:"Region that it is in."`
 }
 
 // Model is one model and the weight version that its targets are wanted to serve.
 type Model struct {
-	Name                   string `toml:"name"`
-	Version                int64  `toml:"version"`
-	PrefillTokensPerSecond int    `toml:"prefillTokensPerSecond"`
-	DecodeTokensPerSecond  int    `toml:"decodeTokensPerSecond"`
-	ContextTokens          int    `toml:"contextTokens"`
-	BytesPerToken          int    `toml:"bytesPerToken"`
-	LoadMs                 int    `toml:"loadMs"`
+	Name                   string `toml:"name" comment:"Name that callers give in model, unique."`
+	Version                int64  `toml:"version" comment:"Weight version that the engines should serve, from 1."`
+	PrefillTokensPerSecond int    `toml:"prefillTokensPerSecond" comment:"Tokens of a prompt that one engine computes in a second."`
+	DecodeTokensPerSecond  int    `toml:"decodeTokensPerSecond" comment:"Tokens of one answer that an engine writes in a second."`
+	ContextTokens          int    `toml:"contextTokens" comment:"Tokens that a prompt and its answer may have together."`
+	BytesPerToken          int    `toml:"bytesPerToken" comment:"Bytes of cache that one token takes."`
+	LoadMs                 int    `toml:"loadMs" comment:"Milliseconds in which an engine loads the weights."`
 }
 
 // Store is one store instance with the rate of the link in front of it.
 type Store struct {
-	ID             string `toml:"id"`
-	Address        string `toml:"address"`
-	DataCentre     string `toml:"dataCentre"`
-	MemoryMiB      int    `toml:"memoryMiB"`
-	DiskMiB        int    `toml:"diskMiB"`
-	LinkMiBPerSec  int    `toml:"linkMiBPerSecond"`
-	DiskMiBPerSec  int    `toml:"diskMiBPerSecond"`
-	DisabledReason string `toml:"disabledReason"`
+	ID             string `toml:"id" comment:"Name of the store, unique."`
+	Address        string `toml:"address" comment:"IP address and port."`
+	DataCentre     string `toml:"dataCentre" comment:"Data centre that it is in."`
+	MemoryMiB      int    `toml:"memoryMiB" comment:"MiB of its memory tier."`
+	DiskMiB        int    `toml:"diskMiB" comment:"MiB of its disk tier."`
+	LinkMiBPerSec  int    `toml:"linkMiBPerSecond" comment:"MiB a second of the link in front of it."`
+	DiskMiBPerSec  int    `toml:"diskMiBPerSecond" comment:"MiB a second of its disk."`
+	DisabledReason string `toml:"disabledReason" comment:"Why it is not used; empty: it is used."`
 }
 
 // The kinds of targets.
@@ -118,68 +117,68 @@
 
 // Target is one back end: a model engine or a plain service.
 type Target struct {
-	ID             string   `toml:"id"`
-	Address        string   `toml:"address"`
-	DataCentre     string   `toml:"dataCentre"`
-	Kind           string   `toml:"kind"`
-	Models         []string `toml:"models"`
-	Services       []string `toml:"services"`
-	Store          string   `toml:"store"`
-	Slots          int      `toml:"slots"`
-	CacheBlocks    int      `toml:"cacheBlocks"`
-	ChecksFencing  bool     `toml:"checksFencing"`
-	Leaving        bool     `toml:"leaving"`
-	MaxQueueLength int      `toml:"maxQueueLength"`
+	ID             string   `toml:"id" comment:"Name of the target, unique."`
+	Address        string   `toml:"address" comment:"IP address and port."`
+	DataCentre     string   `toml:"dataCentre" comment:"Data centre that it is in."`
+	Kind           string   `toml:"kind" comment:"engine or service."`
+	Models         []string `toml:"models" comment:"Models that an engine serves; at least one."`
+	Services       []string `toml:"services" comment:"Plain services that a service target offers; at least one."`
+	Store          string   `toml:"store" comment:"Store beside it; may be empty."`
+	Slots          int      `toml:"slots" comment:"Requests that it works on at a time."`
+	CacheBlocks    int      `toml:"cacheBlocks" comment:"Blocks of about 2,000 tokens that an engine's cache holds."`
+	ChecksFencing  bool     `toml:"checksFencing" comment:"Whether it refuses commands with an old fencing number."`
+	Leaving        bool     `toml:"leaving" comment:"Whether it gets no new work."`
+	MaxQueueLength int      `toml:"maxQueueLength" comment:"Requests that may wait at it."`
 }
 
 // Service is one plain service and its operations.
 type Service struct {
-	Name       string      `toml:"name"`
-	Operations []Operation `toml:"operations"`
+	Name       string      `toml:"name" comment:"Name in /v1/services/NAME, unique."`
+	Operations []Operation `toml:"operations" comment:"The operations of the service."`
 }
 
 // Operation is one operation of a plain service.
 type Operation struct {
-	Name       string `toml:"name"`
-	Repeatable bool   `toml:"repeatable"`
-	DeadlineMs int    `toml:"deadlineMs"`
+	Name       string `toml:"name" comment:"Name of the operation, unique in the service."`
+	Repeatable bool   `toml:"repeatable" comment:"Whether it may run twice without harm; if not, callers must send an Idempotency-Key."`
+	DeadlineMs int    `toml:"deadlineMs" comment:"Milliseconds that a call may take."`
 }
 
 // Account is one client account, its weight under overload and its limits.
 type Account struct {
-	Name              string `toml:"name"`
-	KeySHA256         string `toml:"keySHA256"`
-	Share             int    `toml:"share"`
-	Priority          int    `toml:"priority"`
-	FirstTokenMs      int    `toml:"firstTokenMs"`
-	DeadlineMs        int    `toml:"deadlineMs"`
-	RequestsPerSecond int    `toml:"requestsPerSecond"`
-	TokensPerSecond   int    `toml:"tokensPerSecond"`
-	Streams           int    `toml:"streams"`
+	Name              string `toml:"name" comment:"Name of the account, unique."`
+	KeySHA256         string `toml:"keySHA256" comment:"SHA-256 of the account's API key in hexadecimal, unique."`
+	Share             int    `toml:"share" comment:"Weight of the account when there is less capacity than everybody wants."`
+	Priority          int    `toml:"priority" comment:"Engines begin waiting requests with a higher priority earlier."`
+	FirstTokenMs      int    `toml:"firstTokenMs" comment:"Target of the time to first token in milliseconds."`
+	DeadlineMs        int    `toml:"deadlineMs" comment:"Milliseconds after which an answer is of no use; at least firstTokenMs."`
+	RequestsPerSecond int    `toml:"requestsPerSecond" comment:"Requests a second that are accepted in the whole deployment."`
+	TokensPerSecond   int    `toml:"tokensPerSecond" comment:"Tokens of prompts and answers a second that are accepted in the whole deployment."`
+	Streams           int    `toml:"streams" comment:"Answers at a time."`
 }
 
 // Limits bounds what one request may use.
 type Limits struct {
-	MaxBodyBytes      int `toml:"maxBodyBytes"`
-	MaxOutputTokens   int `toml:"maxOutputTokens"`
-	StreamBufferBytes int `toml:"streamBufferBytes"`
+	MaxBodyBytes      int `toml:"maxBodyBytes" comment:"Bytes of a request's body; at least 1024."`
+	MaxOutputTokens   int `toml:"maxOutputTokens" comment:"Tokens of an answer; at least 1."`
+	StreamBufferBytes int `toml:"streamBufferBytes" comment:"Bytes that a slow reader may be behind before it is disconnected; at least 4096."`
 }
 
 // Ledger configures the ledger of calls that may not be repeated.
 type Ledger struct {
-	Partitions       int `toml:"partitions"`
-	RetentionMinutes int `toml:"retentionMinutes"`
-	AppendsPerSecond int `toml:"appendsPerSecond"`
+	Partitions       int `toml:"partitions" comment:"Log streams that keys are divided into, from 1 to 256; every instance must have the same."`
+	RetentionMinutes int `toml:"retentionMinutes" comment:"Minutes that the log keeps records; at least 20."`
+	AppendsPerSecond int `toml:"appendsPerSecond" comment:"Appends a second that all instances together may send."`
 }
 
 // Timing holds the periods of control work.
 type Timing struct {
-	GossipMs      int `toml:"gossipMs"`
-	LoadReportMs  int `toml:"loadReportMs"`
-	ListMs        int `toml:"listMs"`
-	LeaseMs       int `toml:"leaseMs"`
-	DrainMs       int `toml:"drainMs"`
-	SnapshotHours int `toml:"snapshotHours"`
+	GossipMs      int `toml:"gossipMs" comment:"Milliseconds between two messages of an instance to its peers; at least 10."`
+	LoadReportMs  int `toml:"loadReportMs" comment:"Milliseconds between two reads of a target's load; at least 10."`
+	ListMs        int `toml:"listMs" comment:"Milliseconds between two reads of the platform's list; at least 10."`
+	LeaseMs       int `toml:"leaseMs" comment:"Milliseconds that a lease lasts; at least 500."`
+	DrainMs       int `toml:"drainMs" comment:"Milliseconds that a stopping instance waits for its requests; at least 1000."`
+	SnapshotHours int `toml:"snapshotHours" comment:"Hours after which the configuration is written to the log again; at least 1."`
 }
 
 // Milliseconds converts a setting in milliseconds.
