feat(questioner): leaving targets and disabled stores as answers

A target could be drained only by editing the generated configuration. The questionnaire now asks for it, and answers by which every target of a model or service leaves are refused.

--- a/internal/differ/meaning.go
+++ b/internal/differ/meaning.go
@@ -54,7 +54,7 @@
 	"limits.maxBodyBytes":            "larger bodies are refused with tooLarge",
 	"limits.maxOutputTokens":         "longer answers than this cannot be asked for",
 	"limits.streamBufferBytes":       "a reader that is slower than its stream by more than this is disconnected and continues",
-	"ledger.partitions":              "calls that may not be repeated move to other log streams; a key that is in use at the change must not be retried",
+	"ledger.partitions":              "the number of partitions cannot change while the deployment runs: publish refuses it",
 	"ledger.retentionMinutes":        "idempotency keys older than this are refused",
 }
 
--- a/internal/questioner/answers.go
+++ b/internal/questioner/answers.go
@@ -28,7 +28,7 @@
 	List                string  `toml:"list" ask:"At which IP address and port is the platform's list of instances?"`
 	LogRetentionHours   float64 `toml:"logRetentionHours" ask:"For how many hours does the log keep records?"`
 	LogAppendsPerSecond int     `toml:"logAppendsPerSecond" ask:"How many appends a second does the log take in all? Half of them are planned for."`
-	Certificates        string  `toml:"certificates" ask:"In which directory does each instance find instance.crt, instance.key and authority.crt? Empty: a fresh self-signed certificate, for trials only."`
+	Certificates        string  `toml:"certificates" ask:"In which directory does each instance find instance.crt, instance.key and authority.crt? Empty: the instances do not join each other, for trials only."`
 }
 
 // DataCentre holds the answers about one data centre.
@@ -78,6 +78,7 @@
 	DiskMiB          int    `toml:"diskMiB" ask:"How many MiB of disk does it offer?"`
 	LinkMiBPerSecond int    `toml:"linkMiBPerSecond" ask:"How many MiB a second does the link in front of it carry?"`
 	DiskMiBPerSecond int    `toml:"diskMiBPerSecond" ask:"How many MiB a second does its disk deliver?"`
+	DisabledReason   string `toml:"disabledReason" ask:"If it should not be used for now: why? Empty: it is used."`
 }
 
 // Target holds the answers about one target.
@@ -91,6 +92,7 @@
 	ParallelRuns  int      `toml:"parallelRuns" ask:"How many requests does it work on at a time?"`
 	CacheBlocks   int      `toml:"cacheBlocks" ask:"How many blocks of about 2,000 tokens does its cache hold? 0 for a plain service."`
 	ChecksFencing bool     `toml:"checksFencing" ask:"Does it refuse commands with an old fencing number?"`
+	Leaving       bool     `toml:"leaving" ask:"Should it get no new work, because it will be stopped or replaced?"`
 }
 
 // Instance holds the answers about one entry instance.
--- a/internal/questioner/capacity.go
+++ b/internal/questioner/capacity.go
@@ -140,6 +140,9 @@
 		}
 	}
 	for _, t := range a.engines(m.Name) {
+		if t.Leaving {
+			continue
+		}
 		d.PrefillCapacity += float64(m.PrefillTokensPerSecond) / float64(len(t.Models))
 		d.DecodeCapacity += float64(m.DecodeTokensPerSecond*t.ParallelRuns) / float64(len(t.Models))
 	}
--- a/internal/questioner/generate.go
+++ b/internal/questioner/generate.go
@@ -130,8 +130,9 @@
 		g.cfg.Stores = append(g.cfg.Stores, configurer.Store{
 			ID: s.ID, Address: s.Address, DataCentre: s.DataCentre, MemoryMiB: s.MemoryMiB, DiskMiB: s.DiskMiB,
 			LinkMiBPerSec: s.LinkMiBPerSecond, DiskMiBPerSec: s.DiskMiBPerSecond,
+			DisabledReason: s.DisabledReason,
 		})
-		g.same("stores", i, "id", "address", "dataCentre", "memoryMiB", "diskMiB", "linkMiBPerSecond", "diskMiBPerSecond")
+		g.same("stores", i, "id", "address", "dataCentre", "memoryMiB", "diskMiB", "linkMiBPerSecond", "diskMiBPerSecond", "disabledReason")
 	}
 	g.targets()
 	g.services()
@@ -152,13 +153,14 @@
 		c := configurer.Target{
 			ID: t.ID, Address: t.Address, DataCentre: t.DataCentre, Kind: configurer.KindEngine, Models: t.Models,
 			Services: t.Services, Store: t.Store, Slots: t.ParallelRuns, CacheBlocks: t.CacheBlocks, ChecksFencing: t.ChecksFencing,
+			Leaving: t.Leaving,
 		}
 		kind := "models"
 		if len(t.Services) > 0 {
 			c.Kind, kind = configurer.KindService, "services"
 		}
 		g.cfg.Targets = append(g.cfg.Targets, c)
-		g.same("targets", i, "id", "address", "dataCentre", "models", "services", "store", "checksFencing")
+		g.same("targets", i, "id", "address", "dataCentre", "models", "services", "store", "checksFencing", "leaving")
 		if t.CacheBlocks > 0 {
 			g.same("targets", i, "cacheBlocks")
 		}
--- a/internal/questioner/questioner_test.go
+++ b/internal/questioner/questioner_test.go
@@ -76,11 +76,16 @@
 		"model without engine":          {func(a *Answers) { a.Models = append(a.Models, model("spare", 1)) }, "models[1].name", "no target serves this model"},
 		"conversation longer than fits": {func(a *Answers) { a.Models[0].ContextTokens = 4000 }, "applications[0].contextTokens", "shorten"},
 		"target of no kind":             {func(a *Answers) { a.Targets[0].Models = nil }, "targets[0].models", "fill in either"},
-		"unknown weight":                {func(a *Answers) { a.Deployment.WeighsMost = "cost" }, "deployment.weighsMost", "write firstToken or"},
-		"unknown horror":                {func(a *Answers) { a.Deployment.MustNeverHappen[0] = "rain" }, "deployment.mustNeverHappen[0]", "choose from"},
-		"wrong address":                 {func(a *Answers) { a.Targets[2].Address = "engine:1" }, "targets[2].address", "IP address"},
-		"deadline before first token":   {func(a *Answers) { a.Applications[0].DeadlineSeconds = 0.1 }, "applications[0].deadlineSeconds", "deadline after it"},
-		"log forgets":                   {func(a *Answers) { a.Platform.LogRetentionHours = 0 }, "platform.logRetentionHours", "at least 1 hour"},
+		"every engine leaves": {func(a *Answers) {
+			for i := range a.Targets {
+				a.Targets[i].Leaving = len(a.Targets[i].Models) > 0
+			}
+		}, "models[0].name", "all are leaving"},
+		"unknown weight":              {func(a *Answers) { a.Deployment.WeighsMost = "cost" }, "deployment.weighsMost", "write firstToken or"},
+		"unknown horror":              {func(a *Answers) { a.Deployment.MustNeverHappen[0] = "rain" }, "deployment.mustNeverHappen[0]", "choose from"},
+		"wrong address":               {func(a *Answers) { a.Targets[2].Address = "engine:1" }, "targets[2].address", "IP address"},
+		"deadline before first token": {func(a *Answers) { a.Applications[0].DeadlineSeconds = 0.1 }, "applications[0].deadlineSeconds", "deadline after it"},
+		"log forgets":                 {func(a *Answers) { a.Platform.LogRetentionHours = 0 }, "platform.logRetentionHours", "at least 1 hour"},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/questioner/verify.go
+++ b/internal/questioner/verify.go
@@ -133,13 +133,16 @@
 		}
 	}
 	for i, m := range v.a.Models {
-		if len(v.a.engines(m.Name)) == 0 {
-			v.add(fmt.Sprintf("models[%d].name", i), m.Name, "no target serves this model", "name it in a target's models or remove it")
+		engines := v.a.engines(m.Name)
+		if !slices.ContainsFunc(engines, func(t Target) bool { return !t.Leaving }) {
+			v.add(fmt.Sprintf("models[%d].name", i), m.Name, "no target serves this model, or all are leaving",
+				"name it in the models of a target that stays, or remove it")
 		}
 	}
 	for i, s := range v.a.Services {
-		if !slices.ContainsFunc(v.a.Targets, func(t Target) bool { return slices.Contains(t.Services, s.Name) }) {
-			v.add(fmt.Sprintf("services[%d].name", i), s.Name, "no target offers this service", "name it in a target's services or remove it")
+		if !slices.ContainsFunc(v.a.Targets, func(t Target) bool { return !t.Leaving && slices.Contains(t.Services, s.Name) }) {
+			v.add(fmt.Sprintf("services[%d].name", i), s.Name, "no target offers this service, or all are leaving",
+				"name it in the services of a target that stays, or remove it")
 		}
 	}
 }
--- a/pkg/configurer/configurer.go
+++ b/pkg/configurer/configurer.go
@@ -22,7 +22,7 @@
 type Settings struct {
 	Instance      Instance `toml:"instance" comment:"Who this process is and where it listens."`
 	Platform      Platform `toml:"platform" comment:"Addresses of the platform's services."`
-	TLS           TLS      `toml:"tls" comment:"Certificates between instances."`
+	TLS           TLS      `toml:"tls" comment:"Certificates between instances; all empty: the instance joins no other one."`
 	Keys          Keys     `toml:"keys" comment:"Keys of the tokens that callers carry."`
 	Logging       Logging  `toml:"logging" comment:"Logs and time-line events."`
 	Configuration string   `toml:"configuration" comment:"File with a first configuration, used until one was read from the log or a peer; may be empty."`
@@ -33,7 +33,7 @@
 	ID         string   `toml:"id" comment:"Name of the instance, unique in the deployment; no spaces, slashes or quotes."`
 	DataCentre string   `toml:"dataCentre" comment:"Data centre that the instance is in; one of dataCentres of the configuration."`
 	Listen     string   `toml:"listen" comment:"IP address and port for callers and admin pages."`
-	PeerListen string   `toml:"peerListen" comment:"IP address and UDP port for other instances; empty: the instance stands alone."`
+	PeerListen string   `toml:"peerListen" comment:"IP address and UDP port for other instances; empty: the instance joins no other one."`
 	Seeds      []string `toml:"seeds" comment:"peerListen of some other instances, to join by while the platform's list is not reachable."`
 }
 
@@ -43,7 +43,7 @@
 	List string `toml:"list" comment:"IP address and port of the platform's list of instances and targets; may be empty."`
 }
 
-// TLS names the files of the certificates between instances; all empty means a fresh self-signed one for tests.
+// TLS names the files of the certificates between instances; without them the instance joins no other one.
 type TLS struct {
 	Certificate string `toml:"certificate" comment:"PEM file of the instance's certificate."`
 	Key         string `toml:"key" comment:"PEM file of its private key."`
@@ -127,7 +127,7 @@
 	Slots          int      `toml:"slots" comment:"Requests that it works on at a time."`
 	CacheBlocks    int      `toml:"cacheBlocks" comment:"Blocks of about 2,000 tokens that an engine's cache holds."`
 	ChecksFencing  bool     `toml:"checksFencing" comment:"Whether it refuses commands with an old fencing number."`
-	Leaving        bool     `toml:"leaving" comment:"Whether it gets no new work."`
+	Leaving        bool     `toml:"leaving" comment:"Whether it gets no new work, because it will be stopped or replaced."`
 	MaxQueueLength int      `toml:"maxQueueLength" comment:"Requests that may wait at it."`
 }
 
@@ -166,7 +166,7 @@
 
 // Ledger configures the ledger of calls that may not be repeated.
 type Ledger struct {
-	Partitions       int `toml:"partitions" comment:"Log streams that keys are divided into, from 1 to 256; every instance must have the same."`
+	Partitions       int `toml:"partitions" comment:"Log streams that keys are divided into, from 1 to 256; cannot change while the deployment runs."`
 	RetentionMinutes int `toml:"retentionMinutes" comment:"Minutes that the log keeps records; at least 20."`
 	AppendsPerSecond int `toml:"appendsPerSecond" comment:"Appends a second that all instances together may send."`
 }
