--- a/internal/exporter/exporter.go
+++ b/internal/exporter/exporter.go
@@ -36,8 +36,11 @@
 	UsedTargets = "papayaworks_targets_usable"
 )
 
-// Answered is the outcome of a request that got its whole answer; every other outcome is an error code.
-const Answered = "answered"
+// The outcomes beside the error codes: the whole answer was sent, or the caller closed the connection before.
+const (
+	Answered   = "answered"
+	CallerGone = "callerGone"
+)
 
 // The places that the tokens of a prompt come from.
 const (
@@ -125,7 +128,7 @@
 }
 
 var all = []metric{
-	{Requests, "counter", "outcome", "requests by outcome: answered, or the code of the error that the caller got"},
+	{Requests, "counter", "outcome", "requests by outcome: answered, callerGone (the caller closed the connection before the end), or the code of the error that the caller got"},
 	{FirstToken, "histogram", "le", "seconds from the arrival of a request to the first piece of its answer"},
 	{Tokens, "counter", "source", "tokens of prompts by where their context came from: recomputed, cached on the engine, or imported from a store"},
 	{Decisions, "counter", "step, reason", "decisions of the request path by step (admit, route, dispatch, keep) and reason"},
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -49,3 +49,11 @@
 		s.metrics.Prompt(r.Start.RecomputedTokens, r.Start.CachedTokens, r.Start.ImportedTokens)
 	}
 }
+
+// outcomeOf names the end of a request that failed; a caller that went away is no fault of the instance.
+func outcomeOf(r *request.Request, e *request.Error) string {
+	if r.HTTP.Context().Err() != nil {
+		return exporter.CallerGone
+	}
+	return string(e.Code)
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -258,7 +258,7 @@
 		re = request.Fail(http.StatusInternalServerError, request.CodeInternal, "%v", err)
 	}
 	s.record(r, "failed", st.String(), err.Error())
-	s.measure(r, string(re.Code))
+	s.measure(r, outcomeOf(r, re))
 	logger.WithError(s.Log, err).WithField("request", r.ID).WithField("step", st.String()).Info("request failed")
 	if r.Pieces > 0 || r.Finished || r.HTTP.Context().Err() != nil {
 		return
