fix(questioner): shares in hundredths of a percent

Whole percents allowed at most 100 accounts, while the design scale has 1,200. sharePercent is now a number of at least 0.01, and the configured share counts hundredths.

--- a/internal/inquirer/render.go
+++ b/internal/inquirer/render.go
@@ -37,15 +37,15 @@
 
 // totals writes the versions in force and what each data centre has.
 func (s *Status) totals(b *strings.Builder) {
-	versions := map[int64][]string{}
+	fmt.Fprintf(b, "configuration version %d in force at: %s\n", s.ConfigVersion, s.Instance)
+	seen := map[int64][]string{}
 	for _, m := range s.Members {
-		versions[m.ConfigVersion] = append(versions[m.ConfigVersion], m.ID)
-	}
-	if len(versions) == 0 {
-		versions[s.ConfigVersion] = []string{s.Instance}
+		if m.ID != s.Instance && m.State != "dead" && m.State != "left" {
+			seen[m.ConfigVersion] = append(seen[m.ConfigVersion], m.ID)
+		}
 	}
-	for _, v := range slices.Sorted(maps.Keys(versions)) {
-		fmt.Fprintf(b, "configuration version %d in force at: %s\n", v, strings.Join(versions[v], ", "))
+	for _, v := range slices.Sorted(maps.Keys(seen)) {
+		fmt.Fprintf(b, "configuration version %d last seen at: %s\n", v, strings.Join(seen[v], ", "))
 	}
 	centres := map[string][2]int{}
 	for i, part := range []string{"members", "targets"} {
--- a/internal/questioner/answers.go
+++ b/internal/questioner/answers.go
@@ -122,7 +122,7 @@
 	Callers               string   `toml:"callers" ask:"Who are its callers?"`
 	KeySHA256             string   `toml:"keySHA256" ask:"What is the SHA-256 of its API key, in hexadecimal? The key itself is never written down here."`
 	Applications          []string `toml:"applications" ask:"Which kinds of work does it do? Its requests are taken to be spread over them evenly."`
-	SharePercent          int      `toml:"sharePercent" ask:"Which part of the capacity is it due when everybody wants more than there is? All accounts together at most 100."`
+	SharePercent          float64  `toml:"sharePercent" ask:"Which part of the capacity is it due when everybody wants more than there is? At least 0.01, all accounts together at most 100."`
 	RequestsPerSecond     float64  `toml:"requestsPerSecond" ask:"How many requests a second are promised to be on time? All accounts together must fit the engines."`
 	PeakRequestsPerSecond float64  `toml:"peakRequestsPerSecond" ask:"How many requests a second may it send while others leave room? More are refused at once."`
 }
--- a/internal/questioner/capacity.go
+++ b/internal/questioner/capacity.go
@@ -8,9 +8,12 @@
 
 const (
 	// whole is the sum that the accounts' shares may reach.
-	whole     = 100
-	msPerSec  = 1000
-	bytePerMi = 1 << 20
+	whole = 100
+	// hundredths is how many units of a configured share a percent has; 1,200 accounts need less than 1% each.
+	hundredths = 100
+	leastShare = 1.0 / hundredths
+	msPerSec   = 1000
+	bytePerMi  = 1 << 20
 )
 
 func (v *verifier) applications() {
@@ -92,7 +95,7 @@
 }
 
 func (v *verifier) accounts() {
-	sum := 0
+	sum := 0.0
 	for i, c := range v.a.Accounts {
 		key := fmt.Sprintf("accounts[%d].", i)
 		sum += c.SharePercent
@@ -108,16 +111,16 @@
 				v.add(fmt.Sprintf("%sapplications[%d]", key, j), n, "no such application", "add it to applications or correct the name")
 			}
 		}
-		if c.SharePercent < 1 {
-			v.add(key+"sharePercent", c.SharePercent, "account "+c.Name+" would get nothing under load", "give at least 1")
+		if c.SharePercent < leastShare {
+			v.add(key+"sharePercent", c.SharePercent, "account "+c.Name+" would get nothing under load", "give at least 0.01")
 		}
 		if c.RequestsPerSecond <= 0 || c.PeakRequestsPerSecond < c.RequestsPerSecond {
 			v.add(key+"requestsPerSecond", c.RequestsPerSecond, "the promised rate must be above 0 and at most the peak rate",
 				fmt.Sprintf("lower it or raise peakRequestsPerSecond (%g)", c.PeakRequestsPerSecond))
 		}
 	}
-	if sum > whole {
-		v.add("accounts", sum, fmt.Sprintf("the accounts' shares add up to %d%%", sum), "lower sharePercent until the sum is at most 100")
+	if sum > whole+leastShare/2 { // sums of decimal fractions are not exact
+		v.add("accounts", sum, fmt.Sprintf("the accounts' shares add up to %.2f%%", sum), "lower sharePercent until the sum is at most 100")
 	}
 }
 
--- a/internal/questioner/generate.go
+++ b/internal/questioner/generate.go
@@ -197,10 +197,10 @@
 	for i, c := range g.a.Accounts {
 		key := fmt.Sprintf("accounts[%d].", i)
 		out := configurer.Account{
-			Name: c.Name, KeySHA256: c.KeySHA256, Share: c.SharePercent, RequestsPerSecond: int(math.Ceil(c.PeakRequestsPerSecond)),
+			Name: c.Name, KeySHA256: c.KeySHA256, Share: int(math.Round(hundredths * c.SharePercent)), RequestsPerSecond: int(math.Ceil(c.PeakRequestsPerSecond)),
 		}
 		g.same("accounts", i, "name", "keySHA256")
-		g.from(key+"share", "%ssharePercent", key)
+		g.from(key+"share", "%ssharePercent, in hundredths", key)
 		g.from(key+"requestsPerSecond", "%speakRequestsPerSecond", key)
 		tokens, models := 0, []string{}
 		for _, n := range c.Applications {
