--- a/cmd/papayaworks/check.go
+++ b/cmd/papayaworks/check.go
@@ -33,7 +33,7 @@
 	if c.Settings {
 		_, err = configurer.ParseSettings(c.Args.File, text)
 	} else {
-		_, err = configurer.Parse(c.Args.File, text)
+		err = parsePublishable(c.Args.File, text)
 	}
 	if c.JSON {
 		fs := faultsOf(err)
--- a/cmd/papayaworks/commands.go
+++ b/cmd/papayaworks/commands.go
@@ -14,6 +14,7 @@
 	"github.com/BurntSushi/toml"
 	"github.com/jessevdk/go-flags"
 
+	"github.com/papayaworks/papayaworks/internal/versioner"
 	"github.com/papayaworks/papayaworks/pkg/configurer"
 )
 
@@ -100,6 +101,23 @@
 	return m, err
 }
 
+// parsePublishable parses a configuration and reports, beside its faults, that it is too large to be published.
+func parsePublishable(file, text string) error {
+	_, err := configurer.Parse(file, text)
+	fs := faultsOf(err)
+	if err != nil && len(fs) == 0 {
+		return err
+	}
+	if len(text) > versioner.MaxText {
+		fs = append(fs, configurer.Fault{File: file, Key: "(whole file)", Value: fmt.Sprintf("%d bytes", len(text)),
+			Allowed: fmt.Sprintf("a publication has at most %d bytes; generate with --bare leaves out the comments", versioner.MaxText)})
+	}
+	if len(fs) > 0 {
+		return fs
+	}
+	return nil
+}
+
 // faultsOf returns the faults in an error, or none.
 func faultsOf(err error) configurer.Faults {
 	var fs configurer.Faults
--- a/cmd/papayaworks/commands_test.go
+++ b/cmd/papayaworks/commands_test.go
@@ -15,6 +15,8 @@
 
 	"github.com/jessevdk/go-flags"
 	"github.com/stretchr/testify/require"
+
+	"github.com/papayaworks/papayaworks/internal/versioner"
 )
 
 // command runs the command line in this process.
@@ -40,8 +42,11 @@
 			old, _ := command(t, exitOK, "generate", write(t, "answers.toml", answers))
 			changed := write(t, "answers.toml", strings.Replace(answers, "sharePercent = 26.0", "sharePercent = 20.5", 1))
 			next, _ := command(t, exitOK, "generate", changed)
+			bare, _ := command(t, exitOK, "generate", "--bare", changed)
+			out, _ := command(t, exitOK, "diff", write(t, "bare.toml", bare), write(t, "next.toml", next))
+			require.Contains(t, out, "no difference")
 			oldFile, nextFile := write(t, "old.toml", old), write(t, "next.toml", next)
-			out, _ := command(t, exitOK, "check", nextFile)
+			out, _ = command(t, exitOK, "check", nextFile)
 			require.Contains(t, out, "no faults")
 			out, _ = command(t, exitOK, "diff", oldFile, nextFile)
 			require.Contains(t, out, "share: 2600 -> 2050")
@@ -72,6 +77,9 @@
 		"missing file":    {func(*testing.T) []string { return []string{"check", "/nowhere"} }, exitFailed, "no such file"},
 		"every fault":     {func(t *testing.T) []string { return []string{"check", write(t, "c.toml", "x = 1\ny = 2\n")} }, exitFailed, ":2: y = 2"},
 		"refused answers": {func(t *testing.T) []string { return []string{"generate", write(t, "a.toml", "")} }, exitFailed, "the answers were refused"},
+		"too large": {func(t *testing.T) []string {
+			return []string{"check", write(t, "c.toml", good(t)+"\n# "+strings.Repeat("x", versioner.MaxText))}
+		}, exitFailed, "generate with --bare"},
 		"one file to diff": {func(t *testing.T) []string { return []string{"diff", write(t, "c.toml", good(t))} },
 			exitUsage, "give two files"},
 		"no token key": {func(t *testing.T) []string {
--- a/cmd/papayaworks/generate.go
+++ b/cmd/papayaworks/generate.go
@@ -27,6 +27,7 @@
 	output
 	Instance string `long:"instance" value-name:"ID" description:"print the settings of this instance"`
 	TokenKey string `long:"token-key" value-name:"FILE" description:"file with the keys of callers' tokens"`
+	Bare     bool   `long:"bare" description:"leave out the comments"`
 	JSON     bool   `long:"json" description:"print the result or the faults as JSON"`
 	Args     struct {
 		File string `positional-arg-name:"FILE" required:"true"`
@@ -49,6 +50,9 @@
 		return refused("the answers were refused", err)
 	}
 	out := g.Text
+	if c.Bare {
+		out = g.Bare()
+	}
 	if c.Instance != "" {
 		if out, err = c.settings(text); err != nil {
 			return err
--- a/cmd/papayaworks/publish.go
+++ b/cmd/papayaworks/publish.go
@@ -11,7 +11,6 @@
 
 	"github.com/papayaworks/papayaworks/internal/inquirer"
 	"github.com/papayaworks/papayaworks/internal/questioner"
-	"github.com/papayaworks/papayaworks/pkg/configurer"
 )
 
 const publishHelp = `Publishes the configuration in FILE on the platform's log, on top of the
@@ -79,7 +78,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err := configurer.Parse(c.Args.File, text); err != nil {
+	if err := parsePublishable(c.Args.File, text); err != nil {
 		return refused(c.Args.File, err)
 	}
 	if err := c.addresses(); err != nil {
--- a/internal/questioner/generate.go
+++ b/internal/questioner/generate.go
@@ -35,6 +35,9 @@
 	Text string
 }
 
+// Bare returns the text without comments.
+func (g *Generated) Bare() string { return (&renderer.Renderer{}).Render(g.Config) }
+
 // generator derives the configuration and notes for each value which answer it comes from.
 type generator struct {
 	a       *Answers
