--- /dev/null
+++ b/cmd/papayaworks/publisher.go
@@ -0,0 +1,20 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/papayaworks/papayaworks/internal/appender"
+	"github.com/papayaworks/papayaworks/internal/versioner"
+)
+
+// logPublisher publishes on the platform's log.
+func logPublisher(ctx context.Context, log string, base int64, author, text string) (int64, error) {
+	version, err := versioner.Publish(ctx, &appender.Client{Addr: log}, base, author, text)
+	var lost *versioner.LostRaceError
+	if errors.As(err, &lost) {
+		return 0, fmt.Errorf("%w: %w", errLostRace, lost)
+	}
+	return version, err
+}
--- a/cmd/papayaworks/run.go
+++ b/cmd/papayaworks/run.go
@@ -1,10 +1,7 @@
 package main
 
 import (
-	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -16,13 +13,15 @@
 	"github.com/papayaworks/papayaworks/pkg/recorder"
 )
 
-const runHelp = `Runs one entry instance until it gets SIGTERM or SIGINT, then stops gracefully: it takes no new
-requests and ends when the last one has its answer.
+const runHelp = `Runs one entry instance until it gets SIGTERM or SIGINT, then stops
+gracefully: it takes no new requests and ends when the last one has its
+answer.
 
 Example:
   papayaworks run --config instance.toml
 
-Exit status: 0 after a graceful stop, 1 on an error, 2 if the command line is wrong.`
+Exit status: 0 after a graceful stop, 1 on an error, 2 if the command line
+is wrong.`
 
 // eventsKept is the number of time-line events that an instance keeps in memory.
 const eventsKept = 4096
@@ -56,7 +55,7 @@
 		defer f.Close()
 		rec = recorder.New(clk, set.Instance.ID, eventsKept, f)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	ctx, stop := untilInterrupted()
 	defer stop()
 	return server.New(set, cfg, log, rec, &asserter.Asserter{Log: log, Recorder: rec}).Run(ctx)
 }
--- a/internal/server/config.go
+++ b/internal/server/config.go
@@ -14,6 +14,7 @@
 	"github.com/papayaworks/papayaworks/internal/logger"
 	"github.com/papayaworks/papayaworks/internal/versioner"
 	"github.com/papayaworks/papayaworks/internal/view"
+	"github.com/papayaworks/papayaworks/pkg/configurer"
 )
 
 // PublishedConfig is the body of the page /config.
@@ -29,7 +30,7 @@
 	if s.Settings.Platform.Log == "" {
 		return
 	}
-	log := &appender.Client{Addr: s.Settings.Platform.Log}
+	log := &appender.Client{Addr: s.Settings.Platform.Log, HTTP: s.client.HTTP()}
 	settings := s.Initial.Ledger
 	retention := time.Duration(settings.RetentionMinutes) * time.Minute
 	s.ledger = &ledger.Ledger{
@@ -41,14 +42,16 @@
 	s.versions = versioner.New(log, retention)
 	s.versions.Asserter, s.versions.Recorder, s.versions.Errors = s.Asserter, s.Recorder, s.Log
 	s.versions.Adopted = s.adopted
+	s.records = peerRecords{versions: s.versions}
 	go s.versions.Run(ctx)
+	s.startOrders(ctx, log)
 }
 
 // adopted brings a version into force; requests that have begun keep the view that they started with.
 func (s *Server) adopted(a versioner.Accepted) {
 	s.Log.WithField("version", a.Version()).Info("configuration adopted")
 	if a.Config.Ledger != s.Initial.Ledger {
-		s.Log.WithField("version", a.Version()).Warn("settings of the ledger differ from those of the instance's file, which are used")
+		s.Log.WithField("version", a.Version()).Warn("settings of the ledger differ from those that the instance started with; they apply after a restart")
 	}
 	s.control.Update(func(v *view.View) *view.View {
 		if a.Version() <= v.ConfigVersion {
@@ -58,6 +61,16 @@
 	})
 }
 
+// ledgerFor returns the ledger for a version of the configuration. Instances that divide keys into different numbers
+// of partitions would look for the same key in different streams, so an instance whose number differs has none and
+// refuses calls that may not be repeated.
+func (s *Server) ledgerFor(cfg *configurer.Config) *ledger.Ledger {
+	if s.ledger == nil || cfg.Ledger.Partitions != s.ledger.Partitions {
+		return nil
+	}
+	return s.ledger
+}
+
 // flushLedger waits until the outcomes of finished calls are on the log, so that retries elsewhere find them.
 func (s *Server) flushLedger(ctx context.Context) {
 	if s.ledger == nil {
@@ -93,3 +106,23 @@
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(out)
 }
+
+// peerRecords hands the configuration record in force to peers that are behind and takes theirs.
+type peerRecords struct {
+	versions *versioner.Versioner
+}
+
+// Current implements gossiper.ConfigSource.
+func (p peerRecords) Current() []byte {
+	r := p.versions.Current()
+	if r == nil {
+		return nil
+	}
+	return r.Encode()
+}
+
+// Adopt implements gossiper.ConfigSource.
+func (p peerRecords) Adopt(record []byte) error {
+	_, err := p.versions.AdoptEncoded(record)
+	return err
+}
--- a/internal/server/dispatcher/dispatcher.go
+++ b/internal/server/dispatcher/dispatcher.go
@@ -15,6 +15,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -25,6 +26,17 @@
 	"github.com/papayaworks/papayaworks/pkg/configurer"
 )
 
+// runNameBytes is the length of a run's name before it is written in hexadecimal.
+const runNameBytes = 16
+
+// Leaving is told of new work and of targets that refuse it because they are leaving.
+type Leaving interface {
+	// Dispatching is called before new work is sent to a target.
+	Dispatching(target string)
+	// Refused is called when a target says that it is leaving.
+	Refused(target string)
+}
+
 // Step dispatches requests.
 type Step struct {
 	Client *dialer.Client
@@ -32,6 +44,8 @@
 	Ledger *ledger.Ledger
 	// Now is the clock of deadlines.
 	Now func() time.Time
+	// Leaving may be nil.
+	Leaving Leaving
 }
 
 // String names the step.
@@ -42,30 +56,40 @@
 
 // Run dispatches the request.
 func (s *Step) Run(ctx context.Context, r *request.Request) error {
+	if s.Leaving != nil && r.Resume == nil {
+		s.Leaving.Dispatching(r.Target.ID)
+	}
 	if r.Call != nil {
 		return s.call(ctx, r)
 	}
 	if r.Run == "" {
-		r.Run = RunName(r.Account.Name, r.IdempotencyKey, r.ID)
+		r.Run = RunName(r.Account.Name, r.IdempotencyKey, r.ID, r.Body)
 	}
 	st := &stream{client: s.Client, addr: r.Target.Address, run: r.Run, from: r.ResumeFrom}
 	if r.Resume == nil {
 		st.in = runRequest(r)
 	}
 	if err := st.open(ctx); err != nil {
+		if s.Leaving != nil && dialer.Draining(err) {
+			s.Leaving.Refused(r.Target.ID)
+		}
 		return refusal(err, r)
 	}
 	r.Stream = st
 	return nil
 }
 
-// RunName names the run of a request; the same account and idempotency key give the same run.
-func RunName(account, key, id string) string {
+// RunName names the run of a request. A retry with the same account, idempotency key and body gives the same
+// run; the body counts so that a key that is used again for another prompt does not get the earlier answer.
+func RunName(account, key, id string, body []byte) string {
+	h := sha256.New()
 	if key == "" {
 		key = id
 	}
-	h := sha256.Sum256([]byte(account + "\x00" + key))
-	return hex.EncodeToString(h[:12])
+	for _, part := range []string{account, key, string(body)} {
+		_, _ = fmt.Fprintf(h, "%d:%s", len(part), part)
+	}
+	return hex.EncodeToString(h.Sum(nil)[:runNameBytes])
 }
 
 func runRequest(r *request.Request) *dialer.RunRequest {
