feat(demonstrator): orders that may not be repeated, checked against what the services ran

Cause: the demo sent no non-repeatable calls. Change: callers send orders with UUIDv7 keys, repeat some at other instances or hang up early; the summary counts runs of a key over all services and checks each 'not run'. caller.Call says 'not run' only if it holds for every try.

--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -40,11 +40,13 @@
 // Summary is what a demo run counted.
 type Summary struct {
 	Requests            int     `json:"requests"`
+	Orders              int     `json:"orders"`
 	Answered            int     `json:"answered"`
 	RefusedNotRun       int     `json:"refusedNotRun"`
 	UnknownOutcome      int     `json:"unknownOutcome"`
 	Lost                int     `json:"lost"`
 	DuplicateRuns       int     `json:"duplicateRuns"`
+	FalseNotRun         int     `json:"falseNotRun"`
 	CrossAccountBlocks  int     `json:"crossAccountBlocks"`
 	StaleVersionBlocks  int     `json:"staleVersionBlocks"`
 	InvariantViolations int     `json:"invariantViolations"`
@@ -58,7 +60,7 @@
 
 // Bad reports whether one of the counts that must be zero is not.
 func (s *Summary) Bad() bool {
-	return s.Lost+s.DuplicateRuns+s.CrossAccountBlocks+s.StaleVersionBlocks+s.InvariantViolations != 0
+	return s.Lost+s.DuplicateRuns+s.FalseNotRun+s.CrossAccountBlocks+s.StaleVersionBlocks+s.InvariantViolations != 0
 }
 
 // tally collects what callers saw.
@@ -88,8 +90,14 @@
 	defer cancel()
 	go d.progress(bg, t)
 	go d.inject(bg, dep, bal)
+	o := &orders{dep: dep, bal: bal, t: t, rand: rand.New(rand.NewPCG(d.Seed, 2))}
+	var wg sync.WaitGroup
+	wg.Go(func() { o.run(ctx, time.Now().Add(d.Duration)) })
 	d.play(ctx, dep, t, bal)
-	return t.summary(dep), nil
+	wg.Wait()
+	sum := t.summary(dep)
+	o.verify(sum)
+	return sum, nil
 }
 
 // play sends the day's requests.
@@ -216,11 +224,6 @@
 	for _, st := range dep.Stores {
 		s.LinkBytes += st.LinkBytes()
 	}
-	for _, sv := range dep.Services {
-		for _, n := range sv.Runs() {
-			s.DuplicateRuns += n - 1
-		}
-	}
 	for _, e := range dep.Instances {
 		s.InvariantViolations += int(e.Asserter.Violations())
 	}
--- /dev/null
+++ b/internal/demonstrator/orders.go
@@ -0,0 +1,151 @@
+package demonstrator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/papayaworks/papayaworks/internal/ledger"
+	"github.com/papayaworks/papayaworks/pkg/caller"
+)
+
+const (
+	// orderGap is the mean time between orders.
+	orderGap = 50 * time.Millisecond
+	// orderPatience is how long a caller tries one order.
+	orderPatience = 15 * time.Second
+	// orderAttempts bounds the tries of one order by one caller.
+	orderAttempts = 3
+	// impatientAfter is when an impatient caller hangs up and tries again elsewhere.
+	impatientAfter = 4 * time.Millisecond
+)
+
+// The shares of orders, of ten, whose caller does something else than wait for one answer.
+const (
+	againOfTen     = 2 // sends the order again after the answer
+	twiceOfTen     = 1 // sends the order to two instances at once
+	impatientOfTen = 1 // hangs up early and sends the order again
+)
+
+// orders sends orders that may not be repeated and keeps what their callers were told.
+type orders struct {
+	dep  *Deployment
+	bal  *balancer
+	t    *tally
+	rand *rand.Rand
+	wg   sync.WaitGroup
+
+	mu     sync.Mutex
+	notRun []string
+}
+
+// order is one order and what its caller does.
+type order struct {
+	client    *caller.Client
+	key       string
+	body      []byte
+	habit     int
+	operation [2]string
+}
+
+// run sends orders until end and waits for the last answer.
+func (o *orders) run(ctx context.Context, end time.Time) {
+	pool := caller.NewHTTP()
+	for i := 0; time.Now().Before(end) && ctx.Err() == nil; i++ {
+		account := o.dep.Size.Accounts[o.rand.IntN(len(o.dep.Size.Accounts))]
+		or := order{
+			client: &caller.Client{Next: o.bal.next, Key: Key(account), Attempts: orderAttempts, HTTP: pool},
+			key:    ledger.NewKey(time.Now(), o.rand.Uint64(), o.rand.Uint64()), habit: o.rand.IntN(10),
+			body:      fmt.Appendf(nil, `{"parcel":%d,"pickup":"tomorrow"}`, i),
+			operation: [2]string{o.dep.Size.Service, o.dep.Size.Operation},
+		}
+		o.wg.Go(func() { o.place(ctx, or) })
+		pause := time.NewTimer(time.Duration(o.rand.ExpFloat64() * float64(orderGap)))
+		select {
+		case <-pause.C:
+		case <-ctx.Done():
+		}
+	}
+	o.wg.Wait()
+}
+
+// place places one order and counts its outcome from everything that the callers of its key were told.
+func (o *orders) place(ctx context.Context, or order) {
+	ctx, cancel := context.WithTimeout(ctx, orderPatience)
+	defer cancel()
+	var errs []error
+	switch h := or.habit; {
+	case h < againOfTen:
+		errs = append(errs, or.send(ctx), or.send(ctx))
+	case h < againOfTen+twiceOfTen:
+		second := make(chan error, 1)
+		go func() { second <- or.send(ctx) }()
+		errs = append(errs, or.send(ctx), <-second)
+	case h < againOfTen+twiceOfTen+impatientOfTen:
+		short, hangUp := context.WithTimeout(ctx, impatientAfter)
+		errs = append(errs, or.send(short), or.send(ctx))
+		hangUp()
+	default:
+		errs = append(errs, or.send(ctx))
+	}
+	o.count(or.key, errs)
+}
+
+func (or *order) send(ctx context.Context) error {
+	_, err := or.client.Call(ctx, or.operation[0], or.operation[1], or.key, or.body)
+	return err
+}
+
+// count sorts an order: it was answered if one try was, and "not run" only if every try was told so.
+func (o *orders) count(key string, errs []error) {
+	answered, notRun := false, true
+	for _, err := range errs {
+		var r *caller.Refusal
+		answered = answered || err == nil
+		notRun = notRun && errors.As(err, &r) && r.NotRun
+	}
+	o.t.mu.Lock()
+	defer o.t.mu.Unlock()
+	o.t.sum.Requests++
+	o.t.sum.Orders++
+	switch {
+	case answered:
+		o.t.sum.Answered++
+	case notRun:
+		o.t.sum.RefusedNotRun++
+		o.mu.Lock()
+		o.notRun = append(o.notRun, key)
+		o.mu.Unlock()
+	default:
+		o.t.sum.UnknownOutcome++
+	}
+}
+
+// verify compares what callers were told with what the services ran.
+func (o *orders) verify(s *Summary) {
+	runs := runsOf(o.dep)
+	for _, n := range runs {
+		s.DuplicateRuns += n - 1
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, key := range o.notRun {
+		if runs[key] > 0 {
+			s.FalseNotRun++
+		}
+	}
+}
+
+// runsOf sums the runs of each key over all services, since a second run may be at another one.
+func runsOf(dep *Deployment) map[string]int {
+	out := map[string]int{}
+	for _, sv := range dep.Services {
+		for key, n := range sv.Runs() {
+			out[key] += n
+		}
+	}
+	return out
+}
--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -51,6 +51,7 @@
 // Client talks to engines and stores; it may be used by any number of goroutines.
 type Client struct {
 	http *http.Client
+	once *http.Client
 }
 
 // DialFunc opens a connection.
@@ -64,14 +65,25 @@
 
 // NewWith returns a client that opens its connections with dial.
 func NewWith(dial DialFunc) *Client {
-	return &Client{http: &http.Client{Transport: &http.Transport{
-		DialContext:         dial,
-		MaxIdleConnsPerHost: idleConnsPerPeer,
-		IdleConnTimeout:     idleConnLife,
-		DisableCompression:  true,
-	}}}
+	return &Client{
+		http: &http.Client{Transport: &http.Transport{
+			DialContext:         dial,
+			MaxIdleConnsPerHost: idleConnsPerPeer,
+			IdleConnTimeout:     idleConnLife,
+			DisableCompression:  true,
+		}},
+		once: &http.Client{
+			Transport:     &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+	}
 }
 
+// Once returns the client for calls that must not be repeated. net/http repeats a request with an Idempotency-Key by
+// itself if it fails on a connection that was used before, so each call gets a connection of its own; a redirect
+// would repeat it as well.
+func (c *Client) Once() *http.Client { return c.once }
+
 // HTTP returns the client's pool of connections, for calls to plain services.
 func (c *Client) HTTP() *http.Client { return c.http }
 
--- a/internal/server/dispatcher/call.go
+++ b/internal/server/dispatcher/call.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"time"
@@ -20,23 +19,10 @@
 const (
 	// maxResponseBytes bounds the answer of a plain service.
 	maxResponseBytes = 1 << 20
-	// connectTimeout bounds the connecting to a target of a non-repeatable call.
-	connectTimeout = 2 * time.Second
 	// notRunRetryAfter is when a call that was not run is worth another try.
 	notRunRetryAfter = 250 * time.Millisecond
 )
 
-// single sends non-repeatable calls. net/http repeats a request with an Idempotency-Key by itself if it fails on a
-// connection that was used before, so each call gets a connection of its own; a redirect would repeat it as well.
-var single = &http.Client{
-	Transport: &http.Transport{
-		DialContext:        (&net.Dialer{Timeout: connectTimeout}).DialContext,
-		DisableKeepAlives:  true,
-		DisableCompression: true,
-	},
-	CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-}
-
 // call sends a call of a plain service to its target.
 func (s *Step) call(ctx context.Context, r *request.Request) error {
 	deadline := r.Received.Add(configurer.Milliseconds(r.Call.Operation.DeadlineMs))
@@ -66,7 +52,7 @@
 		Body: ledger.HashOf([]byte(r.Call.Method), []byte(r.Call.Service), []byte(r.Call.Operation.Name), r.Call.Body),
 	}
 	res := s.Ledger.Do(ctx, c, func(ctx context.Context) (*ledger.Response, bool, error) {
-		return exchange(ctx, single, r)
+		return exchange(ctx, s.Client.Once(), r)
 	})
 	r.Reason = res.Reason
 	switch res.Verdict {
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -200,15 +200,41 @@
 }
 
 // Call sends a call of a plain service; with a key, a try whose answer was lost is repeated with the same key.
+// An error says "not run" only if that holds for every try.
 func (c *Client) Call(ctx context.Context, service, operation, key string, body []byte) ([]byte, error) {
+	uncertain := false
 	for n := 0; ; n++ {
 		out, err := c.tryCall(ctx, service, operation, key, body)
 		if err == nil {
 			return out, nil
 		}
 		if n+1 >= c.attempts() || final(err) || key == "" || !c.pause(ctx, err) {
-			return nil, err
+			return nil, overall(err, uncertain)
 		}
+		uncertain = uncertain || !notRun(err)
+	}
+}
+
+// notRun reports whether a failed try certainly ran nothing: the system says so, or no connection came about.
+func notRun(err error) bool {
+	var r *Refusal
+	if errors.As(err, &r) {
+		return r.NotRun
+	}
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// overall returns the error of the last try. Its "not run" speaks of that try only; if an earlier one may have run,
+// the outcome of the call is unknown.
+func overall(err error, uncertain bool) error {
+	var r *Refusal
+	if !uncertain || !errors.As(err, &r) || !r.NotRun {
+		return err
+	}
+	return &Refusal{
+		Status: http.StatusGatewayTimeout, Code: "outcomeUnknown", RetryAfterMs: r.RetryAfterMs,
+		Message: "an earlier try may have run; the last one: " + r.Message,
 	}
 }
 
