fix(gossiper): repair leaving marks that a short partition swallowed

Cause: a mark sent only into a partition shorter than suspicion used up its transmissions, and the table hash did not cover marks, so nothing repaired it until its observer repeated it after 30 s. Change: marks are part of the table hash; the sync interval grows with the members from 5 to 30 periods.

--- a/internal/gossiper/cluster_test.go
+++ b/internal/gossiper/cluster_test.go
@@ -38,8 +38,11 @@
 	maxDelay time.Duration
 	drop     float64
 	dup      float64
-	// pulled is called for a peer with a newer configuration.
+	// faults are violations of what must hold at every step.
 	faults []string
+	// dead are the ids that were declared dead, and suspicions counts those that were suspected by anyone.
+	dead       []string
+	suspicions int
 	serial int
 }
 
@@ -208,6 +211,13 @@
 			c.faults = append(c.faults, fmt.Sprintf("%s saw the incarnation of %s fall from %d to %d", n.ID, r.ID, n.seen[r.ID], r.Incarnation))
 		}
 		n.seen[r.ID] = r.Incarnation
+		switch r.State {
+		case Dead:
+			c.dead = append(c.dead, r.ID)
+		case Suspect:
+			c.suspicions++
+		case Alive, Left:
+		}
 	}
 	for _, b := range e.Behind {
 		const pull = 20 * time.Millisecond // handshake, transfer and check of a record
--- a/internal/gossiper/detect.go
+++ b/internal/gossiper/detect.go
@@ -68,6 +68,7 @@
 		for key, it := range p.items[kind] {
 			if it.UntilMs <= p.wall {
 				delete(p.items[kind], key)
+				p.table.hash ^= it.digest()
 				p.events.LeavingChanged = p.events.LeavingChanged || (uint8(kind) == itemLeaving && !it.Off)
 			}
 		}
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -30,6 +30,9 @@
 		if s := c.disagreement(); s != "" {
 			t.Fatal(s)
 		}
+		for _, n := range c.live() {
+			require.Equal(t, c.live()[0].p.Leaving(), n.p.Leaving())
+		}
 		if len(c.faults) > 0 {
 			t.Fatal(c.faults[0])
 		}
@@ -43,7 +46,7 @@
 	for range rapid.IntRange(1, 12).Draw(t, "steps") {
 		ns := c.live()
 		n := rapid.SampledFrom(ns).Draw(t, "node")
-		switch rapid.SampledFrom([]string{"join", "leave", "crash", "restart", "pause", "resume", "split", "heal"}).Draw(t, "what") {
+		switch rapid.SampledFrom([]string{"join", "leave", "crash", "restart", "pause", "resume", "split", "heal", "mark"}).Draw(t, "what") {
 		case "join":
 			c.start(next, c.addresses()...)
 			next++
@@ -67,9 +70,17 @@
 		case "split":
 			for _, o := range ns {
 				o.group = rapid.IntRange(0, 1).Draw(t, "group")
+				if len(o.p.table.members) > 0 {
+					o.p.SetSeeds(nil) // so that only dead members that are tried can heal the partition
+				}
 			}
 		case "heal":
 			c.heal()
+		case "mark":
+			for i := range 40 {
+				target := fmt.Sprintf("letters-at-the-far-end-of-the-alphabet-%d", i)
+				n.p.Mark(target, rapid.Bool().Draw(t, "leaving"), c.now.Add(time.Hour), c.now)
+			}
 		}
 		c.run(time.Duration(rapid.IntRange(1, 15).Draw(t, "periods")) * c.period)
 	}
@@ -141,6 +152,80 @@
 	}
 }
 
+// Guards against a process that comes back from a pause unnoticed by the others, and one that blames them for it.
+func TestPausedProcessRaisesItsIncarnation(t *testing.T) {
+	tests := map[string]struct {
+		pause time.Duration
+		dead  bool
+	}{
+		"shorter than suspicion": {pause: 2 * time.Second},
+		"suspected":              {pause: 5 * time.Second},
+		"declared dead":          {pause: 30 * time.Second, dead: true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(1)
+			for i := range 7 {
+				c.start(i)
+			}
+			c.join()
+			c.run(10 * c.period)
+			n, o := c.order[0], c.order[3]
+			before := n.p.Self().Incarnation
+			n.paused = true
+			c.run(tc.pause)
+			require.Equal(t, tc.dead, o.p.table.members[n.ID].State == Dead)
+			n.paused, n.held = false, nil
+			c.send(n, n.p.Tick(c.now))
+			require.Equal(t, tc.pause > suspectAfter*c.period, n.p.Self().Incarnation > before)
+			c.run(10 * c.period)
+			require.Empty(t, c.disagreement())
+			for _, m := range o.p.Members() {
+				require.Equal(t, Alive, m.State)
+			}
+		})
+	}
+}
+
+// Guards against dead members that are kept for ever, and against members that left being tried.
+func TestDeadMembersAreForgotten(t *testing.T) {
+	c := newCluster(2)
+	for i := range 9 {
+		c.start(i)
+	}
+	c.join()
+	c.run(5 * c.period)
+	c.order[0].up = false
+	c.send(c.order[1], c.order[1].p.Leave(c.now))
+	c.order[1].up = false
+	c.run(keepDead / 2)
+	require.Len(t, c.order[5].p.Members(), 9)
+	c.run(keepDead)
+	for _, n := range c.live() {
+		require.Len(t, n.p.Members(), 7)
+	}
+	require.Empty(t, c.faults)
+}
+
+// Guards against live members that are declared dead, even for a short time, because messages are lost.
+func TestLossDoesNotKill(t *testing.T) {
+	c := newCluster(3)
+	c.drop = 0.1
+	const size = 70
+	for i := range size {
+		c.start(i)
+	}
+	c.join()
+	c.run(10 * time.Minute)
+	for _, n := range c.order {
+		for _, m := range n.p.Members() {
+			require.NotEqual(t, Dead, m.State)
+		}
+	}
+	require.Empty(t, c.dead)
+	t.Logf("%d suspicions in 10 minutes of %d instances with 10%% loss", c.suspicions, size)
+}
+
 // until runs the cluster until all nodes satisfy ok and returns how long that took, at most 10 s.
 func (c *cluster) until(ok func(*node) bool) time.Duration {
 	begun := c.now
--- a/internal/gossiper/items.go
+++ b/internal/gossiper/items.go
@@ -120,7 +120,11 @@
 	if (ok && !old.stamp().Before(it.stamp())) || it.UntilMs <= p.wall || (!ok && len(items) >= maxItems) {
 		return
 	}
+	if ok {
+		p.table.hash ^= old.digest()
+	}
 	items[it.Key] = it
+	p.table.hash ^= it.digest()
 	p.enqueueItem(it)
 	if it.Kind == itemLeaving {
 		p.events.LeavingChanged = p.events.LeavingChanged || !ok || old.Off != it.Off
--- a/internal/gossiper/message.go
+++ b/internal/gossiper/message.go
@@ -57,6 +57,15 @@
 
 func (it Item) stamp() recorder.Stamp { return recorder.Stamp{WallMs: it.WallMs, Logical: it.Logical} }
 
+// digest is the item's part of the table hash. Only leaving targets have one: a mark that is lost, for example in a
+// partition too short to be noticed, must be repaired, while reports and payloads are replaced each period.
+func (it Item) digest() uint64 {
+	if it.Kind != itemLeaving {
+		return 0
+	}
+	return mix(position(it.Key) ^ mix(uint64(it.WallMs)<<16^uint64(it.Logical)))
+}
+
 func (it Item) validate() error {
 	if it.Kind >= itemKinds || it.Key == "" || len(it.Key) > maxNameBytes || len(it.Owner) > maxNameBytes ||
 		len(it.Scope) > maxNameBytes || len(it.Body) > MaxPayloadBytes {
@@ -81,7 +90,7 @@
 	From    Record
 	WallMs  int64
 	Logical uint32
-	// TableHash is the sender's hash over the live members.
+	// TableHash is the sender's hash over the live members and the leaving targets.
 	TableHash uint64
 	Changes   []Change
 }
--- a/internal/gossiper/protocol.go
+++ b/internal/gossiper/protocol.go
@@ -13,8 +13,11 @@
 	suspectAfter = 3
 	// deadAfter is how many periods a suspected member has to raise its incarnation.
 	deadAfter = 4
-	// syncEvery is the least number of periods between full syncs because of different hashes.
-	syncEvery = 30
+	// minSyncEvery and maxSyncEvery bound the number of periods between full syncs because of different hashes.
+	// In between it grows with the number of members, as a sync's bytes do: at 420 a sync has about 25 KB.
+	minSyncEvery, maxSyncEvery = 5, 30
+	// membersPerSyncPeriod is how many members lengthen it by one period.
+	membersPerSyncPeriod = 14
 	// retryEvery is how often one dead member and one seed outside the ring are tried, so that partitions heal.
 	retryEvery = 5
 	// urgentPerPeriod bounds the extra rounds for urgent changes.
--- a/internal/gossiper/receive.go
+++ b/internal/gossiper/receive.go
@@ -128,7 +128,8 @@
 	if revived {
 		p.lastForced = now
 	}
-	if revived || (msg.TableHash != p.table.hash && now.Sub(p.lastSync) >= syncEvery*p.opt.Period) {
+	every := min(maxSyncEvery, max(minSyncEvery, len(p.table.members)/membersPerSyncPeriod))
+	if revived || (msg.TableHash != p.table.hash && now.Sub(p.lastSync) >= time.Duration(every)*p.opt.Period) {
 		p.lastSync = now
 		p.sync(m)
 	}
