--- /dev/null
+++ b/internal/gossiper/quic_test.go
@@ -0,0 +1,244 @@
+package gossiper
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"os"
+	"runtime"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/papayaworks/papayaworks/internal/gossiper/certtest"
+	"github.com/papayaworks/papayaworks/internal/logger"
+	"github.com/papayaworks/papayaworks/pkg/recorder"
+)
+
+// instance is a Gossiper on loopback with what it was told.
+type instance struct {
+	*Gossiper
+	addr    string
+	files   certtest.Files
+	members atomic.Pointer[[]Record]
+	leaving atomic.Pointer[map[string]time.Time]
+	usage   sync.Map
+	source  *record
+	logged  *safeBuffer
+}
+
+// safeBuffer is a log that is read while it is written.
+type safeBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *safeBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func (s *safeBuffer) has(text string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return bytes.Contains(s.b.Bytes(), []byte(text))
+}
+
+// record is a ConfigSource whose record is its version as text.
+type record struct {
+	version atomic.Int64
+	g       *Gossiper
+}
+
+func (r *record) Current() []byte { return strconv.AppendInt(nil, r.version.Load(), 10) }
+
+func (r *record) Adopt(b []byte) error {
+	n, err := strconv.ParseInt(string(b), 10, 64)
+	if err != nil {
+		return err
+	}
+	if n <= r.version.Load() {
+		return errors.New("not newer")
+	}
+	r.version.Store(n)
+	r.g.SetConfig(n)
+	return nil
+}
+
+// Payload implements Payload.
+func (in *instance) Payload(time.Time) []byte { return []byte("usage of " + in.Self.ID) }
+
+// Merge implements Payload.
+func (in *instance) Merge(from string, body []byte) { in.usage.Store(from, string(body)) }
+
+func (in *instance) alive() (n int) {
+	if ms := in.members.Load(); ms != nil {
+		for _, m := range *ms {
+			if m.State == Alive {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func startInstance(t testing.TB, ca *certtest.Authority, id string, seeds ...string) *instance {
+	in := &instance{source: &record{}, logged: &safeBuffer{}}
+	var err error
+	in.files, err = ca.Issue(t.TempDir(), id)
+	require.NoError(t, err)
+	creds, err := LoadCredentials(in.files.Certificate, in.files.Key, in.files.Authority)
+	require.NoError(t, err)
+	in.Gossiper = &Gossiper{
+		Self: Identity{ID: id, DataCentre: "kochi-a"}, Listen: "127.0.0.1:0", Seeds: seeds, Period: 20 * time.Millisecond,
+		Credentials: creds, Config: in.source, Payload: in, Log: logger.New(in.logged, id, logrus.InfoLevel),
+		Recorder:  recorder.New(recorder.NewClock(time.Now), id, 256, nil),
+		OnMembers: func(rs []Record) { in.members.Store(&rs) },
+		OnLeaving: func(m map[string]time.Time) { in.leaving.Store(&m) },
+	}
+	in.source.g = in.Gossiper
+	in.addr, err = in.Start(t.Context())
+	require.NoError(t, err)
+	t.Cleanup(in.Kill)
+	return in
+}
+
+func eventually(t testing.TB, ok func() bool) {
+	t.Helper()
+	require.Eventually(t, ok, 20*time.Second, 5*time.Millisecond)
+}
+
+func newAuthority(t testing.TB) *certtest.Authority {
+	ca, err := certtest.New("test")
+	require.NoError(t, err)
+	return ca
+}
+
+// Guards against observations, configurations and payloads that do not cross real connections, and against a stop
+// that the others take for a death.
+func TestInstancesOverQUIC(t *testing.T) {
+	ca := newAuthority(t)
+	a := startInstance(t, ca, "a")
+	b := startInstance(t, ca, "b", a.addr)
+	c := startInstance(t, ca, "c", a.addr)
+	all := []*instance{a, b, c}
+	every := func(ok func(*instance) bool) func() bool {
+		return func() bool { return ok(a) && ok(b) && ok(c) }
+	}
+	eventually(t, every(func(in *instance) bool { return in.alive() == len(all) }))
+
+	b.Mark("letters-1", true, time.Now().Add(time.Hour))
+	eventually(t, every(func(in *instance) bool { m := in.leaving.Load(); return m != nil && !(*m)["letters-1"].IsZero() }))
+
+	c.source.version.Store(7)
+	c.SetConfig(7)
+	eventually(t, every(func(in *instance) bool { return in.source.version.Load() == 7 }))
+	eventually(t, func() bool { v, _ := a.usage.Load("c"); return v == "usage of c" })
+
+	c.Leave(t.Context())
+	left := func(in *instance) bool {
+		ms := *in.members.Load()
+		return len(ms) == len(all) && ms[2].State == Left
+	}
+	eventually(t, func() bool { return left(a) && left(b) })
+}
+
+// Guards against an instance of another authority that joins, reads the configuration or learns of members.
+func TestOtherAuthorityIsRefused(t *testing.T) {
+	ca := newAuthority(t)
+	a := startInstance(t, ca, "a")
+	b := startInstance(t, ca, "b", a.addr)
+	stranger := startInstance(t, newAuthority(t), "stranger", a.addr, b.addr)
+	eventually(t, func() bool { return a.alive() == 2 && b.alive() == 2 })
+	eventually(t, func() bool { return stranger.logged.has("certificate") })
+
+	// It may finish its half of the handshake, since it does not verify, but gets no data.
+	creds, err := LoadCredentials(stranger.files.Certificate, stranger.files.Key, stranger.files.Authority)
+	require.NoError(t, err)
+	conf := creds.config()
+	conf.VerifyConnection = nil
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	conn, err := quic.DialAddr(ctx, a.addr, conf, quicConfig(time.Second))
+	if err == nil {
+		var s *quic.Stream
+		if s, err = conn.OpenStreamSync(ctx); err == nil {
+			_, _ = io.WriteString(s, requestConfig)
+			_ = s.Close()
+			_, err = io.ReadAll(s)
+		}
+	}
+	var te *quic.TransportError
+	require.ErrorAs(t, err, &te)
+	require.True(t, te.ErrorCode.IsCryptoError(), "%v", te)
+	require.Equal(t, 2, a.alive())
+	require.Zero(t, stranger.alive())
+}
+
+// Guards against a rotation of the authority that needs a restart, and against an instance that keeps its
+// connections although the authority no longer includes it.
+func TestCertificatesAreReloaded(t *testing.T) {
+	oldCA, newCA := newAuthority(t), newAuthority(t)
+	a := startInstance(t, oldCA, "a")
+	b := startInstance(t, oldCA, "b", a.addr)
+	c := startInstance(t, oldCA, "c", a.addr)
+	eventually(t, func() bool { return a.alive() == 3 && b.alive() == 3 && c.alive() == 3 })
+	for _, in := range []*instance{a, b} {
+		replace(t, newCA, in)
+	}
+	// c keeps the old certificate: it is cut off, the others find each other again.
+	alone := func(in *instance) bool { return in.alive() == 2 }
+	eventually(t, func() bool { return alone(a) && alone(b) && c.alive() <= 1 })
+	replace(t, newCA, c)
+	eventually(t, func() bool { return a.alive() == 3 && b.alive() == 3 && c.alive() == 3 })
+}
+
+// replace writes new certificates over those of an instance, with a modification time that differs for certain.
+func replace(t *testing.T, ca *certtest.Authority, in *instance) {
+	fresh, err := ca.Issue(t.TempDir(), in.Self.ID)
+	require.NoError(t, err)
+	later := time.Now().Add(time.Minute)
+	for from, to := range map[string]string{
+		fresh.Certificate: in.files.Certificate, fresh.Key: in.files.Key, fresh.Authority: in.files.Authority,
+	} {
+		require.NoError(t, os.Chtimes(from, later, later))
+		require.NoError(t, os.Rename(from, to))
+	}
+}
+
+// BenchmarkConnection measures the memory of one open connection, both ends together.
+func BenchmarkConnection(b *testing.B) {
+	ca := newAuthority(b)
+	a, c := startInstance(b, ca, "a"), startInstance(b, ca, "b")
+	const n = 100
+	before := heapBytes()
+	var conns []*quic.Conn
+	for range n {
+		conn, err := c.links.dial(b.Context(), a.addr)
+		require.NoError(b, err)
+		c.links.wg.Go(func() { c.links.receive(conn) })
+		conns = append(conns, conn)
+	}
+	eventually(b, func() bool { _, in := a.Connections(); return in >= n })
+	b.ReportMetric(float64(heapBytes()-before)/n/2, "B/connection-end")
+	b.ReportMetric(0, "ns/op")
+	for _, conn := range conns {
+		_ = conn.CloseWithError(closedNormally, "")
+	}
+}
+
+func heapBytes() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapInuse + m.StackInuse)
+}
