--- a/internal/demonstrator/membership_test.go
+++ b/internal/demonstrator/membership_test.go
@@ -38,10 +38,10 @@
 	}
 	require.Eventually(t, everywhere(func(s server.Status) bool { return count(s, "alive") == 7 }), 20*time.Second, 50*time.Millisecond)
 
-	dep.Engines[0].SetDraining(true)
+	dep.Engines[0].SetLeaving(true)
 	leaving := func(s server.Status) bool { return s.Targets[0].State == "leaving" }
 	require.Eventually(t, everywhere(leaving), 20*time.Second, 50*time.Millisecond)
-	dep.Engines[0].SetDraining(false)
+	dep.Engines[0].SetLeaving(false)
 	require.Eventually(t, everywhere(func(s server.Status) bool { return s.Targets[0].State == "serving" }), 20*time.Second, 50*time.Millisecond)
 
 	stopped := dep.Instances[6]
--- a/internal/server/membership.go
+++ b/internal/server/membership.go
@@ -59,10 +59,13 @@
 	g := &gossiper.Gossiper{
 		Self:   gossiper.Identity{ID: set.Instance.ID, DataCentre: set.Instance.DataCentre},
 		Listen: set.Instance.PeerListen, Seeds: set.Instance.Seeds, Credentials: creds,
-		Period: configurer.Milliseconds(m.period), Config: m.s.Records, Payload: m.s.Usage,
+		Period: configurer.Milliseconds(m.period), Config: m.s.records, Payload: m.s.usage,
 		Log: m.s.Log, Recorder: m.s.Recorder,
 		OnMembers: m.members, OnLeaving: m.leaving, OnLoad: m.load,
 	}
+	if m.s.Network != nil {
+		g.WrapConn = m.s.Network.PacketConn
+	}
 	addr, err := g.Start(ctx)
 	if err != nil {
 		return err
