feat(gossiper): pass usage payloads and load reports on along the ring

Change: each payload is passed on to the fingers with a part of the ring each, over streams, under a budget of bytes; payloads have a body for the data centre and one for all; the count of changes is checked before it is allocated.

--- a/internal/gossiper/cluster_test.go
+++ b/internal/gossiper/cluster_test.go
@@ -22,8 +22,10 @@
 	group int
 	// seen is the highest incarnation that this process knew of each member.
 	seen map[string]uint64
-	sent int
-	wire int
+	// usage are the last usage payloads by instance.
+	usage map[string]string
+	sent  int
+	wire  int
 }
 
 // cluster is a network of simulated instances on virtual time.
@@ -36,14 +38,16 @@
 	period   time.Duration
 	minDelay time.Duration
 	maxDelay time.Duration
-	drop     float64
-	dup      float64
+	// centres is the number of data centres.
+	centres int
+	drop    float64
+	dup     float64
 	// faults are violations of what must hold at every step.
 	faults []string
 	// dead are the ids that were declared dead, and suspicions counts those that were suspected by anyone.
 	dead       []string
 	suspicions int
-	serial int
+	serial     int
 }
 
 type delivery struct {
@@ -72,15 +76,15 @@
 func newCluster(seed uint64) *cluster {
 	return &cluster{
 		now: time.UnixMilli(1_800_000_000_000), nodes: map[string]*node{}, rng: rand.New(rand.NewPCG(seed, 7)), period: time.Second,
-		minDelay: time.Millisecond, maxDelay: 3 * time.Millisecond,
+		centres: 3, minDelay: time.Millisecond, maxDelay: 3 * time.Millisecond,
 	}
 }
 
 // start starts an instance; an earlier process with the same id must be down.
 func (c *cluster) start(i int, seeds ...string) *node {
-	n := &node{up: true, seen: map[string]uint64{}}
+	n := &node{up: true, seen: map[string]uint64{}, usage: map[string]string{}}
 	c.serial++
-	n.Identity = Identity{ID: fmt.Sprintf("kochi-%c-%d", 'a'+i%3, i), DataCentre: fmt.Sprintf("kochi-%c", 'a'+i%3)}
+	n.Identity = Identity{ID: fmt.Sprintf("kochi-%c-%d", 'a'+i%c.centres, i), DataCentre: fmt.Sprintf("kochi-%c", 'a'+i%c.centres)}
 	n.Address = fmt.Sprintf("10.%d.%d.%d:7000", c.serial>>16, c.serial>>8&255, c.serial&255)
 	c.boot(n, seeds)
 	return n
@@ -120,8 +124,12 @@
 			copies = 2
 		}
 		for range copies {
-			if c.rng.Float64() >= c.drop {
-				c.push(delivery{at: c.now.Add(c.delay()), from: n, to: p.To, data: p.Data})
+			lost, at := c.rng.Float64() < c.drop, c.now.Add(c.delay())
+			if lost && p.Stream {
+				lost, at = false, at.Add(3*c.maxDelay) // a stream repeats lost packets
+			}
+			if !lost {
+				c.push(delivery{at: at, from: n, to: p.To, data: p.Data})
 			}
 		}
 	}
@@ -219,6 +227,9 @@
 		case Alive, Left:
 		}
 	}
+	for _, o := range e.Usage {
+		n.usage[o.Key] = string(o.Body)
+	}
 	for _, b := range e.Behind {
 		const pull = 20 * time.Millisecond // handshake, transfer and check of a record
 		c.push(delivery{at: c.now.Add(pull + 2*c.delay()), from: n, adopt: b.Version})
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -31,11 +31,13 @@
 	Adopt(record []byte) error
 }
 
-// Payload is what the instances of a data centre tell each other each period; the bodies are opaque here.
+// Payload is what the instances tell each other of their use; the bodies are opaque here.
 type Payload interface {
-	// Payload returns at most [MaxPayloadBytes]; nil says nothing this period.
-	Payload(now time.Time) []byte
-	// Merge takes the payload of another instance.
+	// Payload is called each period. The first body stays inside the data centre, the second goes everywhere; each has
+	// at most [MaxPayloadBytes], and nil says nothing. A body replaces the one before it, which may be on its way
+	// still, so what must arrive is repeated or sent at intervals of three periods or more.
+	Payload(now time.Time) (local, wide []byte)
+	// Merge takes a body of another instance.
 	Merge(from string, body []byte)
 }
 
@@ -149,10 +151,9 @@
 // periodic adds the usage payload and looks after connections and certificates.
 func (g *Gossiper) periodic(now time.Time) {
 	if g.Payload != nil && !now.Before(g.proto.nextPeriod) {
-		if body := g.Payload.Payload(now); body != nil {
-			if err := g.proto.Usage(body, now); err != nil {
-				logger.WithError(g.Log, err).Warn("usage not sent to the other instances")
-			}
+		local, wide := g.Payload.Payload(now)
+		if err := g.proto.Usage(local, wide, now); err != nil {
+			logger.WithError(g.Log, err).Warn("usage not sent to the other instances")
 		}
 	}
 	if now.Before(g.nextCheck) {
@@ -202,7 +203,7 @@
 	}
 	for _, o := range e.Usage {
 		if g.Payload != nil {
-			g.Payload.Merge(o.From, o.Body)
+			g.Payload.Merge(o.Key, o.Body)
 		}
 	}
 	for _, p := range e.Behind {
--- a/internal/gossiper/items.go
+++ b/internal/gossiper/items.go
@@ -22,10 +22,10 @@
 	New bool
 }
 
-// Observation is an opaque body from another instance.
+// Observation is an opaque body about a target or from an instance.
 type Observation struct {
-	From, Key string
-	Body      []byte
+	Key  string
+	Body []byte
 }
 
 // Events are what happened since they were last taken.
@@ -88,19 +88,26 @@
 
 // Report spreads the load report of a target inside the data centre.
 func (p *Protocol) Report(target string, body []byte, now time.Time) error {
-	return p.brief(Item{Kind: itemLoad, Key: target, Scope: p.self.DataCentre, Body: body}, now)
+	return p.brief(Item{Kind: itemLoad, Key: target, Body: body}, now)
 }
 
-// Usage spreads the instance's usage payload inside the data centre.
-func (p *Protocol) Usage(body []byte, now time.Time) error {
-	return p.brief(Item{Kind: itemUsage, Key: p.self.ID, Scope: p.self.DataCentre, Body: body}, now)
+// Usage spreads the instance's usage payloads, the first inside the data centre and the second everywhere; nil is nothing.
+func (p *Protocol) Usage(local, wide []byte, now time.Time) error {
+	if local != nil {
+		if err := p.brief(Item{Kind: itemUsage, Key: p.self.ID, Body: local}, now); err != nil {
+			return err
+		}
+	}
+	if wide != nil {
+		return p.brief(Item{Kind: itemSum, Key: p.self.ID, Body: wide}, now)
+	}
+	return nil
 }
 
 func (p *Protocol) brief(it Item, now time.Time) error {
 	if len(it.Body) > MaxPayloadBytes || len(it.Key) > maxNameBytes {
 		return failer.New("body of %q has %d bytes, more than %d", it.Key, len(it.Body), MaxPayloadBytes)
 	}
-	it.UntilMs = now.Add(briefFor * p.opt.Period).UnixMilli()
 	p.own(it, now)
 	return nil
 }
@@ -109,7 +116,10 @@
 func (p *Protocol) own(it Item, now time.Time) {
 	p.wall = now.UnixMilli()
 	s := p.opt.Clock.Tick()
-	it.Owner, it.WallMs, it.Logical = p.self.ID, s.WallMs, s.Logical
+	it.WallMs, it.Logical = s.WallMs, s.Logical
+	if it.brief() {
+		it.Limit = p.table.selfPos
+	}
 	p.mergeItem(it)
 }
 
@@ -117,26 +127,38 @@
 func (p *Protocol) mergeItem(it Item) {
 	items := p.items[it.Kind]
 	old, ok := items[it.Key]
+	if ok && it.Limit != 0 && it.brief() && !old.passed && old.stamp() == it.stamp() {
+		// It came with a regular message first; the part of the ring up to the limit still waits for it.
+		old.passed = true
+		items[it.Key] = old
+		p.passOn(it, it.Limit)
+		return
+	}
+	if it.brief() {
+		it.UntilMs = p.wall + (briefFor * p.opt.Period).Milliseconds()
+	}
 	if (ok && !old.stamp().Before(it.stamp())) || it.UntilMs <= p.wall || (!ok && len(items) >= maxItems) {
 		return
 	}
 	if ok {
 		p.table.hash ^= old.digest()
 	}
+	it.passed = it.Limit != 0
 	items[it.Key] = it
 	p.table.hash ^= it.digest()
 	p.enqueueItem(it)
+	if it.brief() && it.Limit != 0 {
+		p.passOn(it, it.Limit)
+	}
 	if it.Kind == itemLeaving {
 		p.events.LeavingChanged = p.events.LeavingChanged || !ok || old.Off != it.Off
 		return
 	}
-	if it.Owner == p.self.ID {
-		return
-	}
-	o := Observation{From: it.Owner, Key: it.Key, Body: it.Body}
-	if it.Kind == itemLoad {
+	o := Observation{Key: it.Key, Body: it.Body}
+	switch {
+	case it.Kind == itemLoad:
 		p.events.Loads = append(p.events.Loads, o)
-	} else {
+	case it.Key != p.self.ID:
 		p.events.Usage = append(p.events.Usage, o)
 	}
 }
--- a/internal/gossiper/message.go
+++ b/internal/gossiper/message.go
@@ -1,6 +1,8 @@
 package gossiper
 
 import (
+	"bytes"
+
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/papayaworks/papayaworks/internal/failer"
@@ -12,8 +14,8 @@
 	MaxMessageBytes = 1200
 	// MaxSyncBytes is the size limit of a full sync, about 10,000 members.
 	MaxSyncBytes = 1 << 20
-	// MaxPayloadBytes is the size limit of the opaque body of an item, so that it fits a message with others.
-	MaxPayloadBytes = 600
+	// MaxPayloadBytes is the size limit of the opaque body of an item, so that it fits a message with the names.
+	MaxPayloadBytes = 900
 )
 
 // The kinds of messages.
@@ -33,6 +35,8 @@
 	itemLeaving uint8 = iota
 	itemLoad
 	itemUsage
+	// itemSum is a usage payload for all data centres.
+	itemSum
 	itemKinds
 )
 
@@ -40,21 +44,28 @@
 type Item struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
 
-	Kind uint8
-	Key  string
-	// Owner is the instance that observed it.
-	Owner string
-	// Scope is the data centre that the item stays in; empty means everywhere.
-	Scope   string
+	Kind    uint8
+	Key     string
 	WallMs  int64
 	Logical uint32
-	// UntilMs is when the item ends, in milliseconds since the epoch.
+	// UntilMs is when a leaving target's mark ends, in milliseconds since the epoch.
 	UntilMs int64
 	// Off withdraws an earlier observation.
 	Off  bool
 	Body []byte
+	// Limit is the position on the ring up to which the receiver passes the item on; 0 if it does not.
+	Limit uint64
+
+	// passed says that the item was passed on here.
+	passed bool
 }
 
+// brief reports whether the item is replaced every few periods.
+func (it Item) brief() bool { return it.Kind != itemLeaving }
+
+// local reports whether the item stays in its data centre.
+func (it Item) local() bool { return it.Kind == itemLoad || it.Kind == itemUsage }
+
 func (it Item) stamp() recorder.Stamp { return recorder.Stamp{WallMs: it.WallMs, Logical: it.Logical} }
 
 // digest is the item's part of the table hash. Only leaving targets have one: a mark that is lost, for example in a
@@ -67,8 +78,7 @@
 }
 
 func (it Item) validate() error {
-	if it.Kind >= itemKinds || it.Key == "" || len(it.Key) > maxNameBytes || len(it.Owner) > maxNameBytes ||
-		len(it.Scope) > maxNameBytes || len(it.Body) > MaxPayloadBytes {
+	if it.Kind >= itemKinds || it.Key == "" || len(it.Key) > maxNameBytes || len(it.Body) > MaxPayloadBytes {
 		return failer.New("item %.40q is not valid", it.Key)
 	}
 	return nil
@@ -116,13 +126,48 @@
 	return b
 }
 
+const (
+	// messageFields is the number of fields of a message.
+	messageFields = 6
+	// minChangeBytes is the size of the shortest change: the array, an empty member and an empty item.
+	minChangeBytes = 3
+)
+
+// decodeFields decodes the fields one by one: the codec would make room for as many changes as a broken message claims.
+func decodeFields(data []byte) (*Message, error) {
+	d, m := msgpack.NewDecoder(bytes.NewReader(data)), new(Message)
+	n, err := d.DecodeArrayLen()
+	if err != nil {
+		return nil, err
+	}
+	if n < messageFields {
+		return nil, failer.New("message has %d fields, fewer than %d", n, messageFields)
+	}
+	if err := d.DecodeMulti(&m.Kind, &m.From, &m.WallMs, &m.Logical, &m.TableHash); err != nil {
+		return nil, err
+	}
+	if n, err = d.DecodeArrayLen(); err != nil {
+		return nil, err
+	}
+	if n > len(data)/minChangeBytes {
+		return nil, failer.New("message of %d bytes claims %d changes", len(data), n)
+	}
+	m.Changes = make([]Change, max(0, n))
+	for i := range m.Changes {
+		if err := d.Decode(&m.Changes[i]); err != nil {
+			return nil, err
+		}
+	}
+	return m, nil
+}
+
 // Decode decodes and checks a message from a peer.
 func Decode(data []byte) (*Message, error) {
 	if len(data) > MaxSyncBytes {
 		return nil, failer.New("message of %d bytes is too long", len(data))
 	}
-	m := new(Message)
-	if err := msgpack.Unmarshal(data, m); err != nil {
+	m, err := decodeFields(data)
+	if err != nil {
 		return nil, failer.Wrap(err, "decode message", "", "gossip")
 	}
 	if m.Kind >= kinds {
--- a/internal/gossiper/message_test.go
+++ b/internal/gossiper/message_test.go
@@ -61,6 +61,7 @@
 		"unknown item":    &Message{From: ok, Changes: []Change{{Item: &Item{Kind: itemKinds, Key: "t"}}}},
 		"long body":       &Message{From: ok, Changes: []Change{{Item: &Item{Key: "t", Body: make([]byte, MaxPayloadBytes+1)}}}},
 		"long for gossip": &Message{From: ok, Changes: make([]Change, MaxMessageBytes)},
+		"too few fields":  []int{0},
 	}
 	for name, m := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/gossiper/protocol.go
+++ b/internal/gossiper/protocol.go
@@ -22,6 +22,8 @@
 	retryEvery = 5
 	// urgentPerPeriod bounds the extra rounds for urgent changes.
 	urgentPerPeriod = 4
+	// passPerPeriod is how often brief items are passed on. Nine hops, the most at 420 members, then take 0.6 s on average.
+	passPerPeriod = 8
 	// fanout is the number of messages of a round.
 	fanout = 3
 )
@@ -52,7 +54,7 @@
 	// To is the address and ID the member's id, if it is known.
 	To, ID string
 	Data   []byte
-	// Stream marks a message that may be too long for a datagram.
+	// Stream marks a message that is too long for a datagram or must not be lost.
 	Stream bool
 }
 
@@ -67,12 +69,12 @@
 	out    []Packet
 	events Events
 
-	nextPeriod, lastTick, lastRound, lastSync, lastForced time.Time
-	periods                                               int
-	turn, localTurn, urgentTurn, deadTurn, seedTurn       int
-	watched                                               map[string]time.Time
-	stopped                                               bool
-	wall                                                  int64
+	nextPeriod, lastTick, lastRound, lastPass, lastSync, lastForced time.Time
+	periods                                                         int
+	turn, localTurn, urgentTurn, deadTurn, seedTurn                 int
+	watched                                                         map[string]time.Time
+	stopped                                                         bool
+	wall                                                            int64
 }
 
 // NewProtocol returns the state of an instance that knows no other.
@@ -100,12 +102,21 @@
 
 // Next returns when Tick is due.
 func (p *Protocol) Next() time.Time {
+	next := p.nextPeriod
 	if p.queue.urgentRounds > 0 {
-		if at := p.lastRound.Add(p.opt.Period / urgentPerPeriod); at.Before(p.nextPeriod) {
-			return at
-		}
+		next = earlier(next, p.lastRound.Add(p.opt.Period/urgentPerPeriod))
+	}
+	if len(p.queue.outbox) > 0 && p.queue.briefLeft > 0 {
+		next = earlier(next, p.lastPass.Add(p.opt.Period/passPerPeriod))
+	}
+	return next
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
 	}
-	return p.nextPeriod
+	return b
 }
 
 // Tick does what is due and returns the packets to send.
@@ -122,6 +133,7 @@
 		p.period(now)
 	}
 	p.urgent(now)
+	p.deliver(now)
 	return p.flush()
 }
 
@@ -151,6 +163,7 @@
 		p.nextPeriod = now.Add(p.opt.Period)
 	}
 	p.periods++
+	p.queue.briefLeft = min(briefBurst, p.queue.briefLeft+briefBytes)
 	p.expire(now)
 	p.watch(now)
 	p.round(now)
--- a/internal/gossiper/quic_test.go
+++ b/internal/gossiper/quic_test.go
@@ -74,10 +74,14 @@
 }
 
 // Payload implements Payload.
-func (in *instance) Payload(time.Time) []byte { return []byte("usage of " + in.Self.ID) }
+func (in *instance) Payload(time.Time) (local, wide []byte) {
+	return []byte("usage of " + in.Self.ID), []byte("sum of " + in.Self.ID)
+}
 
 // Merge implements Payload.
-func (in *instance) Merge(from string, body []byte) { in.usage.Store(from, string(body)) }
+func (in *instance) Merge(from string, body []byte) {
+	in.usage.Store(from+string(body[:3]), string(body))
+}
 
 func (in *instance) alive() (n int) {
 	if ms := in.members.Load(); ms != nil {
@@ -141,7 +145,11 @@
 	c.source.version.Store(7)
 	c.SetConfig(7)
 	eventually(t, every(func(in *instance) bool { return in.source.version.Load() == 7 }))
-	eventually(t, func() bool { v, _ := a.usage.Load("c"); return v == "usage of c" })
+	eventually(t, func() bool {
+		local, _ := a.usage.Load("cusa")
+		wide, _ := a.usage.Load("csum")
+		return local == "usage of c" && wide == "sum of c"
+	})
 
 	c.Leave(t.Context())
 	left := func(in *instance) bool {
--- a/internal/gossiper/receive.go
+++ b/internal/gossiper/receive.go
@@ -34,6 +34,7 @@
 		p.answer(m, msg, wasLive, now)
 	}
 	p.urgent(now)
+	p.deliver(now)
 	return p.flush(), nil
 }
 
--- a/internal/gossiper/send.go
+++ b/internal/gossiper/send.go
@@ -1,6 +1,8 @@
 package gossiper
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -20,10 +22,13 @@
 		e.Changes = append(e.Changes, told)
 		m.answered = now
 	}
-	n, nLocal := len(p.table.ring)+1, len(p.table.local)+1
-	inScope := func(scope string) bool { return scope == "" || scope == m.DataCentre || n <= wideMembers }
-	e.Changes = append(e.Changes, p.queue.take(size, inScope, 3*log2(n), log2(nLocal)+1)...)
-	p.out = append(p.out, Packet{To: m.Address, ID: m.ID, Data: encode(&e)})
+	passed, used := p.queue.takeOutbox(m.ID, size)
+	e.Changes = append(e.Changes, passed...)
+	n := len(p.table.ring) + 1
+	local := m.DataCentre == p.self.DataCentre || n <= wideMembers
+	e.Changes = append(e.Changes, p.queue.take(size-used, local, 3*log2(n))...)
+	// What is passed on goes over a stream, since the loss of a datagram would cost a part of the ring.
+	p.out = append(p.out, Packet{To: m.Address, ID: m.ID, Data: encode(&e), Stream: used > 0})
 }
 
 // envelope returns a message without changes.
@@ -52,17 +57,68 @@
 // enqueueMember spreads a record; a change of status is urgent.
 func (p *Protocol) enqueueMember(r Record) {
 	raw := msgpack.RawMessage(encode(&Change{Member: &r}))
-	p.queue.put(&pending{key: "m" + r.ID, raw: raw, urgent: true})
+	p.queue.put(&pending{key: "m" + r.ID, raw: raw})
 	p.startUrgent()
 }
 
-// enqueueItem spreads an item; only leaving targets are urgent.
+// enqueueItem spreads an item: a leaving target in urgent rounds, the others with regular messages and by passing on.
 func (p *Protocol) enqueueItem(it Item) {
-	raw := msgpack.RawMessage(encode(&Change{Item: &it}))
-	key := string([]byte{'0' + it.Kind}) + it.Key
-	urgent := it.Kind == itemLeaving
-	p.queue.put(&pending{key: key, raw: raw, scope: it.Scope, urgent: urgent, brief: !urgent})
-	if urgent {
+	it.Limit = 0
+	c := pendingItem(it)
+	p.queue.put(c)
+	if !it.brief() {
 		p.startUrgent()
 	}
 }
+
+func pendingItem(it Item) *pending {
+	c := &pending{key: string([]byte{'0' + it.Kind}) + it.Key, raw: encode(&Change{Item: &it}), local: it.local()}
+	switch it.Kind {
+	case itemLoad:
+		c.rank = rankLoad
+	case itemUsage, itemSum:
+		c.rank = rankUsage
+	}
+	return c
+}
+
+// passOn gives a brief item to the fingers between this instance and the limit, each with its own part of the ring, so
+// that every member gets it once. A limit at the own position is the whole ring.
+func (p *Protocol) passOn(it Item, limit uint64) {
+	all, local := p.table.order()
+	ring := all
+	if it.local() && len(all)+1 > wideMembers {
+		ring = local
+	}
+	self := p.table.selfPos
+	inside := func(pos uint64) bool { return limit == self || pos-self < limit-self }
+	fs := fingers(ring)
+	for i, f := range fs {
+		if !inside(f.pos) {
+			return
+		}
+		it.Limit = limit
+		if i+1 < len(fs) && inside(fs[i+1].pos) {
+			it.Limit = fs[i+1].pos
+		}
+		p.queue.pass(f.ID, pendingItem(it))
+	}
+}
+
+// deliver sends the outboxes, at most once in a part of the period so that items share messages.
+func (p *Protocol) deliver(now time.Time) {
+	if len(p.queue.outbox) == 0 || now.Before(p.lastPass.Add(p.opt.Period/passPerPeriod)) {
+		return
+	}
+	p.lastPass = now
+	for _, id := range slices.Sorted(maps.Keys(p.queue.outbox)) {
+		m := p.table.members[id]
+		if m == nil || !m.State.Live() {
+			delete(p.queue.outbox, id)
+			continue
+		}
+		if p.queue.ready(id) {
+			p.send(m, kindGossip, now)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gossiper/usage_test.go
@@ -0,0 +1,94 @@
+package gossiper
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// usageRun has every instance tell its use once in five periods, as the limiter does while all accounts change, and
+// returns the shares of receivers that knew a local and a wide payload 3 s later and the bytes sent by an instance in a second.
+// Each data centre also passes on the given number of load reports in a fifth of a period.
+func usageRun(size, reports int) (local, wide, rate float64) {
+	c := newCluster(uint64(size))
+	c.drop = 0.02
+	if size >= 70 {
+		c.centres = 12
+	}
+	for i := range size {
+		c.start(i)
+	}
+	c.join()
+	c.run(10 * c.period)
+	for _, n := range c.order {
+		n.wire = 0
+	}
+	type said struct {
+		n    *node
+		text string
+		at   time.Time
+		wide bool
+	}
+	var waiting []said
+	var got, want [2]float64
+	const rounds = 12
+	for i := range rounds * 5 {
+		for j, n := range c.order {
+			if (j+i)%25 != 0 {
+				continue // the periods of instances are not in step
+			}
+			text := fmt.Sprintf("%s %d %s", n.ID, i, strings.Repeat("x", 120))
+			sum := []byte(nil)
+			if j < c.centres {
+				sum = []byte(fmt.Sprintf("%s %d %s", n.ID, i, strings.Repeat("y", 400)))
+			}
+			_ = n.p.Usage([]byte(text), sum, c.now)
+			waiting = append(waiting, said{n: n, text: fmt.Sprintf("%s %d", n.ID, i), at: c.now, wide: sum != nil})
+		}
+		for k := range reports * c.centres {
+			// Target k is in data centre k modulo centres, as the instance k is.
+			target := (i*reports*c.centres + k) % (70 * c.centres)
+			_ = c.order[target%size].p.Report(fmt.Sprintf("letters-%d", target), make([]byte, 40), c.now)
+		}
+		c.run(c.period / 5)
+		for len(waiting) > 0 && c.now.Sub(waiting[0].at) >= 3*time.Second {
+			w := waiting[0]
+			waiting = waiting[1:]
+			for _, o := range c.order {
+				if o == w.n || (!w.wide && o.DataCentre != w.n.DataCentre && size > wideMembers) {
+					continue
+				}
+				k := 0
+				if w.wide {
+					k = 1
+				}
+				want[k]++
+				if strings.HasPrefix(o.usage[w.n.ID], w.text) {
+					got[k]++
+				}
+			}
+		}
+	}
+	sent := 0
+	for _, n := range c.order {
+		sent += n.wire
+	}
+	return got[0] / want[0], got[1] / want[1], float64(sent) / float64(size) / rounds
+}
+
+// Guards against shared limits that rest on old reports, and against reports that take more than their bytes.
+func TestUsageArrivesInTime(t *testing.T) {
+	// At 420 instances a data centre has 70 targets, each reported every 3 s.
+	for size, reports := range map[int]int{7: 0, 70: 1, 420: 5} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			local, wide, rate := usageRun(size, reports)
+			t.Logf("%d instances: after 3 s %.2f %% of the data centre and %.2f %% of all know; %.0f B/s sent by each", size, 100*local, 100*wide, rate)
+			require.Greater(t, local, 0.97)
+			require.Greater(t, wide, 0.97)
+			require.Less(t, rate, 7000.0)
+		})
+	}
+}
--- a/internal/server/loads.go
+++ b/internal/server/loads.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"bytes"
+	"crypto/sha256"
 	"slices"
 	"time"
 
@@ -17,8 +19,11 @@
 	// pollAllUpTo is the number of live members up to which each polls every target itself; above it, polls by all
 	// would cost a target hundreds of requests a second.
 	pollAllUpTo = 24
-	// pollersPerTarget is how many instances poll a target above that.
+	// pollersPerTarget is how many instances poll a target above that; the first of them passes the reports on.
 	pollersPerTarget = 2
+	// shareEvery is the time between two reports of a target that are passed on: 70 targets of a data centre at one
+	// report a second would take 5 of the 7 KB/s that an instance may use.
+	shareEvery = 3 * time.Second
 )
 
 // sharedLoad is a load report as it is passed on inside the data centre.
@@ -44,11 +49,14 @@
 
 // responsible reports whether this instance polls the target.
 func (m *membership) responsible(v *view.View, t configurer.Target) bool {
-	if len(live(v, "")) <= pollAllUpTo {
-		return true
-	}
-	key := keyer.Key{}
-	copy(key[:], t.ID)
+	return len(live(v, "")) <= pollAllUpTo || slices.Contains(pollersOf(v, t), m.s.Settings.Instance.ID)
+}
+
+// pollersOf returns the instances that poll a target when there are too many for all to do it.
+func pollersOf(v *view.View, t configurer.Target) []string {
+	// A weight uses the first bytes of the key, which are alike in the ids of most targets.
+	hash := sha256.Sum256([]byte(t.ID))
+	key := keyer.Key(hash[:16])
 	ids := live(v, t.DataCentre)
 	slices.SortFunc(ids, func(a, b string) int {
 		if keyer.Weight(key, a) > keyer.Weight(key, b) {
@@ -56,16 +64,24 @@
 		}
 		return 1
 	})
-	return slices.Contains(ids[:min(pollersPerTarget, len(ids))], m.s.Settings.Instance.ID)
+	return ids[:min(pollersPerTarget, len(ids))]
 }
 
-// share passes load reports on if the other instances do not poll the targets themselves.
-func (m *membership) share(v *view.View, changes map[string]view.Status) {
+// share passes load reports on if the other instances do not poll the targets themselves; the poller's goroutine owns shared.
+func (m *membership) share(v *view.View, changes map[string]view.Status, now time.Time) {
 	if !m.joined() || len(live(v, "")) <= pollAllUpTo {
 		return
 	}
 	for id, st := range changes {
-		body, err := msgpack.Marshal(&sharedLoad{Load: st.Load, Versions: st.Versions, Leaving: st.Leaving, Down: st.Down})
+		t, ok := v.Target(id)
+		if !ok || now.Sub(m.shared[id]) < shareEvery {
+			continue
+		}
+		if ids := pollersOf(v, t.Target); len(ids) == 0 || ids[0] != m.s.Settings.Instance.ID {
+			continue
+		}
+		m.shared[id] = now
+		body, err := encodeLoad(st)
 		if err != nil {
 			logger.WithError(m.s.Log, err).Warn("load report not passed on")
 			continue
@@ -74,6 +90,16 @@
 	}
 }
 
+// encodeLoad encodes a status without the names of its fields, which would be three quarters of its bytes.
+func encodeLoad(st view.Status) ([]byte, error) {
+	var b bytes.Buffer
+	enc := msgpack.NewEncoder(&b)
+	enc.UseArrayEncodedStructs(true)
+	enc.UseCompactInts(true)
+	err := enc.Encode(&sharedLoad{Load: st.Load, Versions: st.Versions, Leaving: st.Leaving, Down: st.Down})
+	return b.Bytes(), err
+}
+
 // load applies a load report from another instance.
 func (m *membership) load(target string, body []byte) {
 	in := new(sharedLoad)
--- /dev/null
+++ b/internal/server/loads_test.go
@@ -0,0 +1,51 @@
+package server
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/papayaworks/papayaworks/internal/dialer"
+	"github.com/papayaworks/papayaworks/internal/view"
+	"github.com/papayaworks/papayaworks/pkg/configurer"
+)
+
+// Guards against targets that nobody polls, or that hundreds of instances poll.
+func TestEachTargetHasTwoPollers(t *testing.T) {
+	cfg := &configurer.Config{}
+	for i := range 70 {
+		cfg.Targets = append(cfg.Targets, configurer.Target{ID: fmt.Sprintf("letters-%d", i), DataCentre: fmt.Sprintf("kochi-%d", i%12)})
+	}
+	var ms []view.Member
+	for i := range 420 {
+		state := "alive"
+		if i%10 == 0 {
+			state = "dead"
+		}
+		ms = append(ms, view.Member{ID: fmt.Sprintf("i-%d", i), DataCentre: fmt.Sprintf("kochi-%d", i%12), State: state})
+	}
+	v := view.New(cfg, 1, "kochi-0").WithMembers(ms)
+	used := map[string]bool{}
+	for _, target := range cfg.Targets {
+		ids := pollersOf(v, target)
+		require.Len(t, ids, pollersPerTarget)
+		for _, id := range ids {
+			require.Contains(t, live(v, target.DataCentre), id)
+			used[id] = true
+		}
+	}
+	require.Greater(t, len(used), len(cfg.Targets), "the polls must be spread over the instances")
+}
+
+// Guards against load reports that change on their way or outgrow their part of the traffic.
+func TestLoadReportSurvivesEncoding(t *testing.T) {
+	in := view.Status{Load: dialer.Load{AtMs: 1_800_000_000_000, Draining: true}, Versions: map[string]int64{"letters": 3}, Leaving: true}
+	body, err := encodeLoad(in)
+	require.NoError(t, err)
+	require.Less(t, len(body), 64)
+	out := new(sharedLoad)
+	require.NoError(t, msgpack.Unmarshal(body, out))
+	require.Equal(t, sharedLoad{Load: in.Load, Versions: in.Versions, Leaving: true}, *out)
+}
--- a/internal/server/membership.go
+++ b/internal/server/membership.go
@@ -34,6 +34,8 @@
 	mu sync.Mutex
 	// local holds the marks of an instance that joins no others.
 	local map[string]time.Time
+	// shared is when the load of a target was passed on last.
+	shared map[string]time.Time
 	// drained and listed are the targets that this instance marked because of their reports and of the platform's list.
 	drained, listed map[string]bool
 }
--- a/internal/server/pollers.go
+++ b/internal/server/pollers.go
@@ -69,7 +69,7 @@
 			changes[r.id] = st
 		}
 	}
-	s.peers.share(v, changes)
+	s.peers.share(v, changes, time.Now())
 	if len(changes) > 0 {
 		s.control.Update(func(v *view.View) *view.View { return v.WithTargets(changes) })
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -129,7 +129,7 @@
 	}
 	s.tracker = tracker.New(time.Now)
 	s.control = controller.New(view.New(s.Initial, 0, s.Settings.Instance.DataCentre))
-	s.peers = &membership{s: s, local: map[string]time.Time{}, drained: map[string]bool{}, listed: map[string]bool{}}
+	s.peers = &membership{s: s, local: map[string]time.Time{}, drained: map[string]bool{}, listed: map[string]bool{}, shared: map[string]time.Time{}}
 	s.control.Published = s.published
 	s.startLog(ctx)
 	s.published(s.control.View())
