--- a/internal/gossiper/receive.go
+++ b/internal/gossiper/receive.go
@@ -34,6 +34,7 @@
 		p.answer(m, msg, wasLive, now)
 	}
 	p.urgent(now)
+	p.deliver(now)
 	return p.flush(), nil
 }
 
@@ -128,7 +129,8 @@
 	if revived {
 		p.lastForced = now
 	}
-	if revived || (msg.TableHash != p.table.hash && now.Sub(p.lastSync) >= syncEvery*p.opt.Period) {
+	every := min(maxSyncEvery, max(minSyncEvery, len(p.table.members)/membersPerSyncPeriod))
+	if revived || (msg.TableHash != p.table.hash && now.Sub(p.lastSync) >= time.Duration(every)*p.opt.Period) {
 		p.lastSync = now
 		p.sync(m)
 	}
