fix(listener): bound the library's stop and order its connection hand-over

Cause: nbio's Stop waits forever when it is called before its poller runs (a test hung for 9 minutes), and the race detector reports the hand-over of a connection through epoll, which it cannot see, as a race in 3 of 3 runs. Change: Kill waits at most 2 s for the library; an atomic counter orders the accepting goroutine and the poller.

--- /dev/null
+++ b/cmd/papayaworks/process_test.go
@@ -0,0 +1,192 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/papayaworks/papayaworks/internal/emulator"
+	"github.com/papayaworks/papayaworks/internal/server/identifier"
+	"github.com/papayaworks/papayaworks/pkg/caller"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"papayaworks": main})
+}
+
+// processDeadline bounds what a script waits for.
+const processDeadline = 60 * time.Second
+
+// bench is the stand-ins and the streams of one script.
+type bench struct {
+	log     *emulator.Log
+	engines []*emulator.Engine
+	mu      sync.Mutex
+	streams map[string]chan error
+}
+
+type benchKey struct{}
+
+// Guards against faults that only real processes show: signals, exit statuses, settings from files.
+func TestProcesses(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/script",
+		Setup: func(env *testscript.Env) error {
+			b := &bench{streams: map[string]chan error{}, log: &emulator.Log{}}
+			env.Values[benchKey{}] = b
+			return b.start(env)
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"settings": onBench((*bench).settings), "ready": onBench((*bench).ready), "stream": onBench((*bench).stream),
+			"finish": onBench((*bench).finish), "swapped": onBench((*bench).swapped),
+		},
+	})
+}
+
+func onBench(f func(*bench, *testscript.TestScript, []string) error) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, neg bool, args []string) {
+		err := f(ts.Value(benchKey{}).(*bench), ts, args)
+		if neg != (err != nil) {
+			ts.Fatalf("%v: error %v, expected one: %t", args, err, neg)
+		}
+	}
+}
+
+// start starts the log and three engines and writes the configuration file.
+func (b *bench) start(env *testscript.Env) error {
+	if _, err := b.log.Start(); err != nil {
+		return err
+	}
+	env.Defer(b.log.Kill)
+	env.Setenv("LOG", b.log.Addr)
+	var c strings.Builder
+	fmt.Fprintf(&c, "[deployment]\nname = \"test\"\n[[dataCentres]]\nname = \"a\"\nregion = \"r\"\n[[models]]\nname = \"m\"\nversion = 1\n"+
+		"[timing]\nleaseMs = 1000\nloadReportMs = 200\ngossipMs = 100\n[[accounts]]\nname = \"acc\"\nkeySHA256 = %q\n", identifier.HashKey("key"))
+	for i := range 3 {
+		e := &emulator.Engine{ID: fmt.Sprintf("e%d", i), Models: map[string]int64{"m": 1}, DecodeRate: 100, LoadMs: 50}
+		if _, err := e.Start(); err != nil {
+			return err
+		}
+		env.Defer(e.Kill)
+		b.engines = append(b.engines, e)
+		fmt.Fprintf(&c, "[[targets]]\nid = %q\naddress = %q\ndataCentre = \"a\"\nkind = \"engine\"\nmodels = [\"m\"]\n", e.ID, e.Addr)
+	}
+	return os.WriteFile(filepath.Join(env.WorkDir, "config.toml"), []byte(c.String()), 0o600)
+}
+
+// freeAddress returns a loopback address that was free a moment ago.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	return l.Addr().String(), l.Close()
+}
+
+// settings NAME writes NAME.toml for an instance and sets the variable NAME to its address.
+func (b *bench) settings(ts *testscript.TestScript, args []string) error {
+	addr, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	text := fmt.Sprintf("configuration = \"config.toml\"\n[instance]\nid = %q\ndataCentre = \"a\"\nlisten = %q\n[platform]\nlog = %q\n[keys]\ntoken = [%q]\n",
+		args[0], addr, b.log.Addr, strings.Repeat("ab", 32))
+	ts.Setenv(args[0], addr)
+	return os.WriteFile(ts.MkAbs(args[0]+".toml"), []byte(text), 0o600)
+}
+
+// ready NAME waits until an instance is ready.
+func (b *bench) ready(ts *testscript.TestScript, args []string) error {
+	return poll(func() bool {
+		res, err := http.Get("http://" + ts.Getenv(args[0]) + "/readyz")
+		if err != nil {
+			return false
+		}
+		defer res.Body.Close()
+		return res.StatusCode == http.StatusOK
+	})
+}
+
+// poll looks at a condition until it holds or the deadline passes.
+func poll(holds func() bool) error {
+	deadline := time.After(processDeadline)
+	tick := time.NewTicker(20 * time.Millisecond)
+	defer tick.Stop()
+	for !holds() {
+		select {
+		case <-deadline:
+			return context.DeadlineExceeded
+		case <-tick.C:
+		}
+	}
+	return nil
+}
+
+// stream NAME TOKENS INSTANCE... begins a stream at the instances in turn and returns at its first piece.
+func (b *bench) stream(ts *testscript.TestScript, args []string) error {
+	tokens, err := strconv.Atoi(args[1])
+	if err != nil {
+		return err
+	}
+	var addrs []string
+	for _, name := range args[2:] {
+		addrs = append(addrs, ts.Getenv(name))
+	}
+	first, done := make(chan struct{}), make(chan error, 1)
+	var once sync.Once
+	c := &caller.Client{Addresses: addrs, Key: "key", Attempts: 20, OnPiece: func(int) { once.Do(func() { close(first) }) }}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), processDeadline)
+		defer cancel()
+		ans, err := c.Chat(ctx, caller.Chat{
+			Model: "m", Stream: true, MaxTokens: tokens, Seed: 1, Messages: []caller.Message{{Role: "user", Content: args[0]}},
+		})
+		if err == nil && ans.Text != emulator.Answer("<|user|>\n"+args[0]+"\n", 1, tokens) {
+			err = fmt.Errorf("answer of %d bytes is not whole", len(ans.Text))
+		}
+		done <- err
+	}()
+	b.mu.Lock()
+	b.streams[args[0]] = done
+	b.mu.Unlock()
+	select {
+	case <-first:
+		return nil
+	case err := <-done:
+		return fmt.Errorf("ended before the first piece: %w", err)
+	}
+}
+
+// finish NAME waits for the end of a stream.
+func (b *bench) finish(_ *testscript.TestScript, args []string) error {
+	b.mu.Lock()
+	done := b.streams[args[0]]
+	b.mu.Unlock()
+	return <-done
+}
+
+// swapped VERSION waits until every engine serves a weight version.
+func (b *bench) swapped(_ *testscript.TestScript, args []string) error {
+	v, err := strconv.ParseInt(args[0], 10, 64)
+	if err != nil {
+		return err
+	}
+	return poll(func() bool {
+		for _, e := range b.engines {
+			if !e.Serves("m", v) {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -17,8 +17,10 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 
 	"github.com/papayaworks/papayaworks/internal/failer"
@@ -29,7 +31,9 @@
 	// A stream may last this long; nbhttp's own default closes a connection after 120 s without a request.
 	keepAlive = 2 * time.Hour
 	// How often connections are checked for having been closed by the caller.
-	closedCheckPeriod  = 50 * time.Millisecond
+	closedCheckPeriod = 50 * time.Millisecond
+	// The library's Stop waits forever for a poller that had not begun to run when it was called.
+	stopLimit          = 2 * time.Second
 	defaultMaxBody     = 8 << 20
 	defaultWriteBuffer = 4 << 20
 )
@@ -46,6 +50,7 @@
 	engine *nbhttp.Engine
 	gate   *gate
 	done   chan struct{}
+	opened atomic.Int64
 
 	mu     sync.Mutex
 	active map[net.Conn]context.CancelFunc
@@ -86,6 +91,13 @@
 		Handler:            http.HandlerFunc(s.serve),
 		ServerExecutor:     func(f func()) { go f() },
 	})
+	// The library hands a connection from its accepting goroutine to a poller through epoll alone, which Go's memory
+	// model does not know. The counter orders the two for it.
+	s.engine.OnOpen(func(net.Conn) { s.opened.Add(1) })
+	s.engine.OnData(func(c *nbio.Conn, data []byte) {
+		s.opened.Load()
+		c.DataHandler()(c, data)
+	})
 	if err := s.engine.Start(); err != nil {
 		return "", failer.Wrap(err, "serve on", addr, "start")
 	}
@@ -203,5 +215,13 @@
 		_ = conn.Close()
 	}
 	s.mu.Unlock()
-	s.engine.Stop()
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		s.engine.Stop()
+	}()
+	select {
+	case <-stopped:
+	case <-time.After(stopLimit):
+	}
 }
