test(cmd): give each script a loopback address of its own

Cause: a free port was taken by another script before the instance listened on it; published-swap waited 60 s for an instance that could not start. Change: scripts listen on 127.0.1.N.

--- a/cmd/papayaworks/process_test.go
+++ b/cmd/papayaworks/process_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,6 +30,7 @@
 
 // bench is the stand-ins and the streams of one script.
 type bench struct {
+	ip      string
 	log     *emulator.Log
 	engines []*emulator.Engine
 	mu      sync.Mutex
@@ -37,12 +39,15 @@
 
 type benchKey struct{}
 
+// scripts numbers the scripts that were set up.
+var scripts atomic.Int32
+
 // Guards against faults that only real processes show: signals, exit statuses, settings from files.
 func TestProcesses(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata/script",
 		Setup: func(env *testscript.Env) error {
-			b := &bench{streams: map[string]chan error{}, log: &emulator.Log{}}
+			b := &bench{ip: fmt.Sprintf("127.0.1.%d", scripts.Add(1)), streams: map[string]chan error{}, log: &emulator.Log{}}
 			env.Values[benchKey{}] = b
 			return b.start(env)
 		},
@@ -84,9 +89,10 @@
 	return os.WriteFile(filepath.Join(env.WorkDir, "config.toml"), []byte(c.String()), 0o600)
 }
 
-// freeAddress returns a loopback address that was free a moment ago.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// freeAddress returns an address that was free a moment ago. Each script has a loopback address of its own, so that
+// no other script and no outgoing connection takes the port before the instance listens on it.
+func (b *bench) freeAddress() (string, error) {
+	l, err := net.Listen("tcp", b.ip+":0")
 	if err != nil {
 		return "", err
 	}
@@ -95,7 +101,7 @@
 
 // settings NAME writes NAME.toml for an instance and sets the variable NAME to its address.
 func (b *bench) settings(ts *testscript.TestScript, args []string) error {
-	addr, err := freeAddress()
+	addr, err := b.freeAddress()
 	if err != nil {
 		return err
 	}
