--- /dev/null
+++ b/internal/appender/appender_test.go
@@ -0,0 +1,226 @@
+package appender
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/papayaworks/papayaworks/internal/emulator"
+)
+
+// start runs a writer on a fake log until the test ends.
+func start(t *testing.T, log Log, set func(*Writer)) *Writer {
+	w := NewWriter(log, "s")
+	if set != nil {
+		set(w)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go w.Run(ctx)
+	return w
+}
+
+// Guards against more appends than the budget allows, against records that are dropped or reordered within a batch,
+// and against a wrong offset in the answer.
+func TestWriterGroupsWithinBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := NewFake(nil)
+		w := start(t, log, func(w *Writer) { w.Budget, w.Live = 200, func() int { return 20 } })
+		const n = 1000
+		var wg sync.WaitGroup
+		begun := time.Now()
+		for i := range n {
+			wg.Go(func() {
+				data := fmt.Appendf(nil, "%d", i)
+				offset, err := w.Append(t.Context(), data)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				b, err := log.Read(t.Context(), "s", offset, 1, 0)
+				if err != nil || string(b.Records[0].Data) != string(data) {
+					t.Errorf("offset %d: %v", offset, err)
+				}
+			})
+		}
+		wg.Wait()
+		// One append each 100 ms, at most 256 records in each; the first append may hold a single record.
+		require.LessOrEqual(t, log.Appends(), 5)
+		require.Less(t, time.Since(begun), 500*time.Millisecond)
+	})
+}
+
+// Each case guards against a wrong answer about an append while the log misbehaves.
+func TestWriterFaults(t *testing.T) {
+	tests := map[string]struct {
+		faults  Faults
+		heal    time.Duration // when the faults end
+		timeout time.Duration
+		ok      bool
+		maybe   bool
+		records int
+	}{
+		"outage that ends in time": {faults: Faults{Down: true}, heal: 2 * time.Second, timeout: 10 * time.Second, ok: true, records: 1},
+		"outage until the timeout": {faults: Faults{Down: true}, heal: time.Minute, timeout: time.Second, maybe: true},
+		"slow log":                 {faults: Faults{Delay: 3 * time.Second}, heal: time.Minute, timeout: 10 * time.Second, ok: true, records: 1},
+		"slower than the timeout":  {faults: Faults{Delay: 3 * time.Second}, heal: time.Minute, timeout: time.Second, maybe: true, records: 1},
+		"doubled by the network":   {faults: Faults{Duplicate: true}, heal: time.Minute, timeout: time.Second, ok: true, records: 2},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := NewFake(nil)
+				w := start(t, log, nil)
+				log.SetFaults(tc.faults)
+				time.AfterFunc(tc.heal, func() { log.SetFaults(Faults{}) })
+				ctx, cancel := context.WithTimeout(t.Context(), tc.timeout)
+				defer cancel()
+				_, err := w.Append(ctx, []byte("x"))
+				require.Equal(t, tc.ok, err == nil, "%v", err)
+				require.Equal(t, tc.maybe, MayHaveAppended(err))
+				<-time.After(2 * time.Minute)
+				b, err := log.Read(t.Context(), "s", 0, 0, 0)
+				require.NoError(t, err)
+				require.Len(t, b.Records, tc.records)
+			})
+		})
+	}
+}
+
+// Guards against a lost response that is taken for a failure: the record is appended again and both copies stay.
+func TestWriterRepeatsAfterLostResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := NewFake(nil)
+		log.SetFaults(Faults{LoseResponses: true})
+		time.AfterFunc(25*time.Millisecond, func() { log.SetFaults(Faults{}) })
+		_, err := start(t, log, nil).Append(t.Context(), []byte("x"))
+		require.NoError(t, err)
+		b, err := log.Read(t.Context(), "s", 0, 0, 0)
+		require.NoError(t, err)
+		require.GreaterOrEqual(t, len(b.Records), 2)
+	})
+}
+
+// Guards against unbounded memory in an outage and against a "may have" for records that were never sent.
+func TestWriterIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := NewWriter(NewFake(nil), "s") // not running
+		ctx, cancel := context.WithCancel(t.Context())
+		errs := make(chan error, maxWaiting+1)
+		for range maxWaiting + 1 {
+			go func() {
+				_, err := w.Append(ctx, nil)
+				errs <- err
+			}()
+		}
+		require.ErrorIs(t, <-errs, error(ErrFull))
+		cancel()
+		for range maxWaiting {
+			require.False(t, MayHaveAppended(<-errs))
+		}
+	})
+}
+
+// Guards against a follower that stops in an outage, misses records or does not notice a gap made by the retention.
+func TestFollower(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := NewFake(nil)
+		log.Retention = time.Hour
+		var next, gap int64
+		var got []string
+		f := &Follower{Log: log, Stream: "s", Next: func() int64 { return next }, Handle: func(from int64, b Batch) {
+			gap += max(0, b.Oldest-from)
+			for _, r := range b.Records {
+				got = append(got, string(r.Data))
+			}
+			next = b.Next
+		}}
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		put := func(s string) {
+			_, err := log.Append(t.Context(), "s", [][]byte{[]byte(s)})
+			require.NoError(t, err)
+			<-time.After(time.Second)
+			synctest.Wait()
+		}
+		put("a")
+		put("b")
+		log.SetFaults(Faults{Down: true})
+		<-time.After(time.Minute)
+		log.SetFaults(Faults{})
+		<-time.After(3 * time.Second)
+		put("c")
+		require.Equal(t, []string{"a", "b", "c"}, got)
+		require.Zero(t, gap)
+		cancel()
+		synctest.Wait()
+		put("lost")
+		<-time.After(2 * time.Hour)
+		put("d")
+		ctx, cancel = context.WithCancel(t.Context())
+		go f.Run(ctx)
+		<-time.After(time.Second)
+		cancel()
+		synctest.Wait()
+		require.Equal(t, []string{"a", "b", "c", "d"}, got)
+		require.EqualValues(t, 1, gap)
+	})
+}
+
+// Guards against a client that does not speak the log's protocol.
+func TestClientAgainstEmulator(t *testing.T) {
+	log := &emulator.Log{}
+	addr, err := log.Start()
+	require.NoError(t, err)
+	defer log.Kill()
+	c := &Client{Addr: addr}
+	first, err := c.Append(t.Context(), "a b", [][]byte{[]byte("x"), []byte("y")})
+	require.NoError(t, err)
+	require.Zero(t, first)
+	b, err := c.Read(t.Context(), "a b", 1, 10, 0)
+	require.NoError(t, err)
+	require.Equal(t, "y", string(b.Records[0].Data))
+	require.EqualValues(t, 2, b.Next)
+
+	polled := make(chan Batch, 1)
+	go func() {
+		b, _ := c.Read(t.Context(), "a b", 2, 10, 20*time.Second)
+		polled <- b
+	}()
+	_, err = c.Append(t.Context(), "a b", [][]byte{[]byte("z")})
+	require.NoError(t, err)
+	require.Equal(t, "z", string((<-polled).Records[0].Data))
+
+	log.SetFaults(emulator.LogFaults{LoseAppendAnswers: true})
+	_, err = c.Append(t.Context(), "a b", [][]byte{nil})
+	require.True(t, MayHaveAppended(err))
+	log.SetFaults(emulator.LogFaults{Down: true})
+	_, err = c.Read(t.Context(), "a b", 0, 1, 0)
+	require.Error(t, err)
+}
+
+// Each case guards against "nothing was appended" about an append that may have taken effect.
+func TestMaybeSent(t *testing.T) {
+	tests := map[string]struct {
+		err  error
+		want bool
+	}{
+		"refused connection": {&net.OpError{Op: "dial", Err: errors.New("refused")}, false},
+		"broken connection":  {&net.OpError{Op: "read", Err: errors.New("reset")}, true},
+		"timeout":            {context.DeadlineExceeded, true},
+		"bad request":        {&statusError{status: http.StatusBadRequest}, false},
+		"unavailable":        {&statusError{status: http.StatusServiceUnavailable}, true},
+		"gateway timeout":    {&statusError{status: http.StatusGatewayTimeout}, true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) { require.Equal(t, tc.want, maybeSent(tc.err)) })
+	}
+}
--- /dev/null
+++ b/internal/server/dispatcher/call_test.go
@@ -0,0 +1,122 @@
+package dispatcher
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/papayaworks/papayaworks/internal/appender"
+	"github.com/papayaworks/papayaworks/internal/asserter"
+	"github.com/papayaworks/papayaworks/internal/dialer"
+	"github.com/papayaworks/papayaworks/internal/emulator"
+	"github.com/papayaworks/papayaworks/internal/ledger"
+	"github.com/papayaworks/papayaworks/internal/request"
+	"github.com/papayaworks/papayaworks/internal/view"
+	"github.com/papayaworks/papayaworks/pkg/configurer"
+)
+
+// newStep returns a step with a ledger on a log.
+func newStep(t *testing.T, log appender.Log) *Step {
+	l := &ledger.Ledger{Log: log, Owner: "a", Asserter: &asserter.Asserter{Fatal: true}}
+	l.Start(t.Context())
+	return &Step{Client: dialer.New(), Ledger: l, Now: time.Now}
+}
+
+// call returns a call of a service's operation.
+func call(addr, key, body string, repeatable bool) *request.Request {
+	return &request.Request{
+		HTTP: httptest.NewRequest(http.MethodPost, "/", http.NoBody), Received: time.Now(), IdempotencyKey: key,
+		Account: configurer.Account{Name: "dispatch"},
+		Target:  &view.Target{Target: configurer.Target{ID: "s", Address: addr}},
+		Call: &request.Call{Service: "dispatch", Method: http.MethodPost, Body: []byte(body),
+			Operation: configurer.Operation{Name: "order", Repeatable: repeatable, DeadlineMs: 5000}},
+	}
+}
+
+// Each case guards against an error body that says something else about the run than what the service saw.
+func TestCallTellsTheTruth(t *testing.T) {
+	good := ledger.NewKey(time.Now(), 1, 1)
+	tests := map[string]struct {
+		key        string
+		repeatable bool
+		log        appender.Faults
+		service    emulator.ServiceFaults
+		gone       bool // the service is not there
+		status     int  // of the error; 0 means that the call is answered
+		code       request.Code
+		field      string
+		notRun     bool
+		runs       int
+	}{
+		"answered":                {key: good, runs: 1},
+		"no key":                  {status: 400, code: request.CodeBadRequest, field: "Idempotency-Key", notRun: true},
+		"malformed key":           {key: "order-1", status: 400, code: request.CodeBadRequest, field: "Idempotency-Key", notRun: true},
+		"old key":                 {key: ledger.NewKey(time.Now().Add(-24*time.Hour), 1, 1), status: 400, code: request.CodeBadRequest, field: "Idempotency-Key", notRun: true},
+		"log down":                {key: good, log: appender.Faults{Down: true}, status: 503, code: request.CodeNotRun, notRun: true},
+		"log down, repeatable":    {key: good, repeatable: true, log: appender.Faults{Down: true}, runs: 1},
+		"repeatable without key":  {repeatable: true},
+		"service gone":            {key: good, gone: true, status: 503, code: request.CodeNotRun, notRun: true},
+		"service gone, repeat":    {repeatable: true, gone: true, status: 503, code: request.CodeNotRun, notRun: true},
+		"response lost":           {key: good, service: emulator.ServiceFaults{LoseAnswers: true}, status: 504, code: request.CodeOutcomeUnknown, runs: 1},
+		"append responses lost":   {key: good, log: appender.Faults{LoseResponses: true}, runs: 1},
+		"service refuses by 503":  {key: good, service: emulator.ServiceFaults{Down: true}},
+		"service after the limit": {key: good, service: emulator.ServiceFaults{Delay: 20 * time.Second}, status: 504, code: request.CodeOutcomeUnknown, runs: 1},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			sv := &emulator.Service{ID: "s"}
+			addr, err := sv.Start()
+			require.NoError(t, err)
+			defer sv.Kill()
+			sv.SetFaults(tc.service)
+			if tc.gone {
+				sv.Kill()
+			}
+			log := appender.NewFake(nil)
+			log.SetFaults(tc.log)
+			err = newStep(t, log).Run(context.Background(), call(addr, tc.key, "x", tc.repeatable))
+			require.Equal(t, tc.runs, sv.Runs()[tc.key])
+			if tc.status == 0 {
+				require.NoError(t, err)
+				return
+			}
+			var re *request.Error
+			require.ErrorAs(t, err, &re)
+			require.Equal(t, []any{tc.status, tc.code, tc.field, tc.notRun}, []any{re.Status, re.Code, re.Field, re.NotRun}, re.Message)
+		})
+	}
+}
+
+// Guards against a second run by the HTTP library, which repeats a request with an Idempotency-Key on its own when a
+// connection breaks that was used before, and against other answers to a retry and to another body.
+func TestCallIsNeverRepeated(t *testing.T) {
+	sv := &emulator.Service{ID: "s"}
+	addr, err := sv.Start()
+	require.NoError(t, err)
+	defer sv.Kill()
+	st := newStep(t, appender.NewFake(nil))
+	key := func(n uint64) string { return ledger.NewKey(time.Now(), n, n) }
+	warm, lost := key(1), key(2)
+	first, again := call(addr, warm, "", false), call(addr, warm, "", false)
+	require.NoError(t, st.Run(t.Context(), first))
+	require.NoError(t, st.Run(t.Context(), again))
+	require.True(t, bytes.Equal(first.Response.Body, again.Response.Body))
+
+	var re *request.Error
+	require.ErrorAs(t, st.Run(t.Context(), call(addr, warm, "other", false)), &re)
+	require.Equal(t, http.StatusUnprocessableEntity, re.Status)
+	require.Equal(t, "Idempotency-Key", re.Field)
+
+	sv.SetFaults(emulator.ServiceFaults{LoseAnswers: true})
+	for range 3 {
+		require.ErrorAs(t, st.Run(t.Context(), call(addr, lost, "", false)), &re)
+		require.Equal(t, request.CodeOutcomeUnknown, re.Code)
+	}
+	require.Equal(t, map[string]int{warm: 1, lost: 1}, sv.Runs())
+}
