feat(dispatcher): retries, moved runs and cancelled runs

Cause: a refused or broken dispatch failed the request although another target could run it, and the run of a caller that went away kept its slot. Change: dispatch within the retry budget over the request's alternatives; a broken answer is resumed, else run again at another target from the delivered offset if it has a seed; a run without a reader is cancelled after a grace of 5 s. The caller's stream token follows the moved run; wholeAnswer is asserted in dispatcher and deliverer.

--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -97,6 +97,12 @@
 	return failer.Wrap(c.call(ctx, http.MethodDelete, u, nil, nil), "cancel run at", addr, "cancel")
 }
 
+// CancelIdle ends a run unless somebody reads its stream; the reader may be a caller that came back at another instance.
+func (c *Client) CancelIdle(ctx context.Context, addr, run string) error {
+	u := fmt.Sprintf("http://%s/v1/runs/%s?idle=1", addr, url.PathEscape(run))
+	return failer.Wrap(c.call(ctx, http.MethodDelete, u, nil, nil), "cancel idle run at", addr, "cancel")
+}
+
 // Export asks an engine to write a conversation's blocks to a store.
 func (c *Client) Export(ctx context.Context, addr string, in *ExportRequest) error {
 	return failer.Wrap(c.call(ctx, http.MethodPost, "http://"+addr+"/v1/cache/export", in, nil), "export from", addr, "export")
--- a/internal/emulator/engine_run.go
+++ b/internal/emulator/engine_run.go
@@ -23,6 +23,7 @@
 	seq    int64
 
 	mu      sync.Mutex
+	readers int
 	started bool
 	start   dialer.RunStart
 	pieces  []dialer.RunPiece
@@ -39,6 +40,13 @@
 	r.changed = make(chan struct{})
 }
 
+// read counts the readers of the stream.
+func (r *run) read(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.readers += n
+}
+
 // runQueue orders waiting runs by priority, then by arrival.
 type runQueue []*run
 
@@ -289,6 +297,13 @@
 		writeError(w, http.StatusNotFound, "no run %q", r.PathValue("run"))
 		return
 	}
+	rn.mu.Lock()
+	readers := rn.readers
+	rn.mu.Unlock()
+	if r.URL.Query().Get("idle") == "1" && readers > 0 {
+		writeError(w, http.StatusConflict, "run %q has %d readers", r.PathValue("run"), readers)
+		return
+	}
 	rn.cancel()
 	w.WriteHeader(http.StatusNoContent)
 }
@@ -300,6 +315,8 @@
 	e.mu.Unlock()
 	w.Header().Set("Content-Type", "text/event-stream")
 	fl, _ := w.(http.Flusher)
+	rn.read(1)
+	defer rn.read(-1)
 	sentStart := false
 	for {
 		rn.mu.Lock()
--- a/internal/server/deliverer/deliverer.go
+++ b/internal/server/deliverer/deliverer.go
@@ -18,6 +18,7 @@
 	"strings"
 	"time"
 
+	"github.com/papayaworks/papayaworks/internal/asserter"
 	"github.com/papayaworks/papayaworks/internal/dialer"
 	"github.com/papayaworks/papayaworks/internal/keyer"
 	"github.com/papayaworks/papayaworks/internal/request"
@@ -25,9 +26,13 @@
 	"github.com/papayaworks/papayaworks/pkg/configurer"
 )
 
+// maxWholeBytes bounds an answer that is collected before it is sent.
+const maxWholeBytes = 8 << 20
+
 // Step delivers answers.
 type Step struct {
-	Signer *signer.Signer
+	Signer   *signer.Signer
+	Asserter *asserter.Asserter
 	// Now is the clock of first-token times.
 	Now func() time.Time
 }
@@ -87,8 +92,7 @@
 }
 
 func (s *Step) stream(ctx context.Context, r *request.Request) error {
-	token, err := signer.Sign(s.Signer, signer.KindStream, r.Account.Name,
-		signer.Stream{Target: r.Target.ID, Run: r.Run, Model: r.Chat.Model})
+	token, target, err := s.token(r)
 	if err != nil {
 		return err
 	}
@@ -106,12 +110,20 @@
 			return err
 		}
 		if end != nil {
+			s.checkEnd(r, offset, end)
 			s.writeEnd(r, end)
 			flusher.Flush()
 			r.Finished = true
 			return nil
 		}
+		if r.Target.ID != target {
+			// The run was moved; the caller must come back to its present target.
+			if token, target, err = s.token(r); err != nil {
+				return err
+			}
+		}
 		s.markFirst(r)
+		s.checkPieces(r, offset, ps)
 		offset += len(ps)
 		r.Pieces += len(ps)
 		c := Chunk{ID: r.Run, Object: "chat.completion.chunk", Model: r.Chat.Model, Choices: []Choice{{
@@ -124,6 +136,25 @@
 	}
 }
 
+// token returns the signed position of the stream and the target that it names.
+func (s *Step) token(r *request.Request) (token, target string, err error) {
+	token, err = signer.Sign(s.Signer, signer.KindStream, r.Account.Name,
+		signer.Stream{Target: r.Target.ID, Run: r.Run, Model: r.Chat.Model})
+	return token, r.Target.ID, err
+}
+
+// checkPieces asserts that the pieces are the next ones of the answer.
+func (s *Step) checkPieces(r *request.Request, offset int, ps []dialer.RunPiece) {
+	for i, p := range ps {
+		s.Asserter.Check(asserter.WholeAnswer, p.Offset == offset+i, "request %s: piece %d instead of %d", r.ID, p.Offset, offset+i)
+	}
+}
+
+// checkEnd asserts that every piece was delivered.
+func (s *Step) checkEnd(r *request.Request, offset int, end *dialer.RunEnd) {
+	s.Asserter.Check(asserter.WholeAnswer, offset == end.Offset, "request %s: answer of %d pieces ends at %d", r.ID, end.Offset, offset)
+}
+
 func (s *Step) markFirst(r *request.Request) {
 	if r.FirstToken.IsZero() {
 		r.FirstToken, r.Start = s.Now(), r.Stream.Start()
@@ -201,10 +232,15 @@
 		}
 		if end == nil {
 			s.markFirst(r)
+			s.checkPieces(r, r.Pieces, ps)
 			r.Pieces += len(ps)
 			b.WriteString(join(ps))
+			if b.Len() > maxWholeBytes {
+				return request.Fail(http.StatusBadGateway, request.CodeRunLost, "answer is longer than %d bytes", maxWholeBytes)
+			}
 			continue
 		}
+		s.checkEnd(r, r.Pieces, end)
 		r.W.Header().Set("Content-Type", "application/json")
 		r.W.Header().Set("X-Request-Id", r.ID)
 		c := Chunk{ID: r.Run, Object: "chat.completion", Model: r.Chat.Model, Usage: usage(r, end),
--- a/internal/server/dispatcher/dispatcher.go
+++ b/internal/server/dispatcher/dispatcher.go
@@ -2,12 +2,14 @@
 //
 // A chat becomes a run at an engine. The run's name is derived from the account
 // and the idempotency key or the request, so that a second dispatch of the same
-// request attaches to the same run. A call of a plain service is sent directly if
+// request attaches to the same run. A refused or failed dispatch is tried again
+// at the request's alternatives, and a broken answer is continued at the same
+// engine or, if its seed makes it the same everywhere, at another one. A call of a plain service is sent directly if
 // it may be repeated; otherwise the ledger decides whether it is sent.
 //
 // # Usage
 //
-//	s := &dispatcher.Step{Client: dialer.New(), Ledger: ledger, Now: time.Now}
+//	s := &dispatcher.Step{Client: dialer.New(), Ledger: ledger, Now: time.Now, Retries: dispatcher.NewRetries()}
 package dispatcher
 
 import (
@@ -19,16 +21,27 @@
 	"net/http"
 	"time"
 
+	"github.com/papayaworks/papayaworks/internal/asserter"
 	"github.com/papayaworks/papayaworks/internal/dialer"
 	"github.com/papayaworks/papayaworks/internal/keyer"
 	"github.com/papayaworks/papayaworks/internal/ledger"
+	"github.com/papayaworks/papayaworks/internal/logger"
 	"github.com/papayaworks/papayaworks/internal/request"
+	"github.com/papayaworks/papayaworks/internal/server/identifier"
+	"github.com/papayaworks/papayaworks/internal/view"
 	"github.com/papayaworks/papayaworks/pkg/configurer"
 )
 
 // runNameBytes is the length of a run's name before it is written in hexadecimal.
 const runNameBytes = 16
 
+const (
+	// DefaultGrace is how long the run of a caller that went away goes on, so that it can come back to its stream.
+	DefaultGrace = 5 * time.Second
+	// refusedRetryAfter is when a request that every tried target refused is worth another try.
+	refusedRetryAfter = 250 * time.Millisecond
+)
+
 // Step dispatches requests.
 type Step struct {
 	Client *dialer.Client
@@ -36,31 +49,60 @@
 	Ledger *ledger.Ledger
 	// Now is the clock of deadlines.
 	Now func() time.Time
+	// Retries is shared by the steps of all configurations.
+	Retries  *Retries
+	Asserter *asserter.Asserter
+	Log      logger.Log
+	// Grace is how long the run of a caller that went away goes on; 0 means DefaultGrace.
+	Grace time.Duration
 }
 
 // String names the step.
 func (s *Step) String() string { return "dispatch" }
 
-// Default has nothing to take from the configuration.
-func (s *Step) Default(*configurer.Config) {}
+// Default takes the pools of targets of the configuration.
+func (s *Step) Default(cfg *configurer.Config) {
+	if s.Retries == nil {
+		s.Retries = NewRetries()
+	}
+	if s.Grace == 0 {
+		s.Grace = DefaultGrace
+	}
+	s.Retries.SetPools(cfg)
+}
 
 // Run dispatches the request.
 func (s *Step) Run(ctx context.Context, r *request.Request) error {
 	if r.Call != nil {
 		return s.call(ctx, r)
 	}
-	if r.Run == "" {
-		r.Run = RunName(r.Account.Name, r.IdempotencyKey, r.ID, r.Body)
+	st := s.newStream(r)
+	err := s.dispatch(ctx, r, st)
+	if err != nil {
+		st.event("lost")
+		return s.refusal(err, r)
 	}
-	st := &stream{client: s.Client, addr: r.Target.Address, run: r.Run, from: r.ResumeFrom}
+	r.Stream = st
+	return nil
+}
+
+// dispatch starts the run of a new request, or continues the stream of an earlier one.
+func (s *Step) dispatch(ctx context.Context, r *request.Request, st *stream) error {
 	if r.Resume == nil {
-		st.in = runRequest(r)
+		r.Run = RunName(r.Account.Name, r.IdempotencyKey, r.ID, r.Body)
+		return st.open(ctx, append([]*view.Target{r.Target}, r.Alternatives...), r.Received, false)
 	}
-	if err := st.open(ctx); err != nil {
-		return refusal(err, r)
+	if v := r.Target.Version(r.Chat.Model); v != 0 {
+		identifier.SetScope(r, v)
+	} else {
+		m, _ := r.View.Config.Model(r.Chat.Model)
+		identifier.SetScope(r, m.Version)
 	}
-	r.Stream = st
-	return nil
+	err := st.attach(ctx)
+	if err == nil || ctx.Err() != nil {
+		return err
+	}
+	return st.move(ctx, err)
 }
 
 // RunName names the run of a request. A retry with the same account, idempotency key and body gives the same
@@ -85,12 +127,10 @@
 }
 
 // refusal turns the failure to open a stream into the caller's error.
-func refusal(err error, r *request.Request) error {
-	var se *dialer.StatusError
-	if errors.As(err, &se) && r.Resume == nil {
-		return &request.Error{
-			Status: http.StatusServiceUnavailable, Code: request.CodeNotRun, NotRun: true, Message: err.Error(),
-		}
+func (s *Step) refusal(err error, r *request.Request) error {
+	var failed *attemptError
+	if errors.As(err, &failed) && failed.notRun && r.Resume == nil {
+		return request.Refuse(http.StatusServiceUnavailable, request.CodeNotRun, "", "%v", err).WithRetryAfter(refusedRetryAfter)
 	}
 	return request.Fail(http.StatusBadGateway, request.CodeRunLost, "%v", err)
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -29,6 +29,7 @@
 	"github.com/papayaworks/papayaworks/internal/listener"
 	"github.com/papayaworks/papayaworks/internal/logger"
 	"github.com/papayaworks/papayaworks/internal/request"
+	"github.com/papayaworks/papayaworks/internal/server/dispatcher"
 	"github.com/papayaworks/papayaworks/internal/signer"
 	"github.com/papayaworks/papayaworks/internal/tracker"
 	"github.com/papayaworks/papayaworks/internal/versioner"
@@ -53,6 +54,7 @@
 	client  *dialer.Client
 	control *controller.Controller
 	tracker *tracker.Tracker
+	retries *dispatcher.Retries
 	// ledger and versions are nil if the settings name no log.
 	ledger   *ledger.Ledger
 	versions *versioner.Versioner
@@ -103,6 +105,7 @@
 	}
 	s.client = dialer.New()
 	s.tracker = tracker.New(time.Now)
+	s.retries = dispatcher.NewRetries()
 	s.control = controller.New(view.New(s.Initial, 0, s.Settings.Instance.DataCentre))
 	s.control.Published = s.published
 	s.startLog(ctx)
--- a/internal/server/steps.go
+++ b/internal/server/steps.go
@@ -24,8 +24,10 @@
 		&identifier.Step{Signer: s.signer},
 		&gatekeeper.Step{},
 		&selector.Step{Client: s.client, Tracker: s.tracker, Policy: router.New(), Seed: rand.Uint64},
-		&dispatcher.Step{Client: s.client, Ledger: s.ledgerFor(cfg), Now: time.Now},
-		&deliverer.Step{Signer: s.signer, Now: time.Now},
+		&dispatcher.Step{
+			Client: s.client, Ledger: s.ledgerFor(cfg), Now: time.Now, Retries: s.retries, Asserter: s.Asserter, Log: s.Log,
+		},
+		&deliverer.Step{Signer: s.signer, Now: time.Now, Asserter: s.Asserter},
 		&keeper.Step{Client: s.client, Tracker: s.tracker, Policy: placer.New(), Log: s.Log},
 	}
 	for _, st := range steps {
--- a/internal/streamer/streamer.go
+++ b/internal/streamer/streamer.go
@@ -3,7 +3,7 @@
 // An engine's pieces may arrive late, out of order or twice, and after a broken
 // connection they are read again from an offset. An [Assembler] takes them as
 // they come and hands out each offset exactly once, in order. What it holds back
-// is bounded: a piece further ahead than the window is refused, and the reader
+// is bounded in pieces and bytes: what exceeds the bounds is refused, and the reader
 // asks the engine again from [Assembler.Next].
 //
 // # Usage
@@ -18,14 +18,19 @@
 	"github.com/papayaworks/papayaworks/internal/failer"
 )
 
-// DefaultWindow is how many pieces may be ahead of the next one.
-const DefaultWindow = 1024
+const (
+	// DefaultWindow is how many pieces may be ahead of the next one.
+	DefaultWindow = 1024
+	// maxHeldBytes bounds the text of the pieces that wait; a piece may be as large as an event of the stream.
+	maxHeldBytes = 1 << 20
+)
 
 // Assembler orders the pieces of one answer. It is used by one goroutine.
 type Assembler struct {
 	next   int
 	window int
 	held   map[int]dialer.RunPiece
+	bytes  int
 	end    int
 	ended  bool
 }
@@ -49,7 +54,14 @@
 	if p.Offset < a.next {
 		return nil, nil
 	}
+	if _, ok := a.held[p.Offset]; ok {
+		return nil, nil
+	}
+	if p.Offset > a.next && a.bytes+len(p.Text) > maxHeldBytes {
+		return nil, failer.New("pieces ahead of %d hold more than %d bytes", a.next, maxHeldBytes)
+	}
 	a.held[p.Offset] = p
+	a.bytes += len(p.Text)
 	var out []dialer.RunPiece
 	for {
 		q, ok := a.held[a.next]
@@ -57,6 +69,7 @@
 			return out, nil
 		}
 		delete(a.held, a.next)
+		a.bytes -= len(q.Text)
 		out = append(out, q)
 		a.next++
 	}
