fix(listener): keep responses below the size at which the HTTP library shares buffers

Cause: nbio 1.6.8 appends to a buffer that it has given back to its pool once a chunked response holds 64 KiB. The race detector showed two streams in one buffer, so a caller could get parts of another's answer. Change: responses are sent in parts of at most 16 KiB; the accept is ordered before the read for the race detector. Also tests of the dispatcher's faults: engine killed, broken, shuffled and refused streams, a caller that goes away, a slow reader; whole answers without a seed begin anew, and a failed whole answer no longer ends as an empty 200.

--- a/internal/emulator/list.go
+++ b/internal/emulator/list.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/lesismal/nbio/nbhttp"
-
 	"github.com/papayaworks/papayaworks/internal/listener"
 )
 
@@ -100,7 +98,5 @@
 
 // dropConnection closes the caller's connection without an answer.
 func dropConnection(w http.ResponseWriter) {
-	if res, ok := w.(*nbhttp.Response); ok && res.Parser != nil {
-		_ = res.Parser.Conn.Close()
-	}
+	listener.Drop(w)
 }
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -17,8 +17,10 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 
 	"github.com/papayaworks/papayaworks/internal/failer"
@@ -86,6 +88,7 @@
 		Handler:            http.HandlerFunc(s.serve),
 		ServerExecutor:     func(f func()) { go f() },
 	})
+	s.orderAccept()
 	if err := s.engine.Start(); err != nil {
 		return "", failer.Wrap(err, "serve on", addr, "start")
 	}
@@ -93,6 +96,17 @@
 	return addr, nil
 }
 
+// orderAccept tells the race detector what the kernel ensures: a connection is read only after it was accepted. The
+// library hands connections over through epoll, which the detector does not see.
+func (s *Server) orderAccept() {
+	var opened atomic.Int64
+	s.engine.OnOpen(func(net.Conn) { opened.Add(1) })
+	s.engine.OnReadBufferAlloc(func(c *nbio.Conn) *[]byte {
+		opened.Load()
+		return s.engine.PollerBufferPtr(c)
+	})
+}
+
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	s.wg.Add(1)
 	defer s.wg.Done()
@@ -100,6 +114,7 @@
 	defer cancel()
 	if res, ok := w.(*nbhttp.Response); ok && res.Parser != nil {
 		conn := res.Parser.Conn
+		w = &writer{res: res}
 		s.mu.Lock()
 		s.active[conn] = cancel
 		s.mu.Unlock()
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -1,13 +1,16 @@
 package listener
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
 
@@ -66,3 +69,33 @@
 	require.NoError(t, c.Close())
 	<-cancelled
 }
+
+// Guards against large responses that share a buffer: each caller must get its own body only.
+func TestLargeResponsesAreSeparate(t *testing.T) {
+	s := &Server{Addr: "127.0.0.1:0", Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		part := bytes.Repeat([]byte(r.URL.Path[1:]), 50_000)
+		for range 8 {
+			_, _ = w.Write(part)
+		}
+	})}
+	addr, err := s.Start()
+	require.NoError(t, err)
+	defer s.Kill()
+	var wg sync.WaitGroup
+	for i := range 8 {
+		wg.Go(func() {
+			name := string(rune('a' + i))
+			for range 20 {
+				res, err := http.Get("http://" + addr + "/" + name)
+				if !assert.NoError(t, err) {
+					return
+				}
+				body, err := io.ReadAll(res.Body)
+				res.Body.Close()
+				assert.NoError(t, err)
+				assert.Equal(t, 400_000, bytes.Count(body, []byte(name)), "caller %s got %d bytes", name, len(body))
+			}
+		})
+	}
+	wg.Wait()
+}
--- /dev/null
+++ b/internal/listener/writer.go
@@ -0,0 +1,64 @@
+package listener
+
+import (
+	"net"
+	"net/http"
+
+	"github.com/lesismal/nbio/nbhttp"
+)
+
+// maxUnflushed bounds what the HTTP library may collect before it is sent. Once a chunked response holds 64 KiB,
+// version 1.6.8 of the library goes on using a buffer that it has given back to its pool, and two responses may then
+// share it: one caller would get parts of another's answer. So no response collects that much.
+const maxUnflushed = 16 << 10
+
+// writer is a response that is sent in parts of at most maxUnflushed bytes.
+type writer struct {
+	res     *nbhttp.Response
+	pending int
+}
+
+// Header implements http.ResponseWriter.
+func (w *writer) Header() http.Header { return w.res.Header() }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *writer) WriteHeader(status int) { w.res.WriteHeader(status) }
+
+// Write implements http.ResponseWriter.
+func (w *writer) Write(p []byte) (int, error) {
+	done := 0
+	for done < len(p) {
+		part := p[done:min(len(p), done+maxUnflushed)]
+		if w.pending+len(part) > maxUnflushed {
+			w.Flush()
+		}
+		n, err := w.res.Write(part)
+		done += n
+		w.pending += n
+		if err != nil {
+			return max(0, done), err
+		}
+	}
+	return done, nil
+}
+
+// Flush implements http.Flusher.
+func (w *writer) Flush() {
+	w.res.Flush()
+	w.pending = 0
+}
+
+// conn returns the connection of the response.
+func (w *writer) conn() net.Conn {
+	if w.res.Parser == nil {
+		return nil
+	}
+	return w.res.Parser.Conn
+}
+
+// Drop closes the connection of a response, as a broken network would.
+func Drop(w http.ResponseWriter) {
+	if x, ok := w.(*writer); ok && x.conn() != nil {
+		_ = x.conn().Close()
+	}
+}
--- a/internal/server/deliverer/deliverer.go
+++ b/internal/server/deliverer/deliverer.go
@@ -104,6 +104,10 @@
 	offset := r.ResumeFrom
 	for {
 		ps, end, err := r.Stream.Next(ctx)
+		if err != nil && r.Pieces == 0 {
+			// Nothing was written yet, so the caller gets an error body with its status.
+			return request.Fail(http.StatusBadGateway, request.CodeRunLost, "%v", err)
+		}
 		if err != nil {
 			writeErrorEvent(r, err)
 			flusher.Flush()
@@ -223,32 +227,43 @@
 	return tok
 }
 
+// whole collects the answer. The request's pieces count only once it is written, because the error body of a request
+// with delivered pieces would be left out.
 func (s *Step) whole(ctx context.Context, r *request.Request) error {
 	var b strings.Builder
+	n := 0
 	for {
 		ps, end, err := r.Stream.Next(ctx)
 		if err != nil {
 			return request.Fail(http.StatusBadGateway, request.CodeRunLost, "%v", err)
 		}
-		if end == nil {
-			s.markFirst(r)
-			s.checkPieces(r, r.Pieces, ps)
-			r.Pieces += len(ps)
-			b.WriteString(join(ps))
-			if b.Len() > maxWholeBytes {
-				return request.Fail(http.StatusBadGateway, request.CodeRunLost, "answer is longer than %d bytes", maxWholeBytes)
-			}
-			continue
+		if end != nil {
+			s.checkEnd(r, n, end)
+			r.Pieces = n
+			return s.writeWhole(r, b.String(), end)
+		}
+		if len(ps) > 0 && ps[0].Offset == 0 {
+			// An answer without a seed that was run again begins anew.
+			b.Reset()
+			n = 0
+		}
+		s.markFirst(r)
+		s.checkPieces(r, n, ps)
+		n += len(ps)
+		b.WriteString(join(ps))
+		if b.Len() > maxWholeBytes {
+			return request.Fail(http.StatusBadGateway, request.CodeRunLost, "answer is longer than %d bytes", maxWholeBytes)
 		}
-		s.checkEnd(r, r.Pieces, end)
-		r.W.Header().Set("Content-Type", "application/json")
-		r.W.Header().Set("X-Request-Id", r.ID)
-		c := Chunk{ID: r.Run, Object: "chat.completion", Model: r.Chat.Model, Usage: usage(r, end),
-			Continuation: s.continuation(r), Choices: []Choice{{
-				Message: &request.Message{Role: "assistant", Content: b.String()}, FinishReason: end.Finish,
-			}}}
-		err = json.NewEncoder(r.W).Encode(c)
-		r.Finished = err == nil
-		return err
 	}
 }
+
+func (s *Step) writeWhole(r *request.Request, text string, end *dialer.RunEnd) error {
+	r.W.Header().Set("Content-Type", "application/json")
+	r.W.Header().Set("X-Request-Id", r.ID)
+	err := json.NewEncoder(r.W).Encode(Chunk{
+		ID: r.Run, Object: "chat.completion", Model: r.Chat.Model, Usage: usage(r, end), Continuation: s.continuation(r),
+		Choices: []Choice{{Message: &request.Message{Role: "assistant", Content: text}, FinishReason: end.Finish}},
+	})
+	r.Finished = err == nil
+	return err
+}
--- /dev/null
+++ b/internal/server/dispatcher/faults_test.go
@@ -0,0 +1,349 @@
+package dispatcher_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/papayaworks/papayaworks/internal/asserter"
+	"github.com/papayaworks/papayaworks/internal/dialer"
+	"github.com/papayaworks/papayaworks/internal/emulator"
+	"github.com/papayaworks/papayaworks/internal/logger"
+	"github.com/papayaworks/papayaworks/internal/request"
+	"github.com/papayaworks/papayaworks/internal/server"
+	"github.com/papayaworks/papayaworks/internal/server/dispatcher"
+	"github.com/papayaworks/papayaworks/internal/server/identifier"
+	"github.com/papayaworks/papayaworks/internal/view"
+	"github.com/papayaworks/papayaworks/pkg/caller"
+	"github.com/papayaworks/papayaworks/pkg/configurer"
+	"github.com/papayaworks/papayaworks/pkg/recorder"
+)
+
+const (
+	tokens  = 200
+	wait    = 20 * time.Second
+	tick    = 5 * time.Millisecond
+	userKey = "key"
+	prompt  = "<|user|>\nmend the strap\n"
+)
+
+// world is one instance in front of some engines.
+type world struct {
+	engines []*emulator.Engine
+	server  *server.Server
+	events  *recorder.Recorder
+	cfg     *configurer.Config
+	caller  *caller.Client
+}
+
+func newWorld(t *testing.T, engines int) *world {
+	w := &world{cfg: &configurer.Config{
+		Deployment:  configurer.Deployment{Name: "test"},
+		DataCentres: []configurer.DataCentre{{Name: "d1", Region: "r1"}},
+		Models:      []configurer.Model{{Name: "m", Version: 1}},
+		Accounts:    []configurer.Account{{Name: "a", KeySHA256: identifier.HashKey(userKey)}},
+		Limits:      configurer.Limits{MaxOutputTokens: 200_000},
+		Timing:      configurer.Timing{LoadReportMs: 10},
+	}}
+	for i := range engines {
+		e := &emulator.Engine{ID: fmt.Sprintf("e%d", i), Models: map[string]int64{"m": 1}, DecodeRate: 500}
+		addr, err := e.Start()
+		require.NoError(t, err)
+		t.Cleanup(e.Kill)
+		w.engines = append(w.engines, e)
+		w.cfg.Targets = append(w.cfg.Targets, configurer.Target{
+			ID: e.ID, Address: addr, DataCentre: "d1", Kind: configurer.KindEngine, Models: []string{"m"},
+		})
+	}
+	w.cfg.SetDefaults()
+	w.events = recorder.New(recorder.NewClock(time.Now), "i1", 64, nil)
+	set := &configurer.Settings{
+		Instance: configurer.Instance{ID: "i1", DataCentre: "d1", Listen: "127.0.0.1:0"},
+		Keys:     configurer.Keys{Token: []string{strings.Repeat("ab", 32)}},
+	}
+	w.server = server.New(set, w.cfg, logger.Discard(), w.events, &asserter.Asserter{Fatal: true})
+	ctx, cancel := context.WithCancel(context.Background())
+	require.NoError(t, w.server.Start(ctx))
+	t.Cleanup(func() {
+		cancel()
+		w.server.Kill()
+	})
+	w.caller = &caller.Client{Addresses: []string{w.server.Addr()}, Key: userKey, Attempts: 1, HTTP: caller.NewHTTP()}
+	return w
+}
+
+func chat(stream bool, seed int64) caller.Chat {
+	return caller.Chat{
+		Model: "m", Messages: []caller.Message{{Role: "user", Content: "mend the strap"}}, Stream: stream, MaxTokens: tokens, Seed: seed,
+	}
+}
+
+// busy returns the engine that has a run.
+func (w *world) busy() *emulator.Engine {
+	for _, e := range w.engines {
+		if e.Running() > 0 {
+			return e
+		}
+	}
+	return nil
+}
+
+// killBusy kills the engine that gets the run.
+func (w *world) killBusy(ctx context.Context) {
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	for ctx.Err() == nil {
+		if e := w.busy(); e != nil {
+			e.Kill()
+			return
+		}
+		<-t.C
+	}
+}
+
+func (w *world) setFaults(f emulator.EngineFaults) {
+	for _, e := range w.engines {
+		e.SetFaults(f)
+	}
+}
+
+func (w *world) runs() int {
+	n := 0
+	for _, e := range w.engines {
+		n += e.Truth().Runs
+	}
+	return n
+}
+
+func TestEngineKilledDuringAnswer(t *testing.T) {
+	tests := map[string]struct {
+		stream bool
+		seed   int64
+		lost   bool
+	}{
+		// Guards against a lost answer that another engine could continue.
+		"stream with seed": {true, 7, false},
+		// Guards against an answer that is put together from two different ones.
+		"stream without seed": {true, 0, true},
+		// Guards against an empty answer, and against a lost one that nobody has a part of yet.
+		"whole without seed": {false, 0, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 3)
+			killed := false
+			w.caller.OnPiece = func(n int) {
+				if tt.stream && !killed {
+					killed = true
+					w.busy().Kill()
+				}
+			}
+			if !tt.stream {
+				go w.killBusy(t.Context())
+			}
+			ans, err := w.caller.Chat(t.Context(), chat(tt.stream, tt.seed))
+			if tt.lost {
+				var r *caller.Refusal
+				require.ErrorAs(t, err, &r)
+				require.Equal(t, string(request.CodeRunLost), r.Code)
+				require.False(t, r.NotRun)
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, emulator.Answer(prompt, tt.seed, tokens), ans.Text)
+		})
+	}
+}
+
+func TestBrokenStreams(t *testing.T) {
+	tests := map[string]struct {
+		faults  emulator.EngineFaults
+		engines int // with the fault; the others have none
+		lost    bool
+	}{
+		// Guards against pieces that reach the caller out of order or twice.
+		"shuffled": {emulator.EngineFaults{ShuffleStream: true}, 3, false},
+		// Guards against an answer that ends where one engine's streams always break.
+		"one breaks": {emulator.EngineFaults{BreakStreamAt: 20}, 1, false},
+		// Guards against endless attempts, and against a cut that looks like an end.
+		"all break": {emulator.EngineFaults{BreakStreamAt: 20}, 3, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 3)
+			if tt.engines == 3 {
+				w.setFaults(tt.faults)
+			} else {
+				set := false
+				w.caller.OnPiece = func(int) {
+					if !set {
+						set = true
+						w.busy().SetFaults(tt.faults)
+					}
+				}
+			}
+			ans, err := w.caller.Chat(t.Context(), chat(true, 7))
+			if tt.lost {
+				require.Error(t, err)
+				require.True(t, strings.HasPrefix(emulator.Answer(prompt, 7, tokens), ans.Text))
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, emulator.Answer(prompt, 7, tokens), ans.Text)
+		})
+	}
+}
+
+// Guards against a refused dispatch that fails the request although another engine takes it.
+func TestOneEngineRefuses(t *testing.T) {
+	for i := range 3 {
+		w := newWorld(t, 3)
+		w.setFaults(emulator.EngineFaults{Refuse: true})
+		w.engines[i].SetFaults(emulator.EngineFaults{})
+		ans, err := w.caller.Chat(t.Context(), chat(true, 0))
+		require.NoError(t, err)
+		require.Equal(t, emulator.Answer(prompt, 0, tokens), ans.Text)
+	}
+}
+
+// Guards against a refusal that is not "not run", is not true or names no time for a retry.
+func TestAllEnginesRefuse(t *testing.T) {
+	w := newWorld(t, 3)
+	w.setFaults(emulator.EngineFaults{Refuse: true})
+	_, err := w.caller.Chat(t.Context(), chat(true, 0))
+	var r *caller.Refusal
+	require.ErrorAs(t, err, &r)
+	require.True(t, r.NotRun)
+	require.Positive(t, r.RetryAfterMs)
+	require.Zero(t, w.runs())
+}
+
+// Guards against a resumed stream that fails because its engine is gone.
+func TestResumeAfterEngineWasKilled(t *testing.T) {
+	w := newWorld(t, 3)
+	w.caller.Attempts, w.caller.Pause = 8, time.Millisecond
+	first := true
+	w.caller.HTTP.Transport = breaking{w.caller.HTTP.Transport, func() bool { return first }}
+	w.caller.OnPiece = func(int) {
+		if first {
+			first = false
+			w.busy().Kill()
+		}
+	}
+	ans, err := w.caller.Chat(t.Context(), chat(true, 7))
+	require.NoError(t, err)
+	require.Positive(t, ans.Resumed)
+	require.Equal(t, emulator.Answer(prompt, 7, tokens), ans.Text)
+}
+
+// breaking cuts the connection of a response after its first event.
+type breaking struct {
+	http.RoundTripper
+	on func() bool
+}
+
+// RoundTrip implements http.RoundTripper.
+func (b breaking) RoundTrip(req *http.Request) (*http.Response, error) {
+	res, err := b.RoundTripper.RoundTrip(req)
+	if err == nil && b.on() {
+		res.Body = &cut{res.Body, 0}
+	}
+	return res, err
+}
+
+type cut struct {
+	io.ReadCloser
+	n int
+}
+
+// Read implements io.Reader.
+func (c *cut) Read(p []byte) (int, error) {
+	if c.n++; c.n > 1 {
+		return 0, errors.New("connection reset")
+	}
+	return c.ReadCloser.Read(p)
+}
+
+// step returns a dispatcher in front of one engine, and a request for a long run at it.
+func step(t *testing.T, grace time.Duration) (*dispatcher.Step, *request.Request, *emulator.Engine) {
+	e := &emulator.Engine{ID: "e", Models: map[string]int64{"m": 1}}
+	addr, err := e.Start()
+	require.NoError(t, err)
+	t.Cleanup(e.Kill)
+	cfg := &configurer.Config{
+		Models:  []configurer.Model{{Name: "m", Version: 1}},
+		Targets: []configurer.Target{{ID: "e", Address: addr, Kind: configurer.KindEngine, Models: []string{"m"}}},
+	}
+	cfg.SetDefaults()
+	s := &dispatcher.Step{
+		Client: dialer.New(), Now: time.Now, Grace: grace, Log: logger.Discard(), Asserter: &asserter.Asserter{Fatal: true},
+	}
+	s.Default(cfg)
+	v := view.New(cfg, 1, "")
+	target, _ := v.Target("e")
+	r := &request.Request{
+		ID: "r", Received: time.Now(), View: v, Target: target, Prompt: prompt, Body: []byte("b"),
+		Account: configurer.Account{Name: "a", DeadlineMs: 60000},
+		Chat:    &request.Chat{Model: "m", Stream: true, MaxTokens: 100_000},
+	}
+	return s, r, e
+}
+
+// Guards against a run that keeps its slot after its caller went away.
+func TestCallerGoesAway(t *testing.T) {
+	s, r, e := step(t, time.Millisecond)
+	ctx, cancel := context.WithCancel(t.Context())
+	require.NoError(t, s.Run(ctx, r))
+	_, _, err := r.Stream.Next(ctx)
+	require.NoError(t, err)
+	cancel()
+	for err == nil {
+		_, _, err = r.Stream.Next(ctx)
+	}
+	require.ErrorIs(t, err, context.Canceled)
+	r.Stream.Close()
+	require.Eventually(t, func() bool { return e.Running() == 0 }, wait, tick)
+}
+
+// Guards against cancelling the run of a caller that came back at another instance.
+func TestRunWithAnotherReaderIsNotCancelled(t *testing.T) {
+	s, r, e := step(t, time.Millisecond)
+	require.NoError(t, s.Run(t.Context(), r))
+	_, _, err := r.Stream.Next(t.Context())
+	require.NoError(t, err)
+	other, err := dialer.New().Resume(t.Context(), r.Target.Address, r.Run, 0)
+	require.NoError(t, err)
+	r.Stream.Close()
+	var refused *dialer.StatusError
+	require.ErrorAs(t, s.Client.CancelIdle(t.Context(), r.Target.Address, r.Run), &refused)
+	require.Equal(t, 1, e.Running())
+	other.Close()
+	require.Eventually(t, func() bool { return s.Client.CancelIdle(t.Context(), r.Target.Address, r.Run) == nil }, wait, tick)
+	require.Eventually(t, func() bool { return e.Running() == 0 }, wait, tick)
+}
+
+// Guards against unbounded memory for a caller that does not read: its connection is closed, and it may resume.
+func TestSlowReaderIsCutOff(t *testing.T) {
+	w := newWorld(t, 1)
+	w.engines[0].DecodeRate = 1e6
+	conn, err := net.Dial("tcp", w.server.Addr())
+	require.NoError(t, err)
+	defer conn.Close()
+	require.NoError(t, conn.(*net.TCPConn).SetReadBuffer(4096))
+	body := `{"model":"m","messages":[{"role":"user","content":"x"}],"stream":true,"max_tokens":150000}`
+	_, err = fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
+		userKey, len(body), body)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		return slices.ContainsFunc(w.events.Events(), func(e recorder.Event) bool { return e.Kind == "failed" && e.Step == "deliver" })
+	}, wait, tick)
+}
--- a/internal/server/dispatcher/stream.go
+++ b/internal/server/dispatcher/stream.go
@@ -25,8 +25,10 @@
 	maxResumes = 5
 	// maxMoves bounds how often one answer is run again at another target.
 	maxMoves = 3
-	// cancelTimeout bounds the order to cancel a run.
-	cancelTimeout = 2 * time.Second
+	// cancelTimeout bounds the tries to cancel a run, cancelTries their number, cancelPause is the time between them.
+	cancelTimeout = 5 * time.Second
+	cancelTries   = 10
+	cancelPause   = 100 * time.Millisecond
 	// finishCancelled is the end of a run that was cancelled; its answer is not whole.
 	finishCancelled = "cancelled"
 )
@@ -152,12 +154,19 @@
 
 // move runs the answer again at another target, from the offset that the caller has.
 func (s *stream) move(ctx context.Context, cause error) error {
-	ts := s.others()
-	if s.moves++; s.moves > maxMoves || len(ts) == 0 {
+	if s.moves++; s.moves > maxMoves {
 		return cause
 	}
 	if s.handed > 0 && !deterministic(s.r) {
-		return errors.Join(cause, errors.New("the answer has no seed and cannot be continued elsewhere"))
+		if s.r.Chat.Stream {
+			return errors.Join(cause, errors.New("the answer has no seed and cannot be continued elsewhere"))
+		}
+		// The caller has nothing of a whole answer yet, so it may begin anew.
+		s.handed = 0
+	}
+	ts := s.others()
+	if len(ts) == 0 {
+		return errors.Join(cause, errors.New("no other target serves the model and version"))
 	}
 	s.step.cancelLater(s.r, 0)
 	if s.machine.State() == "reopening" {
@@ -275,16 +284,25 @@
 }
 
 // cancelLater cancels the run at its present target after a time, unless somebody reads it by then: the caller may
-// have come back to another instance.
+// have come back to another instance. A target takes a moment to notice that a reader is gone, so it is asked again.
 func (s *Step) cancelLater(r *request.Request, grace time.Duration) {
 	addr, run := r.Target.Address, r.Run
-	time.AfterFunc(grace, func() {
-		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), grace+cancelTimeout)
 		defer cancel()
-		err := s.Client.CancelIdle(ctx, addr, run)
-		var refused *dialer.StatusError
-		if err != nil && !(errors.As(err, &refused) && refused.Status < http.StatusInternalServerError) {
+		var err error
+		for i := 0; i < cancelTries && pause(ctx, max(grace, cancelPause)); i++ {
+			grace = 0
+			if err = s.Client.CancelIdle(ctx, addr, run); err == nil {
+				return
+			}
+			var refused *dialer.StatusError
+			if !errors.As(err, &refused) || refused.Status != http.StatusConflict {
+				break
+			}
+		}
+		if err != nil {
 			logger.WithError(s.Log, err).Debug("run was not cancelled")
 		}
-	})
+	}()
 }
