--- a/internal/server/dispatcher/faults_test.go
+++ b/internal/server/dispatcher/faults_test.go
@@ -337,7 +337,7 @@
 	w.engines[0].DecodeRate = 1e6
 	conn, err := net.Dial("tcp", w.server.Addr())
 	require.NoError(t, err)
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	require.NoError(t, conn.(*net.TCPConn).SetReadBuffer(4096))
 	body := `{"model":"m","messages":[{"role":"user","content":"x"}],"stream":true,"max_tokens":150000}`
 	_, err = fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
