--- a/cmd/papayaworks/commands_test.go
+++ b/cmd/papayaworks/commands_test.go
@@ -11,9 +11,12 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/stretchr/testify/require"
+
+	"github.com/papayaworks/papayaworks/internal/versioner"
 )
 
 // command runs the command line in this process.
@@ -37,13 +40,16 @@
 		t.Run(user, func(t *testing.T) {
 			answers, _ := command(t, exitOK, "questionnaire", "--user", user)
 			old, _ := command(t, exitOK, "generate", write(t, "answers.toml", answers))
-			changed := write(t, "answers.toml", strings.Replace(answers, "sharePercent = 26", "sharePercent = 20", 1))
+			changed := write(t, "answers.toml", strings.Replace(answers, "sharePercent = 26.0", "sharePercent = 20.5", 1))
 			next, _ := command(t, exitOK, "generate", changed)
+			bare, _ := command(t, exitOK, "generate", "--bare", changed)
+			out, _ := command(t, exitOK, "diff", write(t, "bare.toml", bare), write(t, "next.toml", next))
+			require.Contains(t, out, "no difference")
 			oldFile, nextFile := write(t, "old.toml", old), write(t, "next.toml", next)
-			out, _ := command(t, exitOK, "check", nextFile)
+			out, _ = command(t, exitOK, "check", nextFile)
 			require.Contains(t, out, "no faults")
 			out, _ = command(t, exitOK, "diff", oldFile, nextFile)
-			require.Contains(t, out, "share: 26 -> 20")
+			require.Contains(t, out, "share: 2600 -> 2050")
 			out, _ = command(t, exitOK, "diff", "--json", nextFile, nextFile)
 			require.Contains(t, out, `"changes": []`)
 			key := write(t, "token.key", strings.Repeat("ab", 32)+"\n")
@@ -71,6 +77,9 @@
 		"missing file":    {func(*testing.T) []string { return []string{"check", "/nowhere"} }, exitFailed, "no such file"},
 		"every fault":     {func(t *testing.T) []string { return []string{"check", write(t, "c.toml", "x = 1\ny = 2\n")} }, exitFailed, ":2: y = 2"},
 		"refused answers": {func(t *testing.T) []string { return []string{"generate", write(t, "a.toml", "")} }, exitFailed, "the answers were refused"},
+		"too large": {func(t *testing.T) []string {
+			return []string{"check", write(t, "c.toml", good(t)+"\n# "+strings.Repeat("x", versioner.MaxText))}
+		}, exitFailed, "generate with --bare"},
 		"one file to diff": {func(t *testing.T) []string { return []string{"diff", write(t, "c.toml", good(t))} },
 			exitUsage, "give two files"},
 		"no token key": {func(t *testing.T) []string {
@@ -158,7 +167,8 @@
 		says   string
 	}{
 		"in force":         {false, pages(t, members(8), ""), exitOK, "in force at 2: a, b"},
-		"behind":           {false, pages(t, members(7), ""), exitNotEverywhere, "not yet at b: it has version 7"},
+		"not asked":        {false, pages(t, members(7), ""), exitNotEverywhere, "not known at b: give its address"},
+		"behind":           {false, pages(t, map[string]any{"instance": "a", "configVersion": 7}, ""), exitNotEverywhere, "not yet at a: it has version 7"},
 		"silent":           {false, "127.0.0.1:1", exitNotEverywhere, "not known at 127.0.0.1:1"},
 		"lost race":        {true, "127.0.0.1:1", exitLostRace, "run diff"},
 		"instance no name": {false, pages(t, map[string]any{"instance": 3, "configVersion": 9}, ""), exitOK, "in force at 1"},
@@ -166,7 +176,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			var out bytes.Buffer
-			c := &publishCommand{output: output{&out}, Log: "log", Base: 7, Author: "asha", Instances: []string{tt.addr}, Wait: 1}
+			c := &publishCommand{output: output{&out}, Log: "log", Base: 7, Author: "asha", Instances: []string{tt.addr}, Wait: 1, Timeout: time.Minute}
 			c.Args.File = write(t, "c.toml", cfg)
 			c.publish = func(_ context.Context, log string, base int64, author, text string) (int64, error) {
 				require.Equal(t, []any{"log", int64(7), "asha", cfg}, []any{log, base, author, text})
@@ -199,7 +209,7 @@
 	}, "")
 	out, _ := command(t, exitOK, "status", "--instance", addr)
 	for _, want := range []string{
-		"configuration version 3 in force at: b", "data centre port: 1 instances, 1 targets", "leases: none", "load.running", "0.250",
+		"configuration version 4 in force at: a", "configuration version 3 last seen at: b", "data centre port: 1 instances, 1 targets", "leases: none", "load.running", "0.250",
 	} {
 		require.Contains(t, out, want)
 	}
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -31,7 +31,9 @@
 	// A stream may last this long; nbhttp's own default closes a connection after 120 s without a request.
 	keepAlive = 2 * time.Hour
 	// How often connections are checked for having been closed by the caller.
-	closedCheckPeriod  = 50 * time.Millisecond
+	closedCheckPeriod = 50 * time.Millisecond
+	// The library's Stop waits forever for a poller that had not begun to run when it was called.
+	stopLimit          = 2 * time.Second
 	defaultMaxBody     = 8 << 20
 	defaultWriteBuffer = 4 << 20
 )
@@ -48,6 +50,7 @@
 	engine *nbhttp.Engine
 	gate   *gate
 	done   chan struct{}
+	opened atomic.Int64
 
 	mu     sync.Mutex
 	active map[net.Conn]context.CancelFunc
@@ -88,7 +91,13 @@
 		Handler:            http.HandlerFunc(s.serve),
 		ServerExecutor:     func(f func()) { go f() },
 	})
-	s.orderAccept()
+	// The library hands a connection from its accepting goroutine to a poller through epoll alone, which Go's memory
+	// model does not know. The counter orders the two for it.
+	s.engine.OnOpen(func(net.Conn) { s.opened.Add(1) })
+	s.engine.OnData(func(c *nbio.Conn, data []byte) {
+		s.opened.Load()
+		c.DataHandler()(c, data)
+	})
 	if err := s.engine.Start(); err != nil {
 		return "", failer.Wrap(err, "serve on", addr, "start")
 	}
@@ -96,17 +105,6 @@
 	return addr, nil
 }
 
-// orderAccept tells the race detector what the kernel ensures: a connection is read only after it was accepted. The
-// library hands connections over through epoll, which the detector does not see.
-func (s *Server) orderAccept() {
-	var opened atomic.Int64
-	s.engine.OnOpen(func(net.Conn) { opened.Add(1) })
-	s.engine.OnReadBufferAlloc(func(c *nbio.Conn) *[]byte {
-		opened.Load()
-		return s.engine.PollerBufferPtr(c)
-	})
-}
-
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	s.wg.Add(1)
 	defer s.wg.Done()
@@ -218,5 +216,13 @@
 		_ = conn.Close()
 	}
 	s.mu.Unlock()
-	s.engine.Stop()
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		s.engine.Stop()
+	}()
+	select {
+	case <-stopped:
+	case <-time.After(stopLimit):
+	}
 }
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -110,6 +110,8 @@
 	FirstToken time.Time
 	Pieces     int
 	Finished   bool
+	// Tokens counts the tokens of the pieces that the engine gave for this request.
+	Tokens int
 
 	// Release gives back what admission took; it is called once when the request ends.
 	Release func()
--- a/internal/server/dispatcher/dispatcher.go
+++ b/internal/server/dispatcher/dispatcher.go
@@ -42,6 +42,14 @@
 	refusedRetryAfter = 250 * time.Millisecond
 )
 
+// Leaving is told of new work and of targets that refuse it because they are leaving.
+type Leaving interface {
+	// Dispatching is called before new work is sent to a target.
+	Dispatching(target string)
+	// Refused is called when a target says that it is leaving.
+	Refused(target string)
+}
+
 // Step dispatches requests.
 type Step struct {
 	Client *dialer.Client
@@ -55,6 +63,8 @@
 	Log      logger.Log
 	// Grace is how long the run of a caller that went away goes on; 0 means DefaultGrace.
 	Grace time.Duration
+	// Leaving may be nil.
+	Leaving Leaving
 }
 
 // String names the step.
@@ -73,6 +83,9 @@
 
 // Run dispatches the request.
 func (s *Step) Run(ctx context.Context, r *request.Request) error {
+	if s.Leaving != nil && r.Resume == nil {
+		s.Leaving.Dispatching(r.Target.ID)
+	}
 	if r.Call != nil {
 		return s.call(ctx, r)
 	}
--- a/internal/server/dispatcher/stream.go
+++ b/internal/server/dispatcher/stream.go
@@ -83,6 +83,9 @@
 		}
 		s.aim(t, deadline)
 		body, err := s.step.Client.Run(ctx, t.Address, s.in, s.handed)
+		if s.step.Leaving != nil && dialer.Draining(err) {
+			s.step.Leaving.Refused(t.ID)
+		}
 		if err != nil {
 			return outcome(err), err
 		}
@@ -96,6 +99,9 @@
 	if t != s.r.Target {
 		// The first target was counted by the selector.
 		t.Own.Sent(s.step.Now(), keyer.Tokens(len(s.r.Prompt)))
+		if s.step.Leaving != nil {
+			s.step.Leaving.Dispatching(t.ID)
+		}
 	}
 	s.step.Asserter.Check(asserter.NoWorkWhenLeaving, !t.Target.Leaving && !t.Status.Leaving, "run %s sent to leaving target %s", s.r.Run, t.ID)
 	s.r.Target = t
@@ -255,6 +261,7 @@
 	for _, p := range ps {
 		s.step.Asserter.Check(asserter.WholeAnswer, p.Offset == s.handed, "run %s: piece %d instead of %d", s.r.Run, p.Offset, s.handed)
 		s.handed++
+		s.r.Tokens += p.Tokens
 	}
 	s.resumes = 0
 	return ps
--- a/internal/server/steps.go
+++ b/internal/server/steps.go
@@ -22,10 +22,11 @@
 	steps := []request.Step{
 		&reader.Step{},
 		&identifier.Step{Signer: s.signer},
-		&gatekeeper.Step{},
+		&gatekeeper.Step{Gate: s.gate, Tracker: s.tracker, Now: time.Now, Seed: rand.Uint64},
 		&selector.Step{Client: s.client, Tracker: s.tracker, Policy: router.New(), Seed: rand.Uint64},
 		&dispatcher.Step{
 			Client: s.client, Ledger: s.ledgerFor(cfg), Now: time.Now, Retries: s.retries, Asserter: s.Asserter, Log: s.Log,
+			Leaving: s.peers,
 		},
 		&deliverer.Step{Signer: s.signer, Now: time.Now, Asserter: s.Asserter},
 		&keeper.Step{Client: s.client, Tracker: s.tracker, Policy: placer.New(), Log: s.Log},
