--- a/internal/admitter/book.go
+++ b/internal/admitter/book.go
@@ -1,7 +1,9 @@
 package admitter
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/papayaworks/papayaworks/pkg/configurer"
@@ -47,10 +49,12 @@
 // Meter returns the meter of an account.
 func (b *Book) Meter(account string) Meter { return b.entries[account].meter }
 
-// refresh computes the level and forgets accounts without demand.
+// refresh computes the level and forgets accounts without demand. The order of the accounts is fixed, because sums of
+// floats depend on it and a decision must not differ between two runs.
 func (b *Book) refresh(now time.Time) {
 	ds := make([]Demand, 0, len(b.entries))
-	for name, e := range b.entries {
+	for _, name := range slices.Sorted(maps.Keys(b.entries)) {
+		e := b.entries[name]
 		if !e.meter.Active(now) {
 			delete(b.entries, name)
 			continue
--- a/internal/admitter/level.go
+++ b/internal/admitter/level.go
@@ -44,7 +44,7 @@
 		}
 	}
 	perShare := func(d Demand) float64 { return d.Offered / float64(max(1, d.Share)) }
-	slices.SortFunc(ds, func(a, b Demand) int { return cmp.Compare(perShare(a), perShare(b)) })
+	slices.SortStableFunc(ds, func(a, b Demand) int { return cmp.Compare(perShare(a), perShare(b)) })
 	for _, d := range ds {
 		rate := capacity / weight
 		if perShare(d) > rate {
--- a/internal/server/dispatcher/dispatcher.go
+++ b/internal/server/dispatcher/dispatcher.go
@@ -143,6 +143,7 @@
 func (s *Step) refusal(err error, r *request.Request) error {
 	var failed *attemptError
 	if errors.As(err, &failed) && failed.notRun && r.Resume == nil {
+		s.Asserter.Check(asserter.NotRunTrue, r.Tokens == 0 && r.Pieces == 0, "request %s is refused as not run after %d tokens", r.ID, r.Tokens)
 		return request.Refuse(http.StatusServiceUnavailable, request.CodeNotRun, "", "%v", err).WithRetryAfter(refusedRetryAfter)
 	}
 	return request.Fail(http.StatusBadGateway, request.CodeRunLost, "%v", err)
--- a/internal/server/gatekeeper/gate.go
+++ b/internal/server/gatekeeper/gate.go
@@ -147,7 +147,9 @@
 }
 
 // Merge takes a usage report of another instance; one that is malformed or from an unknown instance is ignored.
-func (g *Gate) Merge(from string, body []byte) {
+func (g *Gate) Merge(from string, body []byte) { g.mergeAt(from, body, time.Now()) }
+
+func (g *Gate) mergeAt(from string, body []byte, now time.Time) {
 	us, err := limiter.Decode(body)
 	if err != nil {
 		return
@@ -155,6 +157,6 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if m, ok := g.byID[from]; ok {
-		g.limits.Merge(m, us, time.Now())
+		g.limits.Merge(m, us, now)
 	}
 }
