--- a/internal/admitter/retryafter.go
+++ b/internal/admitter/retryafter.go
@@ -22,6 +22,15 @@
 		turns := min(maxRetryAfter.Seconds(), in.Meter.Refused(now)/fair)
 		d += time.Duration(turns * float64(time.Second))
 	}
+	return jitter(d, r)
+}
+
+// Jitter bounds and spreads a Retry-After.
+func Jitter(d time.Duration, seed uint64) time.Duration {
+	return jitter(d, rand.New(rand.NewPCG(seed, 0)))
+}
+
+func jitter(d time.Duration, r *rand.Rand) time.Duration {
 	d = max(minRetryAfter, min(maxRetryAfter, d))
 	return time.Duration(float64(d) * (1 - retryJitter + 2*retryJitter*r.Float64()))
 }
