--- /dev/null
+++ b/internal/benchmarker/baselines_test.go
@@ -0,0 +1,100 @@
+package benchmarker
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/papayaworks/papayaworks/internal/keyer"
+	"github.com/papayaworks/papayaworks/internal/router"
+	"github.com/papayaworks/papayaworks/internal/tracker"
+	"github.com/papayaworks/papayaworks/internal/view"
+)
+
+func index(id string) int {
+	n, _ := strconv.Atoi(id[2:])
+	return n
+}
+
+func hint(r *run, now time.Time) tracker.Hint {
+	return tracker.Hint{Target: id("t", r.target), Version: 1, Blocks: r.blocks, At: now}
+}
+
+// homes returns the home targets of the conversation's anchor in the region.
+func homes(r *run) []int {
+	var buf [8]*view.Target
+	v := r.instance.view
+	var out []int
+	for _, t := range v.AppendRegionHomes(buf[:0], model, r.conv.anchor) {
+		out = append(out, index(t.ID))
+	}
+	return out
+}
+
+// homeStore is the first home whose store is not known to be down, or -1.
+func homeStore(r *run) int {
+	for _, h := range homes(r) {
+		if !r.instance.view.Store(id("s", h)).Down {
+			return h
+		}
+	}
+	return -1
+}
+
+// roundRobin takes the usable targets in turn; each instance has its own turn.
+func roundRobin() *policy {
+	p := &policy{next: map[*view.Own]int{}}
+	p.choose = func(s *sim, in *router.Input) *view.Target {
+		ts := in.View.Engines(model)
+		turn, ok := p.next[ts[0].Own]
+		if !ok {
+			turn = s.rng.IntN(len(ts))
+		}
+		defer func() { p.next[ts[0].Own] = turn }()
+		for range ts {
+			turn++
+			if t := ts[turn%len(ts)]; t.Usable() {
+				return t
+			}
+		}
+		return nil
+	}
+	return p
+}
+
+// leastLoaded takes the usable target with the fewest requests, by the report and own dispatches since.
+func leastLoaded(store bool) *policy {
+	return &policy{store: store, choose: func(s *sim, in *router.Input) *view.Target {
+		var best *view.Target
+		least, n := 0, 0
+		for _, t := range in.View.Engines(model) {
+			if !t.Usable() {
+				continue
+			}
+			_, own := t.Own.Backlog(0, time.UnixMilli(t.Load.AtMs), s.c.time(), 1)
+			load := t.Load.Running + t.Load.Waiting + own
+			if best == nil || load < least {
+				best, least, n = t, load, 0
+			}
+			if load == least {
+				if n++; s.rng.IntN(n) == 0 {
+					best = t
+				}
+			}
+		}
+		return best
+	}}
+}
+
+// prefixHash takes the usable target with the highest rendezvous weight for the conversation.
+func prefixHash(store bool) *policy {
+	return &policy{store: store, choose: func(_ *sim, in *router.Input) *view.Target {
+		var best *view.Target
+		var weight uint64
+		for _, t := range in.View.Engines(model) {
+			if w := keyer.Weight(in.Anchor, t.ID); t.Usable() && (best == nil || w > weight) {
+				best, weight = t, w
+			}
+		}
+		return best
+	}}
+}
--- /dev/null
+++ b/internal/benchmarker/policies_test.go
@@ -0,0 +1,243 @@
+package benchmarker
+
+import (
+	"slices"
+	"time"
+
+	"github.com/papayaworks/papayaworks/internal/keyer"
+	"github.com/papayaworks/papayaworks/internal/placer"
+	"github.com/papayaworks/papayaworks/internal/router"
+	"github.com/papayaworks/papayaworks/internal/shaper"
+	"github.com/papayaworks/papayaworks/internal/tracker"
+	"github.com/papayaworks/papayaworks/internal/view"
+)
+
+// policy is a way to route requests and to keep their context.
+type policy struct {
+	choose func(s *sim, in *router.Input) *view.Target // a baseline; nil for the product's policy
+	store  bool                                        // the baseline exports every context and imports what is stored
+	router router.Policy
+	placer *placer.Placer
+	noHint bool
+	noLink bool              // exports go out at once instead of through the shaper
+	next   map[*view.Own]int // turns, by the first target's counter, which is the instance's own
+}
+
+func (p *policy) route(s *sim, r *run) bool {
+	in := router.Input{
+		View: r.instance.view, Model: model, Anchor: r.conv.anchor, Blocks: r.blocks, PromptTokens: r.prompt, Seed: s.rng.Uint64(),
+	}
+	if p.choose == nil {
+		return p.plan(s, r, in)
+	}
+	t := p.choose(s, &in)
+	if t == nil {
+		return false
+	}
+	r.target = index(t.ID)
+	if home := homeStore(r); p.store && r.conv.turn > 0 && home >= 0 {
+		r.source, r.sourceID = s.stores[home], home
+		r.stored = min(r.blocks, r.source.find(r.conv.anchor).blocks)
+		r.imports = r.stored
+	}
+	t.Own.Sent(s.c.time(), r.prompt)
+	return true
+}
+
+// plan does what the selector does, with arithmetic in place of the lookups.
+func (p *policy) plan(s *sim, r *run, in router.Input) bool {
+	t, now := r.instance.tracker, s.c.time()
+	m := t.Means(model)
+	in.ComputedShare, in.RunTime = m.ComputedShare, m.RunTime
+	r.known, r.gap = router.Last{}, 0
+	if r.conv.turn > 0 {
+		p.recall(s, r)
+		in.Last = r.known
+		p.lookup(s, r, &in)
+	}
+	d, err := p.router.Choose(in, now)
+	if err != nil {
+		return false
+	}
+	r.target, r.imports = index(d.Target.ID), d.Import.Blocks
+	if r.imports > 0 {
+		if d.Reason != router.ReasonCached {
+			t.Importing(id("s", r.sourceID), r.source.linkRate, r.source.weighted(r.imports, r.onDisk))
+		}
+	}
+	d.Target.Own.Sent(now, d.Computed)
+	return true
+}
+
+// recall takes the last placement from the token or the hints.
+func (p *policy) recall(s *sim, r *run) {
+	t, c := r.instance.tracker, r.conv
+	if c.hasToken {
+		r.known = router.Last{Target: id("t", c.last), Version: 1, Blocks: c.blocks}
+	}
+	if h, ok := t.Hint(c.anchor); ok && !p.noHint && (!c.hasToken || h.Target == r.known.Target) {
+		r.known = router.Last{Target: h.Target, Version: h.Version, Blocks: h.Blocks}
+		r.gap = s.c.time().Sub(h.At)
+	}
+}
+
+// lookup asks two stores for the manifest.
+func (p *policy) lookup(s *sim, r *run, in *router.Input) {
+	ids := homes(r)
+	if r.conv.hasToken && !slices.Contains(ids, r.conv.last) {
+		ids = append(ids, r.conv.last)
+	}
+	best, asked := held{}, 0
+	for _, i := range ids {
+		if in.View.Store(id("s", i)).Down {
+			continue
+		}
+		if asked++; asked > 2 {
+			break
+		}
+		if h := s.stores[i].find(r.conv.anchor); !s.stores[i].dead && h.blocks > best.blocks {
+			best, r.sourceID = *h, i
+		}
+	}
+	if best.blocks > 0 {
+		r.source, r.stored, r.onDisk = s.stores[r.sourceID], min(r.blocks, best.blocks), best.disk
+		limit := r.source.linkRate
+		if best.disk {
+			limit = r.source.diskRat
+		}
+		achieved, backlog := r.instance.tracker.Achieved(id("s", r.sourceID), r.source.linkRate)
+		reported := time.Duration(in.View.Store(id("s", r.sourceID)).State.LinkBacklogMs) * time.Millisecond
+		in.Stored = router.Stored{
+			Store: id("s", r.sourceID), Version: 1, Blocks: r.stored, Bytes: int64(r.stored) * blockBytes,
+			Backlog: max(backlog, reported), BytesPerSec: achieved * limit,
+		}
+		if r.gap == 0 {
+			r.gap = s.c.now - best.at
+		}
+	}
+	if r.known.Target != "" {
+		in.Last.Resident = r.instance.tracker.Resident(r.gap)
+	}
+}
+
+// keep does what the keeper does.
+func (p *policy) keep(s *sim, r *run) {
+	if r.blocks == 0 {
+		return
+	}
+	if p.choose != nil {
+		if home := homeStore(r); p.store && home >= 0 && !s.stores[home].dead {
+			p.write(s, r, home, false, nil)
+		}
+		return
+	}
+	t, c := r.instance.tracker, r.conv
+	key := placer.Key{Account: id("a", c.account)}
+	t.Ended(key, c.turn > 0, r.gap)
+	t.Remember(c.anchor, hint(r, s.c.time()))
+	if r.known.Target == id("t", r.target) && r.gap > 0 && r.known.Blocks > 0 {
+		t.Found(r.gap, min(1, float64(r.cached)/float64(r.known.Blocks)))
+	}
+	prefill := time.Duration(float64(r.computed) / s.w.size.prefill * float64(time.Second))
+	t.Ran(model, float64(r.computed)/float64(max(1, r.prompt)), s.c.now-r.firstAt+prefill)
+	run := placer.Run{
+		Key: key, Bytes: int64(r.blocks) * blockBytes, Places: p.places(s, r),
+		Recompute: time.Duration(float64(r.blocks*keyer.BlockTokens) / s.w.size.prefill * float64(time.Second)),
+	}
+	if d := t.Decide(p.placer, run); d.Export {
+		p.export(s, r, d, placer.Kept{Key: key, Bytes: run.Bytes, Saving: d.Saving, At: s.c.time()})
+	}
+}
+
+// export makes room and queues the transfer.
+func (p *policy) export(s *sim, r *run, d placer.Decision, k placer.Kept) {
+	t, st := r.instance.tracker, index(d.Store)
+	n := int64(r.blocks-p.held(r, st)) * blockBytes
+	if missing := n - free(r, st, s.w, d.Disk); missing > 0 {
+		victims, _, _ := t.Victims(d.Store, d.Disk, missing)
+		for _, v := range victims {
+			t.Dropped(d.Store, d.Disk, v.Anchor)
+			s.stores[st].drop(v.Anchor, v.Generation)
+		}
+	}
+	start := func(done func(bool)) {
+		p.write(s, r, st, d.Disk, func(ok bool) {
+			if ok {
+				t.Keep(d.Store, d.Disk, tracker.Kept{Kept: k, Anchor: r.conv.anchor, Generation: int64(r.arrived)})
+			}
+			done(ok)
+		})
+	}
+	if p.noLink {
+		start(func(bool) {})
+		return
+	}
+	t.Move(d.Store, s.stores[st].linkRate, shaper.Job{Class: shaper.Export, Bytes: s.stores[st].weighted(int(n/blockBytes), d.Disk)}, start)
+}
+
+// free is the room in a tier by the last report.
+func free(r *run, st int, w *workload, disk bool) int64 {
+	state := r.instance.view.Store(id("s", st)).State
+	if disk {
+		return int64(w.size.storeMiB)*mib - state.DiskUsed
+	}
+	return int64(w.size.memMiB)*mib - state.MemoryUsed
+}
+
+func (p *policy) held(r *run, st int) int {
+	if r.source == nil || r.sourceID != st {
+		return 0
+	}
+	return r.stored
+}
+
+func (p *policy) places(s *sim, r *run) []placer.Place {
+	ids := homes(r)
+	if !slices.Contains(ids, r.target) {
+		ids = append(ids, r.target)
+	}
+	var out []placer.Place
+	for _, i := range ids {
+		st, status := s.stores[i], r.instance.view.Store(id("s", i))
+		achieved, backlog := r.instance.tracker.Achieved(id("s", i), st.linkRate)
+		have := p.held(r, i)
+		pl := placer.Place{
+			Store: id("s", i), Down: status.Down, NewBytes: int64(r.blocks-have) * blockBytes,
+			Backlog: max(backlog, time.Duration(status.State.LinkBacklogMs)*time.Millisecond),
+		}
+		for _, disk := range []bool{false, true} {
+			if have > 0 && disk != r.onDisk {
+				continue
+			}
+			t := placer.Tier{Disk: disk, Rate: achieved * st.linkRate, Room: true}
+			if disk {
+				t.Rate = achieved * st.diskRat
+			}
+			if missing := pl.NewBytes - free(r, i, s.w, disk); missing > 0 {
+				_, t.Displaced, t.Room = r.instance.tracker.Victims(pl.Store, disk, missing)
+			}
+			pl.Tiers = append(pl.Tiers, t)
+		}
+		out = append(out, pl)
+	}
+	return out
+}
+
+// write moves the blocks that the store does not hold if the engine still has them.
+func (p *policy) write(s *sim, r *run, to int, disk bool, done func(bool)) {
+	st, e := s.stores[to], s.engines[r.target]
+	have := p.held(r, to)
+	ok := !st.dead && !e.dead && e.cache.get(r.conv.anchor, false).blocks >= r.blocks && r.blocks > have
+	end := s.c.now
+	if ok {
+		end = st.transfer(s.c.now, int64(r.blocks-have)*blockBytes, disk)
+	}
+	s.c.after(end-s.c.now, func() {
+		if ok = ok && !st.dead; ok {
+			ok = st.put(held{anchor: r.conv.anchor, blocks: r.blocks, disk: disk, at: r.arrived})
+		}
+		if done != nil {
+			done(ok)
+		}
+	})
+}
--- /dev/null
+++ b/internal/benchmarker/sim_test.go
@@ -0,0 +1,254 @@
+package benchmarker
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/papayaworks/papayaworks/internal/dialer"
+	"github.com/papayaworks/papayaworks/internal/router"
+	"github.com/papayaworks/papayaworks/internal/tracker"
+	"github.com/papayaworks/papayaworks/internal/view"
+	"github.com/papayaworks/papayaworks/pkg/configurer"
+)
+
+const (
+	model       = "m"
+	reportEvery = time.Second
+	// reportLag is the age of a load report when it arrives.
+	reportLag = time.Second
+	near      = 1200 * time.Microsecond
+	// retryAfter is when a caller whose run was lost sends its request again.
+	retryAfter = time.Second
+	// missedReports is how many reports of a dead peer are missed before it counts as down.
+	missedReports = 3
+)
+
+// run is one request on its way.
+type run struct {
+	conv                       *conv
+	arrived                    time.Duration
+	prompt, blocks, answer     int
+	reusable                   int // blocks that the conversation had before
+	instance                   *instance
+	target                     int
+	source                     *store
+	sourceID                   int
+	imports                    int // blocks of the order
+	cached, imported, computed int
+	attempt                    int
+	distance                   time.Duration
+	stored                     int // blocks that the manifest had
+	onDisk                     bool
+	known                      router.Last
+	gap                        time.Duration
+	firstAt                    time.Duration
+}
+
+// instance is one entry instance with its own view and memory.
+type instance struct {
+	view    *view.View
+	tracker *tracker.Tracker
+	dead    bool
+}
+
+// sim is one policy under one workload.
+type sim struct {
+	c         *clock
+	w         *workload
+	p         *policy
+	cfg       *configurer.Config
+	engines   []*engine
+	stores    []*store
+	instances []*instance
+	rng       *rand.Rand
+	past      [][]dialer.Load // the reports of each engine that are still under way
+	tally     tally
+}
+
+func id(kind string, i int) string { return fmt.Sprintf("%s-%d", kind, i) }
+
+func newSim(w *workload, p *policy, seed uint64) *sim {
+	s := &sim{c: new(clock), w: w, p: p, rng: rand.New(rand.NewPCG(seed, 0)), cfg: &configurer.Config{}}
+	sz := &w.size
+	s.cfg.Models = []configurer.Model{{Name: model, PrefillTokensPerSecond: int(sz.prefill)}}
+	for i := range sz.dataCentres {
+		s.cfg.DataCentres = append(s.cfg.DataCentres, configurer.DataCentre{Name: id("dc", i), Region: "r"})
+	}
+	for i := range sz.engines {
+		dc := i % sz.dataCentres
+		e := &engine{c: s.c, size: sz, dataCentre: dc, cache: newContexts(sz.cache)}
+		e.first, e.ended = s.first, s.ended
+		s.engines = append(s.engines, e)
+		s.stores = append(s.stores, &store{
+			mem: newContexts(sz.memMiB * mib / blockBytes), disk: newContexts(sz.storeMiB * mib / blockBytes),
+			linkRate: float64(sz.linkMiB) * mib, diskRat: float64(sz.diskMiB) * mib, slowdown: 1,
+		})
+		if p.choose != nil { // The stores of baselines move old contexts to disk and drop the oldest there.
+			s.stores[i].drops, s.stores[i].mem.spill = true, s.stores[i].disk
+		}
+		s.cfg.Stores = append(s.cfg.Stores, configurer.Store{
+			ID: id("s", i), DataCentre: id("dc", dc), LinkMiBPerSec: sz.linkMiB, DiskMiBPerSec: sz.diskMiB,
+			MemoryMiB: sz.memMiB, DiskMiB: sz.storeMiB,
+		})
+		s.cfg.Targets = append(s.cfg.Targets, configurer.Target{
+			ID: id("t", i), Store: id("s", i), DataCentre: id("dc", dc), Kind: configurer.KindEngine,
+			Models: []string{model}, Slots: sz.slots, CacheBlocks: sz.cache,
+		})
+	}
+	s.cfg.SetDefaults()
+	s.past = make([][]dialer.Load, sz.engines)
+	for i := range sz.instances {
+		in := &instance{view: view.New(s.cfg, 1, id("dc", i%sz.dataCentres)), tracker: tracker.New(s.c.time)}
+		in.tracker.After = s.c.after
+		s.instances = append(s.instances, in)
+	}
+	return s
+}
+
+// play runs the day.
+func (s *sim) play(seed uint64) {
+	convs, starts := s.w.conversations(seed)
+	for i, c := range convs {
+		s.c.after(starts[i], func() { s.ask(c) })
+	}
+	for t := time.Duration(0); t < s.w.length; t += reportEvery {
+		s.c.after(t, s.report)
+	}
+	if s.w.faults != nil {
+		s.w.faults(s)
+	}
+	s.c.play()
+}
+
+// report samples the loads and gives every instance those that are old enough.
+func (s *sim) report() {
+	changes, stores := map[string]view.Status{}, map[string]view.StoreStatus{}
+	for i, e := range s.engines {
+		s.past[i] = append(s.past[i], dialer.Load{
+			AtMs: s.c.time().UnixMilli(), Running: len(e.active), Waiting: len(e.queue), WaitingTokens: e.waiting,
+			Blocks: e.cache.used, CapacityBlocks: e.size.cache,
+		})
+		for len(s.past[i]) > 1 && s.past[i][1].AtMs <= s.c.time().Add(-reportLag).UnixMilli() {
+			s.past[i] = s.past[i][1:]
+		}
+		st := view.Status{Load: s.past[i][0], LoadAt: s.c.time(), Versions: map[string]int64{model: 1}}
+		changes[id("t", i)] = st
+	}
+	for i, st := range s.stores {
+		stores[id("s", i)] = view.StoreStatus{Down: st.dead, State: dialer.StoreState{
+			MemoryUsed: int64(st.mem.used) * blockBytes, DiskUsed: int64(st.disk.used) * blockBytes,
+			LinkBacklogMs: max(0, st.linkFree-s.c.now).Milliseconds(), LinkBytes: st.linkBytes,
+		}}
+	}
+	for _, in := range s.instances {
+		mine := map[string]view.Status{}
+		for i, e := range s.engines {
+			k := id("t", i)
+			st := changes[k]
+			if old, _ := in.view.Target(k); e.dead {
+				st = old.Status
+				st.Down = st.Down || s.c.time().Sub(old.LoadAt) >= missedReports*reportEvery
+			}
+			mine[k] = st
+		}
+		in.view = in.view.WithTargets(mine).WithStores(stores)
+	}
+}
+
+// ask sends the next request of a conversation.
+func (s *sim) ask(c *conv) {
+	r := &run{conv: c, arrived: s.c.now, prompt: c.tokens, blocks: c.tokens / 2000, answer: s.w.habits.answer, reusable: c.blocks}
+	s.tally.asked(r)
+	s.send(r)
+}
+
+// send has an instance dispatch a request; the balancer takes any that lives.
+func (s *sim) send(r *run) {
+	for n := r.conv.rng.IntN(len(s.instances)); ; n++ {
+		if r.instance = s.instances[n%len(s.instances)]; !r.instance.dead {
+			break
+		}
+	}
+	r.source, r.imports, r.cached, r.imported, r.stored = nil, 0, 0, 0, 0
+	for range 2 {
+		if !s.p.route(s, r) {
+			break
+		}
+		e := s.engines[r.target]
+		r.distance = 0
+		if id("dc", e.dataCentre) != r.instance.view.DataCentre {
+			r.distance = 2 * near
+		}
+		if e.begin(r) {
+			return
+		}
+		if e.dead { // The connection is refused, so the instance knows at once.
+			t, _ := r.instance.view.Target(id("t", r.target))
+			st := t.Status
+			st.Down = true
+			r.instance.view = r.instance.view.WithTargets(map[string]view.Status{t.ID: st})
+		}
+	}
+	s.tally.refused++
+}
+
+func (s *sim) first(r *run) {
+	r.firstAt = s.c.now
+	s.tally.first(r, s.c.now-r.arrived+r.distance)
+}
+
+// ended keeps the context and has the conversation come back after its gap.
+func (s *sim) ended(r *run) {
+	s.tally.done(s, r)
+	s.p.keep(s, r)
+	c := r.conv
+	c.last, c.lastEnd, c.blocks = r.target, s.c.now, r.blocks
+	if gap, ok := c.next(s.w); ok && s.c.now+gap < s.w.length {
+		s.c.after(gap, func() { s.ask(c) })
+	}
+}
+
+// slow divides the rates of the links of the first n stores.
+func (s *sim) slow(n int, by float64) {
+	for _, st := range s.stores[:n] {
+		st.slowdown = by
+	}
+}
+
+// loseStores has the first n stores die with what they hold.
+func (s *sim) loseStores(n int) {
+	for _, st := range s.stores[:n] {
+		st.dead, st.mem, st.disk = true, newContexts(st.mem.capacity), newContexts(st.disk.capacity)
+	}
+}
+
+// loseDataCentre has everything in a data centre die; callers send lost requests again.
+func (s *sim) loseDataCentre(dc int) {
+	for i, e := range s.engines {
+		if e.dataCentre != dc {
+			continue
+		}
+		for _, r := range e.kill() {
+			s.c.after(retryAfter, func() { s.send(r) })
+		}
+		st := s.stores[i]
+		st.dead, st.mem, st.disk = true, newContexts(st.mem.capacity), newContexts(st.disk.capacity)
+	}
+	for i, in := range s.instances {
+		in.dead = in.dead || i%s.w.size.dataCentres == dc
+	}
+}
+
+func (s *sim) restoreDataCentre(dc int) {
+	for i, e := range s.engines {
+		if e.dataCentre == dc {
+			e.dead, s.stores[i].dead = false, false
+		}
+	}
+	for i, in := range s.instances {
+		if i%s.w.size.dataCentres == dc {
+			in.dead = false
+		}
+	}
+}
--- /dev/null
+++ b/internal/benchmarker/workload_test.go
@@ -0,0 +1,153 @@
+package benchmarker
+
+import (
+	"encoding/binary"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/papayaworks/papayaworks/internal/keyer"
+)
+
+// size is a deployment: the numbers of section 3 of docs/design.md, the capacities of pkg/configurer's defaults.
+type size struct {
+	instances, engines, dataCentres int
+	slots, cache, maxQueue          int
+	prefill, decode                 float64 // tokens a second
+	linkMiB, diskMiB                int     // a second
+	memMiB, storeMiB                int
+}
+
+// habits say what callers do; docs/measurements.md names each as an assumption.
+type habits struct {
+	firstTokens, addedTokens float64 // medians
+	answer                   int     // tokens
+	gap                      time.Duration
+	returns                  []float64 // chance of a return, by account
+	weights                  []float64 // of the accounts in the load
+	token                    float64   // share of callers that bring the token back
+}
+
+// workload is one day with its faults.
+type workload struct {
+	size   size
+	habits habits
+	length time.Duration
+	// peak is the load at the peak as a multiple of the capacity of the slots.
+	peak   float64
+	faults func(s *sim)
+}
+
+var today = size{
+	instances: 6, engines: 12, dataCentres: 3, slots: 8, cache: 64, maxQueue: 64, prefill: 20000, decode: 50,
+	linkMiB: 250, diskMiB: 100, memMiB: 1024, storeMiB: 8192,
+}
+
+var trustHabits = habits{
+	firstTokens: 4000, addedTokens: 1000, answer: 150, gap: 5 * time.Minute, token: 0.5,
+	returns: []float64{0.75, 0.7, 0.75, 0.6, 0.7, 0.6, 0.75, 0.1, 0.1, 0.2},
+	weights: []float64{4, 4, 1, 1, 1, 1, 1, 1, 1, 1},
+}
+
+var cooperativeHabits = habits{
+	firstTokens: 8000, addedTokens: 1500, answer: 150, gap: 8 * time.Minute, token: 0.5,
+	returns: []float64{0.85, 0.8, 0.8, 0.85, 0.75, 0.3, 0.1, 0.1, 0.85, 0.6},
+	weights: []float64{4, 4, 1, 1, 1, 1, 1, 1, 1, 1},
+}
+
+func workloads() map[string]workload {
+	coop := today
+	coop.instances = 7
+	day := func(h habits, sz size, peak float64, faults func(*sim)) workload {
+		return workload{size: sz, habits: h, length: 2 * time.Hour, peak: peak, faults: faults}
+	}
+	slow := func(s *sim) {
+		s.c.after(s.w.length/4, func() { s.slow(4, 10) })
+		s.c.after(s.w.length*3/4, func() { s.slow(4, 1) })
+	}
+	stores := func(s *sim) {
+		s.c.after(s.w.length/3, func() { s.loseStores(3) })
+	}
+	site := func(s *sim) {
+		s.c.after(s.w.length*2/5, func() { s.loseDataCentre(0) })
+		s.c.after(s.w.length*3/5, func() { s.restoreDataCentre(0) })
+	}
+	deadline := day(trustHabits, today, 5, nil)
+	deadline.length = 30 * time.Minute
+	return map[string]workload{
+		"trust-day": day(trustHabits, today, 0.6, nil), "cooperative-day": day(cooperativeHabits, coop, 0.5, nil),
+		"deadline": deadline, "slow-link": day(trustHabits, today, 0.5, slow),
+		"store-loss": day(cooperativeHabits, coop, 0.4, stores), "data-centre-loss": day(trustHabits, today, 0.5, site),
+	}
+}
+
+// capacity is how many requests a second the slots can decode.
+func (w *workload) capacity() float64 {
+	return float64(w.size.engines*w.size.slots) * w.size.decode / float64(w.habits.answer)
+}
+
+// conv is one conversation; its own generator makes it the same under every policy.
+type conv struct {
+	id      int
+	account int
+	anchor  keyer.Key
+	rng     *rand.Rand
+	tokens  int // of the next prompt
+	blocks  int // whole blocks of the last prompt
+	turn    int
+	// last is where and when the last run was, as the token says.
+	last     int
+	lastEnd  time.Duration
+	hasToken bool
+}
+
+// conversations returns the starts of the day: a sine from a fifth of the peak to the peak and back.
+func (w *workload) conversations(seed uint64) (convs []*conv, starts []time.Duration) {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	mean, sum := 0.0, 0.0
+	for i, p := range w.habits.returns {
+		mean += w.habits.weights[i] / (1 - p)
+		sum += w.habits.weights[i]
+	}
+	turns := mean / sum
+	for at := time.Duration(0); ; {
+		phase := math.Sin(math.Pi * float64(at) / float64(w.length))
+		rate := w.peak * w.capacity() * (0.2 + 0.8*phase) / turns
+		at += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
+		if at >= w.length {
+			return convs, starts
+		}
+		convs, starts = append(convs, w.conversation(seed, len(convs), rng)), append(starts, at)
+	}
+}
+
+func (w *workload) conversation(seed uint64, id int, rng *rand.Rand) *conv {
+	c := &conv{id: id, rng: rand.New(rand.NewPCG(seed, uint64(id)+2)), last: -1}
+	sum := 0.0
+	for _, x := range w.habits.weights {
+		sum += x
+	}
+	for x := rng.Float64() * sum; c.account < len(w.habits.weights)-1 && x >= w.habits.weights[c.account]; c.account++ {
+		x -= w.habits.weights[c.account]
+	}
+	binary.BigEndian.PutUint64(c.anchor[:8], rng.Uint64())
+	binary.BigEndian.PutUint64(c.anchor[8:], uint64(id))
+	c.tokens = c.spread(w.habits.firstTokens, 0.7, 32000)
+	return c
+}
+
+// spread draws from a log-normal distribution.
+func (c *conv) spread(median, sigma, limit float64) int {
+	return int(min(limit, median*math.Exp(sigma*c.rng.NormFloat64())))
+}
+
+// next prepares the next turn and returns its gap; ok is false if the conversation is over.
+func (c *conv) next(w *workload) (gap time.Duration, ok bool) {
+	if c.rng.Float64() >= w.habits.returns[c.account] || c.tokens > 60000 {
+		return 0, false
+	}
+	c.turn++
+	c.tokens += w.habits.answer + c.spread(w.habits.addedTokens, 0.6, 8000)
+	c.hasToken = c.rng.Float64() < w.habits.token
+	return time.Duration(c.spread(w.habits.gap.Seconds()*1000, 1.2, 1e8)) * time.Millisecond, true
+}
--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -117,6 +117,12 @@
 	return m, nil
 }
 
+// Drop removes a manifest and its blocks from a store if the manifest is still of the generation.
+func (c *Client) Drop(ctx context.Context, addr string, anchor keyer.Key, generation int64) error {
+	u := fmt.Sprintf("http://%s/v1/manifests/%s?generation=%d", addr, anchor, generation)
+	return failer.Wrap(c.call(ctx, http.MethodDelete, u, nil, nil), "drop context from", addr, "evict")
+}
+
 // Load reads an engine's load report.
 func (c *Client) Load(ctx context.Context, addr string) (*Load, error) {
 	l := new(Load)
--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -216,6 +217,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m := s.manifests[k]
+	if q := r.URL.Query().Get("generation"); q != "" && q != strconv.FormatInt(m.Generation, 10) {
+		writeError(w, http.StatusConflict, "generation is %d", m.Generation)
+		return
+	}
 	delete(s.manifests, k)
 	for _, b := range m.Blocks {
 		if old, ok := s.blocks[b.Key]; ok {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -19,22 +19,31 @@
 
 import "time"
 
+// Tier is one tier of a store that could take the context.
+type Tier struct {
+	Disk bool
+	// Rate is the rate of the link for the tier, in bytes a second.
+	Rate float64
+	// Room says whether the context fits, if need be after dropping others whose value together is Displaced.
+	Room      bool
+	Displaced float64
+}
+
 // Place is one store that could take the context, with the state of its link.
 type Place struct {
-	Store    string
-	Down     bool
-	Backlog  time.Duration
-	MemFree  int64
-	DiskFree int64
-	// MemRate and DiskRate are the rates of the link for the tiers, in bytes a second.
-	MemRate, DiskRate float64
+	Store   string
+	Down    bool
+	Backlog time.Duration
+	// NewBytes is the size of what the store does not hold yet.
+	NewBytes int64
+	Tiers    []Tier
 }
 
 // Run is a finished run whose context could be kept.
 type Run struct {
 	Key Key
-	// Bytes is the size of the whole context, NewBytes of what the store does not hold yet.
-	Bytes, NewBytes int64
+	// Bytes is the size of the whole context.
+	Bytes int64
 	// Recompute is the prefill time of the whole context.
 	Recompute time.Duration
 	// Resident is how long the context is expected to stay on the accelerator.
@@ -48,16 +57,16 @@
 	Export bool
 	Store  string
 	Disk   bool
-	// Value is the expected saving per byte, in seconds; a store that is full drops the least.
-	Value  float64
+	// Saving is the prefill time that a return saves, in seconds.
+	Saving float64
 	Reason string
 }
 
 // The reasons of decisions.
 const (
-	ReasonKept     = "expected saving exceeds the cost of the link"
+	ReasonKept     = "expected saving exceeds the cost of the link and of what is dropped"
 	ReasonNothing  = "nothing new to keep"
-	ReasonUnlikely = "expected saving is below the cost of the link"
+	ReasonUnlikely = "expected saving is below the cost of the link and of what would be dropped"
 	ReasonNoStore  = "no store has room and a free link"
 )
 
@@ -65,8 +74,6 @@
 type Placer struct {
 	// LinkPrice weighs a second of link time against a second of prefill.
 	LinkPrice float64
-	// MemoryHorizon is how long a context is meant to stay in the memory tier.
-	MemoryHorizon time.Duration
 	// MaxBacklog is how far a link may be behind before the next store is tried.
 	MaxBacklog time.Duration
 	// Always exports whatever there is, for comparison.
@@ -75,55 +82,57 @@
 
 // New returns the policy with the values that measured best, see docs/measurements.md.
 func New() *Placer {
-	return &Placer{LinkPrice: 0.5, MemoryHorizon: 10 * time.Minute, MaxBacklog: 2 * time.Second}
+	return &Placer{LinkPrice: 0.5, MaxBacklog: 2 * time.Second}
 }
 
 // Decide says what happens to the context of a run.
 func (p *Placer) Decide(run Run, returns *Returns) Decision {
-	if run.NewBytes <= 0 || run.Bytes <= 0 {
-		return Decision{Reason: ReasonNothing}
-	}
-	chance := returns.Chance(run.Key)
-	late := 1 - returns.Within(run.Key, run.Resident)
-	soon := returns.Within(run.Key, p.MemoryHorizon)
-	reason := ReasonNoStore
+	out := Decision{Reason: ReasonNoStore}
+	chance := returns.Chance(run.Key) * (1 - returns.Within(run.Key, run.Resident))
 	for _, pl := range run.Places {
 		if pl.Down || pl.Backlog > p.MaxBacklog {
 			continue
 		}
-		disk, rate, ok := tier(pl, run.NewBytes, soon >= 0.5)
-		if !ok {
-			continue
+		if pl.NewBytes <= 0 {
+			return Decision{Reason: ReasonNothing}
 		}
-		saving := chance * late * max(0, run.Recompute.Seconds()-float64(run.Bytes)/rate)
-		cost := p.LinkPrice * float64(run.NewBytes) / rate
-		if saving <= cost && !p.Always {
-			reason = ReasonUnlikely
-			continue
+		best := 0.0
+		for _, t := range pl.Tiers {
+			if !t.Room || t.Rate <= 0 {
+				continue
+			}
+			saving := max(0, run.Recompute.Seconds()-float64(run.Bytes)/t.Rate)
+			net := chance*saving - p.LinkPrice*float64(pl.NewBytes)/t.Rate - t.Displaced
+			if net > best || (p.Always && !out.Export) {
+				best = net
+				out = Decision{Export: true, Store: pl.Store, Disk: t.Disk, Saving: saving, Reason: ReasonKept}
+			}
+		}
+		if out.Export {
+			return out
 		}
-		return Decision{Export: true, Store: pl.Store, Disk: disk, Value: Value(saving, run.Bytes), Reason: ReasonKept}
+		out.Reason = ReasonUnlikely
 	}
-	return Decision{Reason: reason}
+	return out
 }
 
-// tier chooses the tier that has room, the memory tier first for what comes back soon.
-func tier(pl Place, n int64, soon bool) (disk bool, rate float64, ok bool) {
-	mem, dsk := pl.MemFree >= n && pl.MemRate > 0, pl.DiskFree >= n && pl.DiskRate > 0
-	switch {
-	case mem && (soon || !dsk):
-		return false, pl.MemRate, true
-	case dsk:
-		return true, pl.DiskRate, true
-	}
-	return false, 0, false
+// Kept is a context in a store.
+type Kept struct {
+	Key    Key
+	Bytes  int64
+	Saving float64
+	At     time.Time
 }
 
-// Value is the expected saving per byte, by which a full store chooses what to drop.
-func Value(saving float64, n int64) float64 {
-	if n <= 0 {
+// Value is what a context in a store is expected to save, in seconds: the chance that the conversation still comes
+// back, given that it has not so far, times the prefill time that this saves. A full store drops the least per byte.
+func Value(k Kept, returns *Returns, now time.Time) float64 {
+	chance, before := returns.Chance(k.Key), returns.Within(k.Key, now.Sub(k.At))
+	left := 1 - chance*before
+	if left <= 0 {
 		return 0
 	}
-	return saving / float64(n)
+	return k.Saving * chance * (1 - before) / left
 }
 
 const (
--- a/internal/router/candidates.go
+++ b/internal/router/candidates.go
@@ -3,7 +3,7 @@
 import "github.com/papayaworks/papayaworks/internal/view"
 
 const (
-	// homesTried is how many home targets of an anchor are candidates in one data centre.
+	// homesTried is how many home targets of an anchor are candidates in the region and in the own data centre.
 	homesTried = 2
 	// maxProbes bounds the search for a usable target when most are leaving or down.
 	maxProbes = 64
@@ -33,11 +33,8 @@
 			c.add(t)
 		}
 	}
-	home := in.View.HomeDataCentre(in.Model, in.Anchor)
-	c.addHomes(home)
-	if home != in.View.DataCentre {
-		c.addHomes(in.View.DataCentre)
-	}
+	c.addHomes(in.View.AppendRegionHomes(c.homes[:0], in.Model, in.Anchor))
+	c.addHomes(in.View.AppendHomes(c.homes[:0], in.Model, in.View.DataCentre, in.Anchor))
 	p.sample(c)
 	if len(c.options) == 0 {
 		c.search()
@@ -70,9 +67,10 @@
 	return false
 }
 
-func (c *collector) addHomes(dataCentre string) {
+// addHomes takes the first homes that are usable.
+func (c *collector) addHomes(homes []*view.Target) {
 	n := 0
-	for _, t := range c.in.View.AppendHomes(c.homes[:0], c.in.Model, dataCentre, c.in.Anchor) {
+	for _, t := range homes {
 		if t.Usable() && n < homesTried {
 			c.add(t)
 			n++
--- /dev/null
+++ b/internal/server/keeper/export.go
@@ -0,0 +1,146 @@
+package keeper
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/papayaworks/papayaworks/internal/dialer"
+	"github.com/papayaworks/papayaworks/internal/logger"
+	"github.com/papayaworks/papayaworks/internal/placer"
+	"github.com/papayaworks/papayaworks/internal/request"
+	"github.com/papayaworks/papayaworks/internal/shaper"
+	"github.com/papayaworks/papayaworks/internal/tracker"
+	"github.com/papayaworks/papayaworks/internal/view"
+	"github.com/papayaworks/papayaworks/pkg/configurer"
+)
+
+const (
+	// exportTimeout bounds one export over a slow link.
+	exportTimeout = 30 * time.Second
+	// dropTimeout bounds the removal of one manifest.
+	dropTimeout = time.Second
+	mib         = 1 << 20
+)
+
+// candidate is a finished request whose context may be kept.
+type candidate struct {
+	*request.Request
+	block int64   // bytes
+	rate  float64 // prefill, tokens a second
+}
+
+// held is how many of the request's leading blocks a store holds already.
+func (c *candidate) held(store string) int {
+	if c.Known.Store != store || c.Known.Version != c.Scope.Version {
+		return 0
+	}
+	return min(len(c.Known.Stored), len(c.Keys))
+}
+
+// places returns the stores for the context: those beside the homes, where any instance looks for it, then the one
+// beside the target.
+func (s *Step) places(c *candidate) []placer.Place {
+	var buf [8]*view.Target
+	var ids []string
+	for _, t := range c.View.AppendRegionHomes(buf[:0], c.Chat.Model, c.Anchor) {
+		ids = append(ids, t.Store)
+	}
+	if !slices.Contains(ids, c.Target.Store) {
+		ids = append(ids, c.Target.Store)
+	}
+	out := make([]placer.Place, 0, len(ids))
+	for _, id := range ids {
+		if st, ok := c.View.StoreConfig(id); ok && st.DisabledReason == "" {
+			out = append(out, s.place(c, st))
+		}
+	}
+	return out
+}
+
+func (s *Step) place(c *candidate, st configurer.Store) placer.Place {
+	status := c.View.Store(st.ID)
+	mem, disk := float64(st.LinkMiBPerSec)*mib, float64(min(st.DiskMiBPerSec, st.LinkMiBPerSec))*mib
+	achieved, backlog := s.Tracker.Achieved(st.ID, mem)
+	n := int64(len(c.Keys)-c.held(st.ID)) * c.block
+	tiers := make([]placer.Tier, 0, 2)
+	// A context that is stored already grows in its tier.
+	if n == int64(len(c.Keys))*c.block || c.Known.Tier != dialer.TierDisk {
+		tiers = append(tiers, s.tier(st.ID, false, achieved*mem, n, int64(st.MemoryMiB)*mib-status.State.MemoryUsed))
+	}
+	if n == int64(len(c.Keys))*c.block || c.Known.Tier == dialer.TierDisk {
+		tiers = append(tiers, s.tier(st.ID, true, achieved*disk, n, int64(st.DiskMiB)*mib-status.State.DiskUsed))
+	}
+	return placer.Place{
+		Store: st.ID, Down: status.Down || s.Tracker.Suspected(st.ID), NewBytes: n, Tiers: tiers,
+		Backlog: max(backlog, configurer.Milliseconds(int(status.State.LinkBacklogMs))),
+	}
+}
+
+func (s *Step) tier(store string, disk bool, rate float64, n, free int64) placer.Tier {
+	t := placer.Tier{Disk: disk, Rate: rate, Room: free >= n}
+	if !t.Room {
+		_, t.Displaced, t.Room = s.Tracker.Victims(store, disk, n-free)
+	}
+	return t
+}
+
+// export queues the transfer; the target writes only the blocks that the store does not hold.
+func (s *Step) export(c *candidate, d placer.Decision, k placer.Kept) {
+	st, _ := c.View.StoreConfig(d.Store)
+	n := c.held(d.Store)
+	in := &dialer.ExportRequest{
+		Anchor: c.Anchor, Account: c.Account.Name, Model: c.Chat.Model, Version: c.Scope.Version, Keys: c.Keys,
+		StoreAddress: st.Address, Tier: dialer.TierMemory, Generation: c.Received.UnixNano(), Stored: c.Known.Stored[:n],
+	}
+	used, limit := c.View.Store(st.ID).State.MemoryUsed, int64(st.MemoryMiB)*mib
+	if d.Disk {
+		in.Tier = dialer.TierDisk
+		used, limit = c.View.Store(st.ID).State.DiskUsed, int64(st.DiskMiB)*mib
+	}
+	link, rate, size := float64(st.LinkMiBPerSec)*mib, float64(st.LinkMiBPerSec)*mib, int64(len(c.Keys)-n)*c.block
+	if d.Disk {
+		rate = min(link, float64(st.DiskMiBPerSec)*mib)
+	}
+	job := shaper.Job{Class: shaper.Export, Bytes: shaper.Weighted(size, rate, link)}
+	var victims []tracker.Kept
+	if missing := used + size - limit; missing > 0 {
+		victims, _, _ = s.Tracker.Victims(d.Store, d.Disk, missing)
+	}
+	for _, v := range victims {
+		s.Tracker.Dropped(d.Store, d.Disk, v.Anchor)
+	}
+	addr := c.Target.Address
+	s.Tracker.Move(d.Store, link, job, func(done func(bool)) {
+		go func() {
+			s.drop(st.Address, victims)
+			done(s.write(addr, in) && s.kept(d, in, k))
+		}()
+	})
+}
+
+// drop makes room; a manifest that another instance has replaced since is left alone by the store.
+func (s *Step) drop(addr string, victims []tracker.Kept) {
+	for _, v := range victims {
+		ctx, cancel := context.WithTimeout(context.Background(), dropTimeout)
+		if err := s.Client.Drop(ctx, addr, v.Anchor, v.Generation); err != nil {
+			logger.WithError(s.Log, err).Debug("context was not dropped")
+		}
+		cancel()
+	}
+}
+
+func (s *Step) write(addr string, in *dialer.ExportRequest) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), exportTimeout)
+	defer cancel()
+	err := s.Client.Export(ctx, addr, in)
+	if err != nil {
+		logger.WithError(s.Log, err).Debug("context was not kept")
+	}
+	return err == nil
+}
+
+func (s *Step) kept(d placer.Decision, in *dialer.ExportRequest, k placer.Kept) bool {
+	s.Tracker.Keep(d.Store, d.Disk, tracker.Kept{Kept: k, Anchor: in.Anchor, Generation: in.Generation})
+	return true
+}
--- a/internal/server/pollers_stores.go
+++ b/internal/server/pollers_stores.go
@@ -91,8 +91,8 @@
 		}
 	}
 	p.last[r.id] = r
-	rate, _ := p.server.tracker.Rate(r.id, limit)
-	changes[r.id] = view.StoreStatus{State: r.state, BytesPerSec: rate}
+	share, _ := p.server.tracker.Achieved(r.id, limit)
+	changes[r.id] = view.StoreStatus{State: r.state, BytesPerSec: share * limit}
 }
 
 // linkRate returns the rate of a link that was busy from one report to the next. What was added to its queue was
--- a/internal/server/selector/lookup.go
+++ b/internal/server/selector/lookup.go
@@ -55,19 +55,16 @@
 	k.Gap = max(1, s.Tracker.Now().Sub(h.At))
 }
 
-// stores returns the stores that may hold the manifest: beside the last target, then beside the homes.
+// stores returns the stores that may hold the manifest: those beside the homes, where contexts are kept as long as
+// they can be reached, then the one that the token names.
 func (s *Step) stores(r *request.Request) []configurer.Store {
+	var buf [8]*view.Target
 	var ids []string
-	if c := r.Continuation; c != nil && c.Anchor == r.Anchor {
-		ids = append(ids, c.Store)
-	}
-	if t, ok := r.View.Target(r.Known.LastTarget); ok {
+	for _, t := range r.View.AppendRegionHomes(buf[:0], r.Chat.Model, r.Anchor) {
 		ids = append(ids, t.Store)
 	}
-	var buf [8]*view.Target
-	home := r.View.HomeDataCentre(r.Chat.Model, r.Anchor)
-	for _, t := range r.View.AppendHomes(buf[:0], r.Chat.Model, home, r.Anchor) {
-		ids = append(ids, t.Store)
+	if c := r.Continuation; c != nil && c.Anchor == r.Anchor {
+		ids = append(ids, c.Store)
 	}
 	var out []configurer.Store
 	for i, id := range ids {
--- a/internal/server/selector/selector.go
+++ b/internal/server/selector/selector.go
@@ -22,6 +22,7 @@
 	"github.com/papayaworks/papayaworks/internal/request"
 	"github.com/papayaworks/papayaworks/internal/router"
 	"github.com/papayaworks/papayaworks/internal/server/identifier"
+	"github.com/papayaworks/papayaworks/internal/shaper"
 	"github.com/papayaworks/papayaworks/internal/tracker"
 	"github.com/papayaworks/papayaworks/internal/view"
 	"github.com/papayaworks/papayaworks/pkg/configurer"
@@ -88,7 +89,8 @@
 	part.Blocks = m.Blocks[:d.Import.Blocks]
 	r.Import = &dialer.Import{StoreAddress: st.Address, Manifest: part}
 	if r.Reason != router.ReasonCached {
-		s.Tracker.Importing(st.ID, linkRate(st, m.Tier), bytesOf(part.Blocks))
+		limit := linkRate(st, dialer.TierMemory)
+		s.Tracker.Importing(st.ID, limit, shaper.Weighted(bytesOf(part.Blocks), linkRate(st, m.Tier), limit))
 	}
 }
 
@@ -103,8 +105,7 @@
 	}
 	identifier.SetScope(r, model.Version)
 	var buf [8]*view.Target
-	home := r.View.HomeDataCentre(r.Chat.Model, r.Anchor)
-	for _, t := range r.View.AppendHomes(buf[:0], r.Chat.Model, home, r.Anchor) {
+	for _, t := range r.View.AppendRegionHomes(buf[:0], r.Chat.Model, r.Anchor) {
 		if v := t.Version(r.Chat.Model); t.Usable() && v != 0 {
 			return v
 		}
@@ -127,11 +128,11 @@
 	}
 	if len(k.Stored) > 0 {
 		st, _ := r.View.StoreConfig(k.Store)
-		rate, backlog := s.Tracker.Rate(k.Store, linkRate(st, k.Tier))
+		achieved, backlog := s.Tracker.Achieved(k.Store, linkRate(st, dialer.TierMemory))
 		reported := configurer.Milliseconds(int(r.View.Store(k.Store).State.LinkBacklogMs))
 		in.Stored = router.Stored{
 			Store: k.Store, Version: k.Version, Blocks: len(k.Stored), Bytes: bytesOf(k.Stored),
-			Backlog: max(backlog, reported), BytesPerSec: rate,
+			Backlog: max(backlog, reported), BytesPerSec: achieved * linkRate(st, k.Tier),
 		}
 	}
 	return in
--- a/internal/shaper/shaper.go
+++ b/internal/shaper/shaper.go
@@ -50,9 +50,8 @@
 	maxWaiting = 256
 	// maxAtOnce is how many transfers of the queue run at once; two keep the link busy between blocks.
 	maxAtOnce = 2
-	// rateMemory is the time constant of the moving average, minSample the least weight of one transfer.
+	// rateMemory is the time constant of the moving average.
 	rateMemory = 2 * time.Second
-	minSample  = 0.3
 	// recovery is the time constant with which an estimate without transfers returns to the configured rate.
 	recovery = 20 * time.Second
 )
@@ -60,7 +59,7 @@
 // slack is the time to the deadline of a transfer that names none.
 var slack = [...]time.Duration{Import: 500 * time.Millisecond, Export: 5 * time.Second, Prefetch: 15 * time.Second}
 
-// Job is one transfer.
+// Job is one transfer. Bytes are weighted, so that a transfer from a slow tier counts as the link time that it takes.
 type Job struct {
 	ID       uint64
 	Class    Class
@@ -68,6 +67,14 @@
 	Deadline time.Time
 }
 
+// Weighted returns how many bytes at the link's full rate take as long as n bytes at the rate of a slower tier.
+func Weighted(n int64, tierRate, linkRate float64) int64 {
+	if tierRate <= 0 || tierRate >= linkRate {
+		return n
+	}
+	return int64(float64(n) * linkRate / tierRate)
+}
+
 // Link is the queue, the budget and the achieved rate of one link. It is not safe for concurrent use.
 type Link struct {
 	rate     float64 // configured, bytes a second
@@ -180,10 +187,14 @@
 	}
 }
 
-// Sample takes an observed rate into the average.
+// Sample takes an observed rate into the average. A transfer that waited behind others looks slow on a good link,
+// but none looks fast on a bad one, so a higher rate counts at once and a lower one with the time constant.
 func (l *Link) Sample(bytesPerSec float64, now time.Time) {
-	w := max(minSample, 1-math.Exp(-now.Sub(l.sampled).Seconds()/rateMemory.Seconds()))
-	l.achieved = l.Rate(now) + w*(min(bytesPerSec, l.rate)-l.Rate(now))
+	rate, w := l.Rate(now), 1.0
+	if bytesPerSec < rate {
+		w = 1 - math.Exp(-now.Sub(l.sampled).Seconds()/rateMemory.Seconds())
+	}
+	l.achieved = rate + w*(min(bytesPerSec, l.rate)-rate)
 	l.sampled = now
 }
 
--- a/internal/tracker/links.go
+++ b/internal/tracker/links.go
@@ -13,21 +13,24 @@
 func (t *Tracker) at(store string, bytesPerSec float64) *link {
 	l := t.links[store]
 	if l == nil {
-		l = &link{Link: shaper.New(bytesPerSec, t.now()), moves: map[uint64]func() bool{}}
+		l = &link{Link: shaper.New(bytesPerSec, t.now()), starts: map[uint64]func(done func(ok bool)){}}
 		t.links[store] = l
 	}
 	return l
 }
 
-// Rate returns the expected rate and backlog of the link to a store; limit is the configured rate.
-func (t *Tracker) Rate(store string, limit float64) (bytesPerSec float64, backlog time.Duration) {
+// Achieved returns the share of its configured rate that the link to a store achieves, and its backlog.
+func (t *Tracker) Achieved(store string, limit float64) (share float64, backlog time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if limit <= 0 {
+		return 0, 0
+	}
 	l, now := t.at(store, limit), t.now()
-	return min(limit, l.Rate(now)), l.Backlog(now)
+	return min(1, l.Rate(now)/limit), l.Backlog(now)
 }
 
-// Importing counts an import that was ordered with a run.
+// Importing counts an import that was ordered with a run; n is weighted, see [shaper.Weighted].
 func (t *Tracker) Importing(store string, limit float64, n int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -41,16 +44,17 @@
 	t.at(store, limit).Sample(bytesPerSec, t.now())
 }
 
-// Move queues a transfer; move runs once its turn comes and reports whether the bytes were moved.
-func (t *Tracker) Move(store string, limit float64, j shaper.Job, move func() bool) {
+// Move queues a transfer. Start is called with the lock held once its turn comes; it must not block, and the transfer
+// calls done once from another goroutine or a later event, with whether the bytes were moved.
+func (t *Tracker) Move(store string, limit float64, j shaper.Job, start func(done func(ok bool))) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	l := t.at(store, limit)
 	t.ids++
 	j.ID = t.ids
-	l.moves[j.ID] = move
+	l.starts[j.ID] = start
 	if dropped, full := l.Submit(j, t.now()); full {
-		delete(l.moves, dropped.ID)
+		delete(l.starts, dropped.ID)
 	}
 	t.pump(l)
 }
@@ -62,15 +66,13 @@
 		if !ok {
 			break
 		}
-		move := l.moves[j.ID]
-		delete(l.moves, j.ID)
-		if move != nil {
-			go t.move(l, j, move)
-		}
+		start, begun := l.starts[j.ID], t.now()
+		delete(l.starts, j.ID)
+		start(func(ok bool) { t.moved(l, j, begun, ok) })
 	}
 	if l.Waiting() > 0 && !l.timer {
 		l.timer = true
-		time.AfterFunc(budgetPause, func() {
+		t.After(budgetPause, func() {
 			t.mu.Lock()
 			defer t.mu.Unlock()
 			l.timer = false
@@ -79,12 +81,10 @@
 	}
 }
 
-func (t *Tracker) move(l *link, j shaper.Job, move func() bool) {
-	begun := t.now()
-	ok := move()
-	took := t.now().Sub(begun)
+func (t *Tracker) moved(l *link, j shaper.Job, begun time.Time, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	took := t.now().Sub(begun)
 	if !ok {
 		took = 0
 	}
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -56,6 +56,9 @@
 
 // Tracker is safe for concurrent use.
 type Tracker struct {
+	// After runs a function later; New sets it to the runtime's timer.
+	After func(d time.Duration, f func())
+
 	now func() time.Time
 
 	mu        sync.Mutex
@@ -67,13 +70,16 @@
 	links     map[string]*link
 	suspects  map[string]time.Time
 	ids       uint64
+	kept      map[tier][]Kept
 }
 
 // New returns an empty tracker with a clock.
 func New(now func() time.Time) *Tracker {
 	return &Tracker{
-		now: now, hints: map[keyer.Key]*list.Element{}, order: list.New(), returns: placer.NewReturns(),
+		After: func(d time.Duration, f func()) { time.AfterFunc(d, f) },
+		now:   now, hints: map[keyer.Key]*list.Element{}, order: list.New(), returns: placer.NewReturns(),
 		means: map[string]Means{}, links: map[string]*link{}, suspects: map[string]time.Time{},
+		kept: map[tier][]Kept{},
 	}
 }
 
@@ -186,6 +192,6 @@
 // link is the shaper of one link with what its queued transfers do.
 type link struct {
 	*shaper.Link
-	moves map[uint64]func() bool
-	timer bool
+	starts map[uint64]func(done func(ok bool))
+	timer  bool
 }
--- a/internal/view/homes.go
+++ b/internal/view/homes.go
@@ -101,25 +101,44 @@
 	return w ^ w>>33
 }
 
-// HomeDataCentre returns the data centre of the region that conversations with the anchor call home.
-// It is the same at every instance of the region that has the same configuration.
-func (v *View) HomeDataCentre(model string, anchor keyer.Key) string {
+// homeDataCentres is how many data centres of a region a conversation has homes in, and homesEach how many in each.
+const (
+	homeDataCentres = 3
+	homesEach       = 2
+)
+
+// AppendRegionHomes appends the home targets of an anchor in the region, best first, usable or not: two in the home
+// data centre, then two in the next ones, which serve if the home data centre is lost. They are the same at every
+// instance of the region that has the same configuration.
+func (v *View) AppendRegionHomes(to []*Target, model string, anchor keyer.Key) []*Target {
 	f := v.fleets[model]
 	if f == nil {
-		return ""
+		return to
 	}
 	region := v.regions[v.DataCentre]
-	best, bestWeight := "", uint64(0)
+	var best [homeDataCentres]int
+	var weights [homeDataCentres]uint64
+	n := 0
 	for i := range f.places {
-		p := &f.places[i]
-		if p.region != region {
+		if f.places[i].region != region {
 			continue
 		}
-		if w := keyer.Weight(anchor, p.dataCentre); best == "" || w > bestWeight {
-			best, bestWeight = p.dataCentre, w
+		w, at := keyer.Weight(anchor, f.places[i].dataCentre), n
+		for at > 0 && w > weights[at-1] {
+			at--
+		}
+		if at == homeDataCentres {
+			continue
 		}
+		copy(best[at+1:], best[at:homeDataCentres-1])
+		copy(weights[at+1:], weights[at:homeDataCentres-1])
+		best[at], weights[at] = i, w
+		n = min(n+1, homeDataCentres)
+	}
+	for _, i := range best[:n] {
+		to = v.appendHomes(to, model, &f.places[i], anchor, homesEach)
 	}
-	return best
+	return to
 }
 
 // AppendHomes appends the home targets of an anchor in a data centre, best first, usable or not.
@@ -132,9 +151,12 @@
 	if !ok {
 		return to
 	}
-	p := &f.places[i]
+	return v.appendHomes(to, model, &f.places[i], anchor, homesPerSlot)
+}
+
+func (v *View) appendHomes(to []*Target, model string, p *place, anchor keyer.Key, n int) []*Target {
 	ts := v.byModel[model]
-	for _, m := range p.slots[keyer.Weight(anchor, dataCentre)&uint64(len(p.slots)-1)] {
+	for _, m := range p.slots[keyer.Weight(anchor, p.dataCentre)&uint64(len(p.slots)-1)][:n] {
 		if m >= 0 {
 			to = append(to, ts[m])
 		}
