feat(placer): drop the least valuable context of a full tier

Cause: a full store refused every export, and a context was charged for the whole reserve of a tier that it would displace. Change: full tiers drop the least valuable of the oldest contexts, a store drops only the generation that was named, the caller's token tells when the last run ended so that gaps are not biased by what was dropped.

--- a/internal/benchmarker/fleet_test.go
+++ b/internal/benchmarker/fleet_test.go
@@ -164,12 +164,14 @@
 }
 
 // drop removes a context if it is still of the generation; 0 is any.
-func (s *store) drop(k keyer.Key, generation int64) {
+func (s *store) drop(k keyer.Key, generation int64) (ok bool) {
 	for _, c := range []*contexts{s.mem, s.disk} {
-		if el, ok := c.byAnchor[k]; ok && (generation == 0 || el.Value.(*held).at == time.Duration(generation)) {
+		if el, found := c.byAnchor[k]; found && (generation == 0 || el.Value.(*held).at == time.Duration(generation)) {
 			c.drop(el)
+			ok = true
 		}
 	}
+	return ok
 }
 
 // engine has slots, one prefill unit and a prefix cache.
--- a/internal/benchmarker/policies_test.go
+++ b/internal/benchmarker/policies_test.go
@@ -7,6 +7,7 @@
 	"github.com/papayaworks/papayaworks/internal/keyer"
 	"github.com/papayaworks/papayaworks/internal/placer"
 	"github.com/papayaworks/papayaworks/internal/router"
+	"github.com/papayaworks/papayaworks/internal/server/keeper"
 	"github.com/papayaworks/papayaworks/internal/shaper"
 	"github.com/papayaworks/papayaworks/internal/tracker"
 	"github.com/papayaworks/papayaworks/internal/view"
@@ -74,6 +75,7 @@
 	t, c := r.instance.tracker, r.conv
 	if c.hasToken {
 		r.known = router.Last{Target: id("t", c.last), Version: 1, Blocks: c.blocks}
+		r.gap = max(1, s.c.now-c.lastEnd)
 	}
 	if h, ok := t.Hint(c.anchor); ok && !p.noHint && (!c.hasToken || h.Target == r.known.Target) {
 		r.known = router.Last{Target: h.Target, Version: h.Version, Blocks: h.Blocks}
@@ -111,9 +113,6 @@
 			Store: id("s", r.sourceID), Version: 1, Blocks: r.stored, Bytes: int64(r.stored) * blockBytes,
 			Backlog: max(backlog, reported), BytesPerSec: achieved * limit,
 		}
-		if r.gap == 0 {
-			r.gap = s.c.now - best.at
-		}
 	}
 	if r.known.Target != "" {
 		in.Last.Resident = r.instance.tracker.Resident(r.gap)
@@ -153,11 +152,16 @@
 func (p *policy) export(s *sim, r *run, d placer.Decision, k placer.Kept) {
 	t, st := r.instance.tracker, index(d.Store)
 	n := int64(r.blocks-p.held(r, st)) * blockBytes
-	if missing := n - free(r, st, s.w, d.Disk); missing > 0 {
-		victims, _, _ := t.Victims(d.Store, d.Disk, missing)
+	if over := n - free(r, st, s.w, d.Disk); over > 0 {
+		victims, _, _ := t.Victims(d.Store, d.Disk, over)
 		for _, v := range victims {
+			if over <= 0 {
+				break
+			}
 			t.Dropped(d.Store, d.Disk, v.Anchor)
-			s.stores[st].drop(v.Anchor, v.Generation)
+			if s.stores[st].drop(v.Anchor, v.Generation) {
+				over -= v.Bytes
+			}
 		}
 	}
 	start := func(done func(bool)) {
@@ -175,13 +179,14 @@
 	t.Move(d.Store, s.stores[st].linkRate, shaper.Job{Class: shaper.Export, Bytes: s.stores[st].weighted(int(n/blockBytes), d.Disk)}, start)
 }
 
-// free is the room in a tier by the last report.
+// free is the room in a tier by the last report, above the reserve.
 func free(r *run, st int, w *workload, disk bool) int64 {
 	state := r.instance.view.Store(id("s", st)).State
+	used, limit := state.MemoryUsed, int64(w.size.memMiB)*mib
 	if disk {
-		return int64(w.size.storeMiB)*mib - state.DiskUsed
+		used, limit = state.DiskUsed, int64(w.size.storeMiB)*mib
 	}
-	return int64(w.size.memMiB)*mib - state.MemoryUsed
+	return limit - limit/keeper.Reserve - used
 }
 
 func (p *policy) held(r *run, st int) int {
@@ -214,7 +219,7 @@
 				t.Rate = achieved * st.diskRat
 			}
 			if missing := pl.NewBytes - free(r, i, s.w, disk); missing > 0 {
-				_, t.Displaced, t.Room = r.instance.tracker.Victims(pl.Store, disk, missing)
+				_, t.Displaced, t.Room = r.instance.tracker.Victims(pl.Store, disk, min(missing, pl.NewBytes))
 			}
 			pl.Tiers = append(pl.Tiers, t)
 		}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -82,7 +82,7 @@
 
 // New returns the policy with the values that measured best, see docs/measurements.md.
 func New() *Placer {
-	return &Placer{LinkPrice: 0.5, MaxBacklog: 2 * time.Second}
+	return &Placer{LinkPrice: 0.1, MaxBacklog: 2 * time.Second}
 }
 
 // Decide says what happens to the context of a run.
--- a/internal/placer/returns.go
+++ b/internal/placer/returns.go
@@ -56,7 +56,8 @@
 	h.ended++
 }
 
-// Returned counts a run that continues a conversation; gap is the time since the last run, 0 if it is not known.
+// Returned counts a run that continues a conversation; gap is the time since the last run, 0 if it is not
+// known. It must not come from a stored manifest, as those of long gaps have been dropped more often.
 func (r *Returns) Returned(k Key, gap time.Duration, now time.Time) {
 	h := r.at(k, now)
 	h.returned++
--- a/internal/server/deliverer/deliverer.go
+++ b/internal/server/deliverer/deliverer.go
@@ -185,6 +185,7 @@
 	}
 	tok, err := signer.Sign(s.Signer, signer.KindContinuation, r.Account.Name, signer.Continuation{
 		Anchor: r.Anchor, Target: r.Target.ID, Store: r.Target.Store, Version: r.Scope.Version, Blocks: len(r.Keys),
+		AtMs: s.Now().UnixMilli(),
 	})
 	if err != nil {
 		return ""
--- a/internal/server/keeper/export.go
+++ b/internal/server/keeper/export.go
@@ -21,6 +21,8 @@
 	// dropTimeout bounds the removal of one manifest.
 	dropTimeout = time.Second
 	mib         = 1 << 20
+	// Reserve is the part of a tier that is kept free: reports of its use lag, and several instances write to it.
+	Reserve = 32
 )
 
 // candidate is a finished request whose context may be kept.
@@ -66,10 +68,10 @@
 	tiers := make([]placer.Tier, 0, 2)
 	// A context that is stored already grows in its tier.
 	if n == int64(len(c.Keys))*c.block || c.Known.Tier != dialer.TierDisk {
-		tiers = append(tiers, s.tier(st.ID, false, achieved*mem, n, int64(st.MemoryMiB)*mib-status.State.MemoryUsed))
+		tiers = append(tiers, s.tier(st.ID, false, achieved*mem, n, missing(st, status, n, false)))
 	}
 	if n == int64(len(c.Keys))*c.block || c.Known.Tier == dialer.TierDisk {
-		tiers = append(tiers, s.tier(st.ID, true, achieved*disk, n, int64(st.DiskMiB)*mib-status.State.DiskUsed))
+		tiers = append(tiers, s.tier(st.ID, true, achieved*disk, n, missing(st, status, n, true)))
 	}
 	return placer.Place{
 		Store: st.ID, Down: status.Down || s.Tracker.Suspected(st.ID), NewBytes: n, Tiers: tiers,
@@ -77,14 +79,24 @@
 	}
 }
 
-func (s *Step) tier(store string, disk bool, rate float64, n, free int64) placer.Tier {
-	t := placer.Tier{Disk: disk, Rate: rate, Room: free >= n}
+func (s *Step) tier(store string, disk bool, rate float64, n, missing int64) placer.Tier {
+	t := placer.Tier{Disk: disk, Rate: rate, Room: missing <= 0}
 	if !t.Room {
-		_, t.Displaced, t.Room = s.Tracker.Victims(store, disk, n-free)
+		// The rest of what is missing has to go for others as well.
+		_, t.Displaced, t.Room = s.Tracker.Victims(store, disk, min(n, missing))
 	}
 	return t
 }
 
+// missing is how many bytes must be dropped from a tier before n more fit and the reserve is free.
+func missing(st configurer.Store, status view.StoreStatus, n int64, disk bool) int64 {
+	used, limit := status.State.MemoryUsed, int64(st.MemoryMiB)*mib
+	if disk {
+		used, limit = status.State.DiskUsed, int64(st.DiskMiB)*mib
+	}
+	return used + n + limit/Reserve - limit
+}
+
 // export queues the transfer; the target writes only the blocks that the store does not hold.
 func (s *Step) export(c *candidate, d placer.Decision, k placer.Kept) {
 	st, _ := c.View.StoreConfig(d.Store)
@@ -93,40 +105,41 @@
 		Anchor: c.Anchor, Account: c.Account.Name, Model: c.Chat.Model, Version: c.Scope.Version, Keys: c.Keys,
 		StoreAddress: st.Address, Tier: dialer.TierMemory, Generation: c.Received.UnixNano(), Stored: c.Known.Stored[:n],
 	}
-	used, limit := c.View.Store(st.ID).State.MemoryUsed, int64(st.MemoryMiB)*mib
 	if d.Disk {
 		in.Tier = dialer.TierDisk
-		used, limit = c.View.Store(st.ID).State.DiskUsed, int64(st.DiskMiB)*mib
 	}
 	link, rate, size := float64(st.LinkMiBPerSec)*mib, float64(st.LinkMiBPerSec)*mib, int64(len(c.Keys)-n)*c.block
 	if d.Disk {
 		rate = min(link, float64(st.DiskMiBPerSec)*mib)
 	}
 	job := shaper.Job{Class: shaper.Export, Bytes: shaper.Weighted(size, rate, link)}
-	var victims []tracker.Kept
-	if missing := used + size - limit; missing > 0 {
-		victims, _, _ = s.Tracker.Victims(d.Store, d.Disk, missing)
-	}
-	for _, v := range victims {
-		s.Tracker.Dropped(d.Store, d.Disk, v.Anchor)
-	}
+	over := missing(st, c.View.Store(st.ID), size, d.Disk)
 	addr := c.Target.Address
 	s.Tracker.Move(d.Store, link, job, func(done func(bool)) {
 		go func() {
-			s.drop(st.Address, victims)
+			s.makeRoom(st, d.Disk, over)
 			done(s.write(addr, in) && s.kept(d, in, k))
 		}()
 	})
 }
 
-// drop makes room; a manifest that another instance has replaced since is left alone by the store.
-func (s *Step) drop(addr string, victims []tracker.Kept) {
+// makeRoom drops contexts until enough is free. The store leaves a manifest alone that another instance has replaced.
+func (s *Step) makeRoom(st configurer.Store, disk bool, over int64) {
+	if over <= 0 {
+		return
+	}
+	victims, _, _ := s.Tracker.Victims(st.ID, disk, over)
 	for _, v := range victims {
-		ctx, cancel := context.WithTimeout(context.Background(), dropTimeout)
-		if err := s.Client.Drop(ctx, addr, v.Anchor, v.Generation); err != nil {
-			logger.WithError(s.Log, err).Debug("context was not dropped")
+		if over <= 0 {
+			return
 		}
+		s.Tracker.Dropped(st.ID, disk, v.Anchor)
+		ctx, cancel := context.WithTimeout(context.Background(), dropTimeout)
+		err := s.Client.Drop(ctx, st.Address, v.Anchor, v.Generation)
 		cancel()
+		if err == nil {
+			over -= v.Bytes
+		}
 	}
 }
 
--- a/internal/server/selector/lookup.go
+++ b/internal/server/selector/lookup.go
@@ -35,9 +35,6 @@
 		return nil
 	}
 	k.Store, k.Tier, k.Version, k.Stored = store, m.Tier, m.Version, m.Blocks
-	if k.Gap == 0 {
-		k.Gap = max(1, s.Tracker.Now().Sub(time.Unix(0, m.Generation)))
-	}
 	return m
 }
 
@@ -46,6 +43,9 @@
 	k := &r.Known
 	if c := r.Continuation; c != nil && c.Anchor == r.Anchor {
 		k.LastTarget, k.LastBlocks, k.LastVersion = c.Target, c.Blocks, c.Version
+		if c.AtMs > 0 {
+			k.Gap = max(1, s.Tracker.Now().Sub(time.UnixMilli(c.AtMs)))
+		}
 	}
 	h, ok := s.Tracker.Hint(r.Anchor)
 	if !ok || (k.LastTarget != "" && (k.LastTarget != h.Target || k.LastBlocks > h.Blocks)) {
--- a/internal/server/selector/selector.go
+++ b/internal/server/selector/selector.go
@@ -121,7 +121,7 @@
 		ComputedShare: means.ComputedShare, RunTime: means.RunTime, Seed: s.Seed(),
 	}
 	k := &r.Known
-	if k.LastTarget != "" {
+	if k.LastTarget != "" && k.Gap > 0 {
 		in.Last = router.Last{
 			Target: k.LastTarget, Version: k.LastVersion, Blocks: k.LastBlocks, Resident: s.Tracker.Resident(k.Gap),
 		}
--- a/internal/signer/signer.go
+++ b/internal/signer/signer.go
@@ -45,6 +45,8 @@
 	Store   string    `msgpack:"s"`
 	Version int64     `msgpack:"v"`
 	Blocks  int       `msgpack:"n"`
+	// AtMs is when the run ended; 0 in tokens of earlier versions.
+	AtMs int64 `msgpack:"e,omitempty"`
 }
 
 // Stream names the run whose stream a caller reads.
--- a/internal/tracker/kept.go
+++ b/internal/tracker/kept.go
@@ -13,7 +13,7 @@
 	// maxKept bounds the contexts that are remembered for one tier of one store: 24 GiB of 6 blocks each.
 	maxKept = 1024
 	// victimsSeen is how many of the oldest contexts compete for being dropped.
-	victimsSeen = 16
+	victimsSeen = 64
 )
 
 // Kept is a context that this instance had exported.
@@ -44,8 +44,9 @@
 	t.kept[at] = list
 }
 
-// Victims returns the contexts of a tier whose loss makes room for n bytes at the least value, and that value.
-// Ok is false if this instance knows too few.
+// Victims returns old contexts of a tier, the least valuable per byte first, and the value of those at the front that
+// make room for n bytes. The further ones stand in for those that another instance has replaced since. Ok is false if
+// this instance knows too few.
 func (t *Tracker) Victims(store string, disk bool, n int64) (victims []Kept, value float64, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -63,10 +64,10 @@
 		return cmp.Compare(a.value*float64(b.k.Bytes), b.value*float64(a.k.Bytes))
 	})
 	for _, v := range seen {
-		if n <= 0 {
-			break
+		victims = append(victims, v.k)
+		if n > 0 {
+			value, n = value+v.value, n-v.k.Bytes
 		}
-		victims, value, n = append(victims, v.k), value+v.value, n-v.k.Bytes
 	}
 	return victims, value, n <= 0
 }
