--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"iter"
@@ -35,16 +36,36 @@
 // Error implements error.
 func (e *StatusError) Error() string { return fmt.Sprintf("status %d: %s", e.Status, e.Body) }
 
+// Draining reports whether err is the refusal of a target that takes no new work because it is leaving.
+func Draining(err error) bool {
+	var se *StatusError
+	if !errors.As(err, &se) || se.Status != http.StatusServiceUnavailable {
+		return false
+	}
+	var body struct {
+		Error string `json:"error"`
+	}
+	return json.Unmarshal([]byte(se.Body), &body) == nil && body.Error == "draining"
+}
+
 // Client talks to engines and stores; it may be used by any number of goroutines.
 type Client struct {
 	http *http.Client
 }
 
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // New returns a client with its own pool of connections.
 func New() *Client {
 	d := &net.Dialer{Timeout: connectTimeout}
+	return NewWith(d.DialContext)
+}
+
+// NewWith returns a client that opens its connections with dial.
+func NewWith(dial DialFunc) *Client {
 	return &Client{http: &http.Client{Transport: &http.Transport{
-		DialContext:         d.DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: idleConnsPerPeer,
 		IdleConnTimeout:     idleConnLife,
 		DisableCompression:  true,
--- a/internal/server/keeper/keeper.go
+++ b/internal/server/keeper/keeper.go
@@ -52,7 +52,8 @@
 		Key: key, Bytes: int64(len(r.Keys)) * c.block, Places: s.places(c),
 		Recompute: time.Duration(float64(len(r.Keys)*keyer.BlockTokens) / c.rate * float64(time.Second)),
 	}
-	if d := s.Tracker.Decide(s.Policy, run); d.Export {
+	d := s.Tracker.Decide(s.Policy, run)
+	if r.Reason = d.Reason; d.Export {
 		s.export(c, d, placer.Kept{Key: key, Bytes: run.Bytes, Saving: d.Saving, At: s.Tracker.Now()})
 	}
 	return nil
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -15,6 +15,7 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -23,8 +24,10 @@
 	"github.com/papayaworks/papayaworks/internal/asserter"
 	"github.com/papayaworks/papayaworks/internal/controller"
 	"github.com/papayaworks/papayaworks/internal/dialer"
+	"github.com/papayaworks/papayaworks/internal/exporter"
 	"github.com/papayaworks/papayaworks/internal/failer"
 	"github.com/papayaworks/papayaworks/internal/fencer"
+	"github.com/papayaworks/papayaworks/internal/gossiper"
 	"github.com/papayaworks/papayaworks/internal/ledger"
 	"github.com/papayaworks/papayaworks/internal/listener"
 	"github.com/papayaworks/papayaworks/internal/logger"
@@ -48,25 +51,39 @@
 	Log      logger.Log
 	Recorder *recorder.Recorder
 	Asserter *asserter.Asserter
+	// Network is how other processes are reached; nil means the machine's own network.
+	Network Network
 
 	signer  *signer.Signer
 	client  *dialer.Client
+	peers   *membership
 	control *controller.Controller
 	tracker *tracker.Tracker
 	// ledger and versions are nil if the settings name no log.
 	ledger   *ledger.Ledger
 	versions *versioner.Versioner
+	// records is the configuration record that peers which are behind get; nil without a log.
+	records gossiper.ConfigSource
+	// usage is what the instances of a data centre tell each other each period; it may be nil.
+	usage gossiper.Payload
 	// leases is nil if the settings name no log.
-	leases *fencer.Fencer
-	http   *listener.Server
-	path   atomic.Pointer[path]
-	ids    atomic.Uint64
+	leases  *fencer.Fencer
+	metrics *exporter.Metrics
+	http    *listener.Server
+	path    atomic.Pointer[path]
+	ids     atomic.Uint64
 	// boot makes request ids differ from those of an earlier process with the same instance id.
 	boot  string
 	addr  atomic.Value
 	ready chan struct{}
 }
 
+// Network is a way to reach other processes; tests use one that can be partitioned.
+type Network interface {
+	DialContext(ctx context.Context, network, addr string) (net.Conn, error)
+	PacketConn(net.PacketConn) net.PacketConn
+}
+
 // path is the list of steps of one configuration.
 type path struct {
 	cfg   *configurer.Config
@@ -75,10 +92,18 @@
 
 // New returns an instance that is ready to run.
 func New(set *configurer.Settings, cfg *configurer.Config, log logger.Log, rec *recorder.Recorder, as *asserter.Asserter) *Server {
-	return &Server{Settings: set, Initial: cfg, Log: log, Recorder: rec, Asserter: as, ready: make(chan struct{}),
+	s := &Server{Settings: set, Initial: cfg, Log: log, Recorder: rec, Asserter: as, ready: make(chan struct{}),
 		boot: strconv.FormatUint(rand.Uint64(), 36)}
+	s.metrics = s.newMetrics()
+	if as != nil && as.Count == nil {
+		as.Count = s.metrics.Violation
+	}
+	return s
 }
 
+// View returns the present view of control state.
+func (s *Server) View() *view.View { return s.control.View() }
+
 // Ready is closed once the instance serves.
 func (s *Server) Ready() <-chan struct{} { return s.ready }
 
@@ -99,12 +124,19 @@
 		s.signer.Keys = append(s.signer.Keys, raw)
 	}
 	s.client = dialer.New()
+	if s.Network != nil {
+		s.client = dialer.NewWith(s.Network.DialContext)
+	}
 	s.tracker = tracker.New(time.Now)
 	s.control = controller.New(view.New(s.Initial, 0, s.Settings.Instance.DataCentre))
+	s.peers = &membership{s: s, local: map[string]time.Time{}, drained: map[string]bool{}, listed: map[string]bool{}}
 	s.control.Published = s.published
 	s.startLog(ctx)
 	s.published(s.control.View())
 	go s.control.Run(ctx)
+	if err := s.peers.start(ctx); err != nil {
+		return err
+	}
 	s.startPollers(ctx)
 	s.startStorePollers(ctx)
 	s.http = &listener.Server{
@@ -145,18 +177,23 @@
 	err := s.http.Stop(ctx)
 	s.Asserter.Check(asserter.GracefulStop, err == nil, "stop cut off %d requests", s.http.Active())
 	s.flushLedger(ctx)
+	s.peers.leave(ctx)
 	s.Recorder.Record(recorder.Event{Kind: "stopped"})
 	return err
 }
 
 // Kill stops at once, as the death of the process would; only tests and the demo use it.
-func (s *Server) Kill() { s.http.Kill() }
+func (s *Server) Kill() {
+	s.http.Kill()
+	s.peers.kill()
+}
 
 // published builds the request path anew when the configuration changed; it runs on the controller's goroutine.
 func (s *Server) published(v *view.View) {
 	if p := s.path.Load(); p == nil || p.cfg != v.Config {
 		s.path.Store(&path{cfg: v.Config, steps: s.newSteps(v.Config)})
 	}
+	s.peers.published(v)
 }
 
 func (s *Server) routes() http.Handler {
@@ -165,7 +202,9 @@
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	mux.HandleFunc("GET /readyz", s.readyz)
 	mux.HandleFunc("GET /events", s.events)
+	mux.HandleFunc("GET /metrics", s.metricsPage)
 	mux.HandleFunc("GET /config", s.config)
+	mux.HandleFunc("GET /status", s.status)
 	return mux
 }
 
@@ -194,18 +233,22 @@
 		W: w, HTTP: hr, Received: time.Now(), View: s.control.View(),
 		ID: s.Settings.Instance.ID + "-" + s.boot + "-" + strconv.FormatUint(s.ids.Add(1), 36),
 	}
+	defer s.metrics.Begin()()
 	defer func() {
 		if r.Release != nil {
 			r.Release()
 		}
 	}()
 	for _, st := range s.path.Load().steps {
-		if err := st.Run(hr.Context(), r); err != nil {
+		err := st.Run(hr.Context(), r)
+		s.decided(r, st)
+		if err != nil {
 			s.fail(r, st, err)
 			return
 		}
 	}
-	s.record(r, "answered", "", r.Reason)
+	s.record(r, "answered", "", "")
+	s.measure(r, exporter.Answered)
 }
 
 // fail answers with a JSON error unless the answer has already begun.
@@ -215,6 +258,7 @@
 		re = request.Fail(http.StatusInternalServerError, request.CodeInternal, "%v", err)
 	}
 	s.record(r, "failed", st.String(), err.Error())
+	s.measure(r, string(re.Code))
 	logger.WithError(s.Log, err).WithField("request", r.ID).WithField("step", st.String()).Info("request failed")
 	if r.Pieces > 0 || r.Finished || r.HTTP.Context().Err() != nil {
 		return
--- a/internal/server/steps.go
+++ b/internal/server/steps.go
@@ -24,7 +24,7 @@
 		&identifier.Step{Signer: s.signer},
 		&gatekeeper.Step{},
 		&selector.Step{Client: s.client, Tracker: s.tracker, Policy: router.New(), Seed: rand.Uint64},
-		&dispatcher.Step{Client: s.client, Ledger: s.ledgerFor(cfg), Now: time.Now},
+		&dispatcher.Step{Client: s.client, Ledger: s.ledgerFor(cfg), Now: time.Now, Leaving: s.peers},
 		&deliverer.Step{Signer: s.signer, Now: time.Now},
 		&keeper.Step{Client: s.client, Tracker: s.tracker, Policy: placer.New(), Log: s.Log},
 	}
