--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -74,6 +74,9 @@
 type Placer struct {
 	// LinkPrice weighs a second of link time against a second of prefill.
 	LinkPrice float64
+	// ImportPrice weighs a second of import against a second of prefill. The link works beside the prefill unit, which
+	// all later requests wait for.
+	ImportPrice float64
 	// MaxBacklog is how far a link may be behind before the next store is tried.
 	MaxBacklog time.Duration
 	// Always exports whatever there is, for comparison.
@@ -82,7 +85,7 @@
 
 // New returns the policy with the values that measured best, see docs/measurements.md.
 func New() *Placer {
-	return &Placer{LinkPrice: 0.1, MaxBacklog: 2 * time.Second}
+	return &Placer{LinkPrice: 0.1, ImportPrice: 0.05, MaxBacklog: 2 * time.Second}
 }
 
 // Decide says what happens to the context of a run.
@@ -101,8 +104,10 @@
 			if !t.Room || t.Rate <= 0 {
 				continue
 			}
-			saving := max(0, run.Recompute.Seconds()-float64(run.Bytes)/t.Rate)
-			net := chance*saving - p.LinkPrice*float64(pl.NewBytes)/t.Rate - t.Displaced
+			saving := max(0, run.Recompute.Seconds()-p.ImportPrice*float64(run.Bytes)/t.Rate)
+			// What is stored already stays, so only the new part is gained.
+			gain := chance * saving * float64(pl.NewBytes) / float64(max(1, run.Bytes))
+			net := gain - p.LinkPrice*float64(pl.NewBytes)/t.Rate - t.Displaced
 			if net > best || (p.Always && !out.Export) {
 				best = net
 				out = Decision{Export: true, Store: pl.Store, Disk: t.Disk, Saving: saving, Reason: ReasonKept}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -132,6 +132,8 @@
 	Version int64
 	// Expected is the time to the first token that the decision was based on.
 	Expected time.Duration
+	// Wait is the part of it in the target's queues.
+	Wait time.Duration
 }
 
 // Pieces is an ordered stream of an answer's pieces.
--- a/internal/router/candidates.go
+++ b/internal/router/candidates.go
@@ -14,6 +14,7 @@
 	target *view.Target
 	cost   float64 // seconds, with prices
 	first  float64 // seconds to the first token
+	wait   float64 // seconds in the queues
 	plan   plan
 }
 
--- a/internal/router/cost.go
+++ b/internal/router/cost.go
@@ -36,6 +36,7 @@
 		work, link = chance*hit.compute+(1-chance)*work, chance*hit.link+(1-chance)*link
 		o.plan = withHit(hit, miss, chance)
 	}
+	o.wait = slot + queue
 	o.first += slot + 2*p.distance(in.View, o.target)
 	o.cost = o.first + p.WorkPrice*work + p.LinkPrice*link
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -97,6 +97,8 @@
 	Alternatives []*view.Target
 	// Expected is the expected time to the first token.
 	Expected time.Duration
+	// Wait is the part of it before the target begins with the request, which admission needs.
+	Wait time.Duration
 	// Computed is the expected number of prompt tokens that the target computes.
 	Computed int
 	Reason   string
@@ -172,7 +174,7 @@
 func decide(in *Input, options []option, best int) Decision {
 	o := &options[best]
 	d := Decision{
-		Target: o.target, Version: o.target.Version(in.Model), Expected: seconds(o.first), Reason: o.plan.reason,
+		Target: o.target, Version: o.target.Version(in.Model), Expected: seconds(o.first), Wait: seconds(o.wait), Reason: o.plan.reason,
 		Computed: o.plan.computed, Candidates: len(options),
 	}
 	if o.plan.imported > 0 {
--- a/internal/server/keeper/export.go
+++ b/internal/server/keeper/export.go
@@ -22,7 +22,7 @@
 	dropTimeout = time.Second
 	mib         = 1 << 20
 	// Reserve is the part of a tier that is kept free: reports of its use lag, and several instances write to it.
-	Reserve = 32
+	Reserve = 64
 )
 
 // candidate is a finished request whose context may be kept.
--- a/internal/server/selector/selector.go
+++ b/internal/server/selector/selector.go
@@ -74,7 +74,8 @@
 
 // apply writes the decision into the request.
 func (s *Step) apply(r *request.Request, d router.Decision, m *dialer.Manifest) {
-	r.Target, r.Reason, r.Alternatives, r.Known.Expected = d.Target, d.Reason, d.Alternatives, d.Expected
+	r.Target, r.Reason, r.Alternatives = d.Target, d.Reason, d.Alternatives
+	r.Known.Expected, r.Known.Wait = d.Expected, d.Wait
 	if d.Version != 0 {
 		identifier.SetScope(r, d.Version)
 	}
--- a/internal/tracker/kept.go
+++ b/internal/tracker/kept.go
@@ -66,7 +66,9 @@
 	for _, v := range seen {
 		victims = append(victims, v.k)
 		if n > 0 {
-			value, n = value+v.value, n-v.k.Bytes
+			// A victim that is larger than what is missing makes room for later ones as well.
+			value += v.value * min(1, float64(n)/float64(v.k.Bytes))
+			n -= v.k.Bytes
 		}
 	}
 	return victims, value, n <= 0
@@ -80,6 +82,13 @@
 	t.kept[at] = slices.DeleteFunc(t.kept[at], func(o Kept) bool { return o.Anchor == anchor })
 }
 
+// Prefetch asks the placer whether a context should be brought to the accelerator.
+func (t *Tracker) Prefetch(p *placer.Placer, k placer.Key, since, backlog time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return p.Prefetch(k, since, backlog, t.returns)
+}
+
 // Life returns how long contexts are expected to stay on the accelerators.
 func (t *Tracker) Life() time.Duration {
 	t.mu.Lock()
