feat(router): expect what other instances dispatch, and correct for lateness

Cause: the expected wait left out what other instances sent since the load report, so 5 x load was admitted into long queues. Change: the wait includes the others' dispatches at the own rate, and the wait for admission a moving average of how late first tokens were.

--- a/internal/benchmarker/policies_test.go
+++ b/internal/benchmarker/policies_test.go
@@ -52,6 +52,8 @@
 	t, now := r.instance.tracker, s.c.time()
 	m := t.Means(model)
 	in.ComputedShare, in.RunTime = m.ComputedShare, m.RunTime
+	in.Others = s.w.size.instances - 1
+	in.RunRate, in.TokenRate = t.Rates(model)
 	r.known, r.gap = router.Last{}, 0
 	if r.conv.turn > 0 {
 		p.recall(s, r)
@@ -65,6 +67,7 @@
 	if !p.noAdmit && !r.admitted && !p.admitted(s, r, &d) {
 		return false
 	}
+	r.expected = d.Expected
 	r.target, r.imports = index(d.Target.ID), d.Import.Blocks
 	if r.imports > 0 {
 		if d.Reason != router.ReasonCached {
@@ -72,6 +75,7 @@
 		}
 	}
 	d.Target.Own.Sent(now, d.Computed)
+	t.Sent(model, d.Computed)
 	return true
 }
 
@@ -83,7 +87,7 @@
 	}
 	decode := time.Duration(float64(r.answer) / s.w.size.decode * float64(time.Second))
 	e := admitter.Expected{
-		Wait: d.Wait, First: d.Expected - d.Wait, Full: d.Expected - d.Wait + decode, Cost: float64(r.answer),
+		Wait: d.Wait + max(0, r.instance.tracker.Means(model).Late), First: d.Expected - d.Wait, Full: d.Expected - d.Wait + decode, Cost: float64(r.answer),
 	}
 	r.admitted = r.instance.book.Decide(a, e, s.c.time(), s.rng.Uint64()).Accept
 	return r.admitted
--- a/internal/benchmarker/sim_test.go
+++ b/internal/benchmarker/sim_test.go
@@ -43,7 +43,7 @@
 	onDisk, admitted           bool
 	known                      router.Last
 	gap                        time.Duration
-	firstAt                    time.Duration
+	firstAt, expected          time.Duration
 }
 
 // instance is one entry instance with its own view and memory.
@@ -194,6 +194,7 @@
 
 func (s *sim) first(r *run) {
 	r.firstAt = s.c.now
+	r.instance.tracker.First(model, r.expected, s.c.now-r.arrived+r.distance)
 	s.tally.first(r, s.c.now-r.arrived+r.distance)
 }
 
--- a/internal/router/cost.go
+++ b/internal/router/cost.go
@@ -116,17 +116,19 @@
 	return st.Backlog.Seconds(), float64(st.Bytes) / float64(st.Blocks) / st.BytesPerSec, true
 }
 
-// queue estimates the waits for a slot and for the prefill unit behind what the target has to do already.
+// queue estimates the waits for a slot and for the prefill unit behind what the target has to do already: what it
+// reported, own dispatches since, and what the other instances sent since, taken to be spread evenly.
 func (p *Planner) queue(in *Input, t *view.Target, rate float64, now time.Time) (slot, prefill float64) {
 	at := reportedAt(t)
-	tokens, runs := float64(t.Load.WaitingTokens)*in.ComputedShare, 0
 	age := max(0, now.Sub(at).Seconds())
+	others := float64(in.Others) / float64(max(1, len(in.View.Engines(in.Model))))
+	tokens, runs := float64(t.Load.WaitingTokens)*in.ComputedShare, 0
 	if p.NoOwn {
 		tokens = max(0, tokens-rate*age)
 	} else {
-		tokens, runs = t.Own.Backlog(tokens, at, now, rate)
+		tokens, runs = t.Own.Backlog(tokens, at, now, rate-others*in.TokenRate)
 	}
-	busy := float64(t.Load.Running + t.Load.Waiting + runs)
+	busy := float64(t.Load.Running+t.Load.Waiting+runs) + others*in.RunRate*age
 	if run := in.RunTime.Seconds(); run > 0 && t.Slots > 0 {
 		done := min(busy, age*min(busy, float64(t.Slots))/run)
 		if over := busy - done - float64(t.Slots) + 1; over > 0 {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -78,6 +78,10 @@
 	ComputedShare float64
 	// RunTime is the mean time for which a run holds a slot.
 	RunTime time.Duration
+	// Others is how many other instances dispatch to the same targets. RunRate and TokenRate are this instance's own
+	// dispatches a second, and the tokens that they compute; the others are taken to send as much each.
+	Others             int
+	RunRate, TokenRate float64
 	// Seed gives the random choices.
 	Seed uint64
 }
--- a/internal/server/keeper/keeper.go
+++ b/internal/server/keeper/keeper.go
@@ -68,6 +68,7 @@
 	if r.Start == nil {
 		return
 	}
+	s.Tracker.First(r.Chat.Model, k.Expected, r.FirstToken.Sub(r.Received))
 	if n := min(k.LastBlocks, len(r.Keys)); k.LastTarget == r.Target.ID && k.LastVersion == r.Scope.Version && k.Gap > 0 && n > 0 {
 		s.Tracker.Found(k.Gap, min(1, float64(r.Start.CachedTokens)/float64(n*keyer.BlockTokens)))
 	}
--- a/internal/server/selector/selector.go
+++ b/internal/server/selector/selector.go
@@ -69,13 +69,14 @@
 	}
 	s.apply(r, d, m)
 	d.Target.Own.Sent(now, d.Computed)
+	s.Tracker.Sent(r.Chat.Model, d.Computed)
 	return nil
 }
 
 // apply writes the decision into the request.
 func (s *Step) apply(r *request.Request, d router.Decision, m *dialer.Manifest) {
 	r.Target, r.Reason, r.Alternatives = d.Target, d.Reason, d.Alternatives
-	r.Known.Expected, r.Known.Wait = d.Expected, d.Wait
+	r.Known.Expected, r.Known.Wait = d.Expected, d.Wait+max(0, s.Tracker.Means(r.Chat.Model).Late)
 	if d.Version != 0 {
 		identifier.SetScope(r, d.Version)
 	}
@@ -121,6 +122,8 @@
 		View: r.View, Model: r.Chat.Model, Anchor: r.Anchor, Blocks: len(r.Keys), PromptTokens: keyer.Tokens(len(r.Prompt)),
 		ComputedShare: means.ComputedShare, RunTime: means.RunTime, Seed: s.Seed(),
 	}
+	in.Others = max(0, len(r.View.Members)-1)
+	in.RunRate, in.TokenRate = s.Tracker.Rates(r.Chat.Model)
 	k := &r.Known
 	if k.LastTarget != "" && k.Gap > 0 {
 		in.Last = router.Last{
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -15,6 +15,7 @@
 
 import (
 	"container/list"
+	"math"
 	"sync"
 	"time"
 
@@ -29,6 +30,8 @@
 	maxHints = 4096
 	// meanWeight is the weight of one run in the moving averages.
 	meanWeight = 0.05
+	// rateWindow is the time constant of the rates of own dispatches, about the lag of a load report.
+	rateWindow = 2 * time.Second
 	// suspicion is how long a store that did not answer is not asked.
 	suspicion = 2 * time.Second
 )
@@ -50,8 +53,40 @@
 type Means struct {
 	// ComputedShare is the share of prompt tokens that engines computed.
 	ComputedShare float64
-	// RunTime is how long runs decode.
+	// RunTime is how long runs hold a slot.
 	RunTime time.Duration
+	// Late is how much later the first token came than expected. Expectations are too low under overload, as the
+	// target with the lowest one is taken, and admission relies on them.
+	Late time.Duration
+}
+
+// rates counts own dispatches with an exponential window.
+type rates struct {
+	runs, tokens float64
+	at           time.Time
+}
+
+func (r rates) decayed(now time.Time) rates {
+	f := math.Exp(-now.Sub(r.at).Seconds() / rateWindow.Seconds())
+	return rates{r.runs * f, r.tokens * f, now}
+}
+
+// Sent counts a dispatch and the prompt tokens that it computes.
+func (t *Tracker) Sent(model string, tokens int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.sent[model].decayed(t.now())
+	r.runs++
+	r.tokens += float64(tokens)
+	t.sent[model] = r
+}
+
+// Rates returns the own dispatches a second and the tokens that they compute.
+func (t *Tracker) Rates(model string) (runs, tokens float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.sent[model].decayed(t.now())
+	return r.runs / rateWindow.Seconds(), r.tokens / rateWindow.Seconds()
 }
 
 // Tracker is safe for concurrent use.
@@ -71,6 +106,7 @@
 	suspects  map[string]time.Time
 	ids       uint64
 	kept      map[tier][]Kept
+	sent      map[string]rates
 }
 
 // New returns an empty tracker with a clock.
@@ -79,7 +115,7 @@
 		After: func(d time.Duration, f func()) { time.AfterFunc(d, f) },
 		now:   now, hints: map[keyer.Key]*list.Element{}, order: list.New(), returns: placer.NewReturns(),
 		means: map[string]Means{}, links: map[string]*link{}, suspects: map[string]time.Time{},
-		kept: map[tier][]Kept{},
+		kept: map[tier][]Kept{}, sent: map[string]rates{},
 	}
 }
 
@@ -162,14 +198,26 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m, ok := t.means[model]
-	if !ok {
-		m = Means{ComputedShare: computedShare, RunTime: runTime}
+	if !ok || m.RunTime == 0 {
+		m.ComputedShare, m.RunTime = computedShare, runTime
 	}
 	m.ComputedShare += meanWeight * (computedShare - m.ComputedShare)
 	m.RunTime += time.Duration(meanWeight * float64(runTime-m.RunTime))
 	t.means[model] = m
 }
 
+// First compares the time to a first token with what was expected.
+func (t *Tracker) First(model string, expected, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m, ok := t.means[model]
+	if !ok {
+		m = Means{ComputedShare: 1}
+	}
+	m.Late += time.Duration(meanWeight * float64(took-expected-m.Late))
+	t.means[model] = m
+}
+
 // Suspect notes that a store did not answer.
 func (t *Tracker) Suspect(store string) {
 	t.mu.Lock()
--- a/internal/view/own.go
+++ b/internal/view/own.go
@@ -31,7 +31,8 @@
 }
 
 // Backlog follows the target's queue of prompt tokens from a report to now, with own dispatches since then.
-// It returns the tokens that are still to be computed and the runs that were sent since the report.
+// The rate is what the target computes less what others send to it. It returns the tokens that are still to be
+// computed and the runs that were sent since the report.
 func (o *Own) Backlog(reported float64, at, now time.Time, tokensPerSec float64) (tokens float64, runs int) {
 	last := now.UnixNano() / int64(sentWidth)
 	first := max(at.UnixNano()/int64(sentWidth), last-sentBuckets+1)
