--- /dev/null
+++ b/internal/shaper/shaper_test.go
@@ -0,0 +1,97 @@
+package shaper
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+const testRate = 100e6
+
+var testStart = time.Unix(1_000_000, 0)
+
+// Guards against a class that starves, and against background transfers above their budget, under any mix of imports.
+func TestRandomNoClassStarvesAndBudgetHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := testStart
+		l := New(testRate, now)
+		imports := rapid.IntRange(0, 3).Draw(t, "imports a step")
+		size := rapid.Int64Range(1e5, 8e6).Draw(t, "bytes")
+		const step, steps = 50 * time.Millisecond, 1200 // one minute
+		var id uint64
+		submitted := map[uint64]time.Time{}
+		var background int64
+		for i := range steps {
+			now = now.Add(step)
+			for _, c := range []Class{Import, Import, Import}[:imports] {
+				id++
+				l.Submit(Job{ID: id, Class: c, Bytes: size}, now)
+			}
+			if i%40 == 0 {
+				for _, c := range []Class{Export, Prefetch} {
+					id++
+					l.Submit(Job{ID: id, Class: c, Bytes: size}, now)
+					submitted[id] = now
+				}
+			}
+			for j, ok := l.Next(now); ok; j, ok = l.Next(now) {
+				if j.Class != Import {
+					background += j.Bytes
+					delete(submitted, j.ID)
+					l.Done(j.ID, 0, 0, now)
+				}
+			}
+		}
+		for id, at := range submitted {
+			require.Less(t, now.Sub(at), 20*time.Second, "transfer %d starves", id)
+		}
+		elapsed := now.Sub(testStart) + burst
+		limit := int64(testRate*BackgroundShare*elapsed.Seconds()) + 2*size
+		require.LessOrEqual(t, background, limit, "background transfers exceed their budget")
+	})
+}
+
+// Guards against an unbounded queue, and against dropping a more urgent transfer for a less urgent one.
+func TestRandomQueueIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := New(testRate, testStart)
+		for i := range 2 * maxWaiting {
+			d := testStart.Add(time.Duration(rapid.IntRange(1, 1000).Draw(t, "deadline")) * time.Second)
+			dropped, full := l.Submit(Job{ID: uint64(i), Class: Export, Bytes: 1, Deadline: d}, testStart)
+			if full {
+				require.False(t, dropped.Deadline.Before(d))
+			}
+			require.LessOrEqual(t, l.Waiting(), maxWaiting)
+		}
+	})
+}
+
+// Guards against a slowed link that is noticed late, a good link that looks slow because of one queued transfer, and a
+// link that is avoided for ever because nothing measures it any more.
+func TestRateFollowsLink(t *testing.T) {
+	for name, tc := range map[string]struct {
+		samples  int
+		rate     float64
+		idle     time.Duration
+		low, top float64
+	}{
+		"slowed for five seconds": {samples: 10, rate: testRate / 10, low: 0.1, top: 0.25},
+		"one slow transfer":       {samples: 1, rate: testRate / 10, low: 0.7, top: 1},
+		"recovers without use":    {samples: 10, rate: testRate / 10, idle: time.Minute, low: 0.9, top: 1},
+		"never above configured":  {samples: 10, rate: testRate * 3, low: 1, top: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := testStart
+			l := New(testRate, now)
+			for range tc.samples {
+				now = now.Add(500 * time.Millisecond)
+				l.Sample(tc.rate, now)
+			}
+			got := l.Rate(now.Add(tc.idle)) / testRate
+			require.GreaterOrEqual(t, got, tc.low)
+			require.LessOrEqual(t, got, tc.top)
+		})
+	}
+}
--- a/internal/view/homes.go
+++ b/internal/view/homes.go
@@ -1,8 +1,6 @@
 package view
 
 import (
-	"math/bits"
-
 	"github.com/papayaworks/papayaworks/internal/keyer"
 	"github.com/papayaworks/papayaworks/pkg/configurer"
 )
@@ -10,11 +8,9 @@
 const (
 	// homesPerSlot is how many targets a conversation can fall back to before it is placed by sampling.
 	homesPerSlot = 4
-	// slotsPerTarget evens the shares: the number of slots of a target deviates by about 1/sqrt(64) = 12 %.
-	slotsPerTarget = 64
-	minSlots       = 256
-	// maxSlots bounds the table of one model and data centre to 128 KiB.
-	maxSlots = 8192
+	// homeSlots is the size of the table of one model and data centre, 64 KiB. It is the same for any number of
+	// targets, as another number would move the homes of half of the conversations.
+	homeSlots = 4096
 )
 
 // fleet is what lookup of homes needs of one model; it changes with the configuration only.
@@ -66,8 +62,7 @@
 
 // fill computes the rendezvous order of every slot, so that a lookup costs the same for any number of targets.
 func (p *place) fill(ids []string) {
-	n := 1 << bits.Len(uint(min(maxSlots, max(minSlots, slotsPerTarget*len(p.members)))-1))
-	p.slots = make([][homesPerSlot]int32, n)
+	p.slots = make([][homesPerSlot]int32, homeSlots)
 	seeds := make([]uint64, len(p.members))
 	for i, m := range p.members {
 		seeds[i] = keyer.Weight(keyer.Key{}, ids[m])
@@ -156,7 +151,7 @@
 
 func (v *View) appendHomes(to []*Target, model string, p *place, anchor keyer.Key, n int) []*Target {
 	ts := v.byModel[model]
-	for _, m := range p.slots[keyer.Weight(anchor, p.dataCentre)&uint64(len(p.slots)-1)][:n] {
+	for _, m := range p.slots[keyer.Weight(anchor, p.dataCentre)%homeSlots][:n] {
 		if m >= 0 {
 			to = append(to, ts[m])
 		}
