--- a/internal/questioner/generate.go
+++ b/internal/questioner/generate.go
@@ -35,6 +35,9 @@
 	Text string
 }
 
+// Bare returns the text without comments.
+func (g *Generated) Bare() string { return (&renderer.Renderer{}).Render(g.Config) }
+
 // generator derives the configuration and notes for each value which answer it comes from.
 type generator struct {
 	a       *Answers
@@ -130,8 +133,9 @@
 		g.cfg.Stores = append(g.cfg.Stores, configurer.Store{
 			ID: s.ID, Address: s.Address, DataCentre: s.DataCentre, MemoryMiB: s.MemoryMiB, DiskMiB: s.DiskMiB,
 			LinkMiBPerSec: s.LinkMiBPerSecond, DiskMiBPerSec: s.DiskMiBPerSecond,
+			DisabledReason: s.DisabledReason,
 		})
-		g.same("stores", i, "id", "address", "dataCentre", "memoryMiB", "diskMiB", "linkMiBPerSecond", "diskMiBPerSecond")
+		g.same("stores", i, "id", "address", "dataCentre", "memoryMiB", "diskMiB", "linkMiBPerSecond", "diskMiBPerSecond", "disabledReason")
 	}
 	g.targets()
 	g.services()
@@ -152,13 +156,14 @@
 		c := configurer.Target{
 			ID: t.ID, Address: t.Address, DataCentre: t.DataCentre, Kind: configurer.KindEngine, Models: t.Models,
 			Services: t.Services, Store: t.Store, Slots: t.ParallelRuns, CacheBlocks: t.CacheBlocks, ChecksFencing: t.ChecksFencing,
+			Leaving: t.Leaving,
 		}
 		kind := "models"
 		if len(t.Services) > 0 {
 			c.Kind, kind = configurer.KindService, "services"
 		}
 		g.cfg.Targets = append(g.cfg.Targets, c)
-		g.same("targets", i, "id", "address", "dataCentre", "models", "services", "store", "checksFencing")
+		g.same("targets", i, "id", "address", "dataCentre", "models", "services", "store", "checksFencing", "leaving")
 		if t.CacheBlocks > 0 {
 			g.same("targets", i, "cacheBlocks")
 		}
@@ -195,10 +200,10 @@
 	for i, c := range g.a.Accounts {
 		key := fmt.Sprintf("accounts[%d].", i)
 		out := configurer.Account{
-			Name: c.Name, KeySHA256: c.KeySHA256, Share: c.SharePercent, RequestsPerSecond: int(math.Ceil(c.PeakRequestsPerSecond)),
+			Name: c.Name, KeySHA256: c.KeySHA256, Share: int(math.Round(hundredths * c.SharePercent)), RequestsPerSecond: int(math.Ceil(c.PeakRequestsPerSecond)),
 		}
 		g.same("accounts", i, "name", "keySHA256")
-		g.from(key+"share", "%ssharePercent", key)
+		g.from(key+"share", "%ssharePercent, in hundredths", key)
 		g.from(key+"requestsPerSecond", "%speakRequestsPerSecond", key)
 		tokens, models := 0, []string{}
 		for _, n := range c.Applications {
--- a/internal/questioner/questioner_test.go
+++ b/internal/questioner/questioner_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"github.com/papayaworks/papayaworks/pkg/configurer"
 )
@@ -60,7 +61,7 @@
 	}{
 		"first token below prefill and links": {func(a *Answers) { a.Applications[0].FirstTokenMs = 50 },
 			"applications[0].firstTokenMs", "allow at least"},
-		"shares over 100 percent": {func(a *Answers) { a.Accounts[0].SharePercent = 60 }, "accounts", "add up to 134%; lower"},
+		"shares over 100 percent": {func(a *Answers) { a.Accounts[0].SharePercent = 60 }, "accounts", "add up to 134.00%; lower"},
 		"no idempotency key": {func(a *Answers) { a.Services[0].Operations[0].IdempotencyKeyFrom = " " },
 			"services[0].operations[0].idempotencyKeyFrom", "say where the caller takes the key from"},
 		"doubled call allowed": {func(a *Answers) { a.Deployment.MustNeverHappen = nil },
@@ -76,11 +77,16 @@
 		"model without engine":          {func(a *Answers) { a.Models = append(a.Models, model("spare", 1)) }, "models[1].name", "no target serves this model"},
 		"conversation longer than fits": {func(a *Answers) { a.Models[0].ContextTokens = 4000 }, "applications[0].contextTokens", "shorten"},
 		"target of no kind":             {func(a *Answers) { a.Targets[0].Models = nil }, "targets[0].models", "fill in either"},
-		"unknown weight":                {func(a *Answers) { a.Deployment.WeighsMost = "cost" }, "deployment.weighsMost", "write firstToken or"},
-		"unknown horror":                {func(a *Answers) { a.Deployment.MustNeverHappen[0] = "rain" }, "deployment.mustNeverHappen[0]", "choose from"},
-		"wrong address":                 {func(a *Answers) { a.Targets[2].Address = "engine:1" }, "targets[2].address", "IP address"},
-		"deadline before first token":   {func(a *Answers) { a.Applications[0].DeadlineSeconds = 0.1 }, "applications[0].deadlineSeconds", "deadline after it"},
-		"log forgets":                   {func(a *Answers) { a.Platform.LogRetentionHours = 0 }, "platform.logRetentionHours", "at least 1 hour"},
+		"every engine leaves": {func(a *Answers) {
+			for i := range a.Targets {
+				a.Targets[i].Leaving = len(a.Targets[i].Models) > 0
+			}
+		}, "models[0].name", "all are leaving"},
+		"unknown weight":              {func(a *Answers) { a.Deployment.WeighsMost = "cost" }, "deployment.weighsMost", "write firstToken or"},
+		"unknown horror":              {func(a *Answers) { a.Deployment.MustNeverHappen[0] = "rain" }, "deployment.mustNeverHappen[0]", "choose from"},
+		"wrong address":               {func(a *Answers) { a.Targets[2].Address = "engine:1" }, "targets[2].address", "IP address"},
+		"deadline before first token": {func(a *Answers) { a.Applications[0].DeadlineSeconds = 0.1 }, "applications[0].deadlineSeconds", "deadline after it"},
+		"log forgets":                 {func(a *Answers) { a.Platform.LogRetentionHours = 0 }, "platform.logRetentionHours", "at least 1 hour"},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -115,3 +121,31 @@
 	require.ErrorAs(t, err, &fs)
 	require.Greater(t, len(fs), 20)
 }
+
+// Guards against an answer that is accepted but gives a text that says something else, such as a name that breaks its quotes
+// or a comment that ends the line.
+func TestRandomAnswers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := Trust().Answers
+		text := rapid.OneOf(rapid.String(), rapid.SampledFrom([]string{"x", "a\nb = 1", "\"", "\x7f", "\u2028#"}))
+		a.Services[0].Operations[0].IdempotencyKeyFrom = text.Draw(t, "from")
+		a.Applications[0].Does = text.Draw(t, "does")
+		a.Stores[0].DisabledReason = text.Draw(t, "reason")
+		a.Accounts[0].SharePercent = rapid.Float64Range(-1, 40).Draw(t, "share")
+		a.Applications[0].FirstTokenMs = rapid.IntRange(0, 1000).Draw(t, "first")
+		a.Platform.LogRetentionHours = rapid.Float64Range(0, 1000).Draw(t, "hours")
+		a.Targets[0].Leaving = rapid.Bool().Draw(t, "leaving")
+		b, err := Parse("answers.toml", Render(a, nil))
+		require.NoError(t, err)
+		g, err := FromAnswers("answers.toml", b)
+		if err != nil {
+			return
+		}
+		cfg, err := configurer.Parse("config.toml", g.Text)
+		require.NoError(t, err)
+		require.Equal(t, g.Config, cfg)
+		again, err := FromAnswers("answers.toml", a)
+		require.NoError(t, err)
+		require.Equal(t, g.Text, again.Text)
+	})
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -129,7 +129,7 @@
 	}
 	s.tracker = tracker.New(time.Now)
 	s.control = controller.New(view.New(s.Initial, 0, s.Settings.Instance.DataCentre))
-	s.peers = &membership{s: s, local: map[string]time.Time{}, drained: map[string]bool{}, listed: map[string]bool{}}
+	s.peers = &membership{s: s, local: map[string]time.Time{}, drained: map[string]bool{}, listed: map[string]bool{}, shared: map[string]time.Time{}}
 	s.control.Published = s.published
 	s.startLog(ctx)
 	s.published(s.control.View())
@@ -258,7 +258,7 @@
 		re = request.Fail(http.StatusInternalServerError, request.CodeInternal, "%v", err)
 	}
 	s.record(r, "failed", st.String(), err.Error())
-	s.measure(r, string(re.Code))
+	s.measure(r, outcomeOf(r, re))
 	logger.WithError(s.Log, err).WithField("request", r.ID).WithField("step", st.String()).Info("request failed")
 	if r.Pieces > 0 || r.Finished || r.HTTP.Context().Err() != nil {
 		return
