fix(selector): count live instances of the region as others

Change: the tracker returns the rate again; only members that are alive or suspect count as dispatching to the same targets.

--- a/internal/server/selector/selector.go
+++ b/internal/server/selector/selector.go
@@ -122,7 +122,7 @@
 		View: r.View, Model: r.Chat.Model, Anchor: r.Anchor, Blocks: len(r.Keys), PromptTokens: keyer.Tokens(len(r.Prompt)),
 		ComputedShare: means.ComputedShare, RunTime: means.RunTime, Seed: s.Seed(),
 	}
-	in.Others = max(0, len(r.View.Members)-1)
+	in.Others = others(r.View)
 	in.RunRate, in.TokenRate = s.Tracker.Rates(r.Chat.Model)
 	k := &r.Known
 	if k.LastTarget != "" && k.Gap > 0 {
@@ -142,6 +142,17 @@
 	return in
 }
 
+// others is how many other live instances of the region dispatch to the same targets.
+func others(v *view.View) int {
+	n := 0
+	for i := range v.Members {
+		if m := &v.Members[i]; (m.State == "alive" || m.State == "suspect") && v.Region(m.DataCentre) == v.Region(v.DataCentre) {
+			n++
+		}
+	}
+	return max(0, n-1)
+}
+
 // selectService chooses a target of a plain service by the key of the call, so that a repeated call meets the same one.
 func selectService(r *request.Request) error {
 	id := r.IdempotencyKey
--- a/internal/tracker/links.go
+++ b/internal/tracker/links.go
@@ -30,6 +30,12 @@
 	return min(1, l.Rate(now)/limit), l.Backlog(now)
 }
 
+// Rate returns the expected rate of the link to a store in bytes a second, and its backlog.
+func (t *Tracker) Rate(store string, limit float64) (bytesPerSec float64, backlog time.Duration) {
+	share, backlog := t.Achieved(store, limit)
+	return share * limit, backlog
+}
+
 // Importing counts an import that was ordered with a run; n is weighted, see [shaper.Weighted].
 func (t *Tracker) Importing(store string, limit float64, n int64) {
 	t.mu.Lock()
