--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -152,6 +152,13 @@
 
 func (e *Engine) setDraining(on bool) { e.draining, e.drainedAt = on, time.Now() }
 
+// Evict forgets every cached block, as other prompts would make the engine do during a long gap.
+func (e *Engine) Evict() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cache.clear()
+}
+
 // Truth returns what happened so far.
 func (e *Engine) Truth() Truth {
 	e.mu.Lock()
--- a/internal/emulator/engine_cache.go
+++ b/internal/emulator/engine_cache.go
@@ -60,6 +60,14 @@
 	}
 }
 
+func (c *blockCache) clear() {
+	for k := range c.byKey {
+		c.publish("evicted", k)
+	}
+	c.order.Init()
+	clear(c.byKey)
+}
+
 func (c *blockCache) publish(kind string, k keyer.Key) {
 	c.seq++
 	c.events = append(c.events, dialer.CacheEvent{Seq: c.seq, Kind: kind, Block: k})
--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -77,6 +77,13 @@
 	s.faults = f
 }
 
+// Manifests returns how many conversations the store holds.
+func (s *Store) Manifests() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.manifests)
+}
+
 // LinkBytes returns how many bytes went over the link.
 func (s *Store) LinkBytes() int64 {
 	s.mu.Lock()
