feat(dispatcher): assert isolation and whole blocks before an import

Cause: blockComplete, accountIsolation and versionIsolation had no assertion in the program. Change: an import whose manifest is of another account, model or weight version, or describes a block not wholly, is reported and dropped; a run that starts on another weight version than its keys is reported.

--- /dev/null
+++ b/internal/server/dispatcher/isolation.go
@@ -0,0 +1,50 @@
+package dispatcher
+
+import (
+	"github.com/papayaworks/papayaworks/internal/asserter"
+	"github.com/papayaworks/papayaworks/internal/dialer"
+	"github.com/papayaworks/papayaworks/internal/keyer"
+	"github.com/papayaworks/papayaworks/internal/request"
+)
+
+// checkImport drops an import that would mix accounts or weight versions or name a block that is not wholly
+// described, and reports the violated invariant; the run then recomputes the context.
+func checkImport(as *asserter.Asserter, r *request.Request) {
+	if r.Import == nil {
+		return
+	}
+	m := &r.Import.Manifest
+	ok := as.Check(asserter.AccountIsolation, m.Account == r.Account.Name,
+		"request %s of account %q would import context of account %q", r.ID, r.Account.Name, m.Account)
+	ok = as.Check(asserter.VersionIsolation, m.Version == r.Scope.Version && m.Model == r.Chat.Model,
+		"request %s on version %d would import context of version %d", r.ID, r.Scope.Version, m.Version) && ok
+	ok = as.Check(asserter.BlockComplete, describedWholly(m, r.Keys),
+		"request %s would import blocks that its manifest does not describe wholly", r.ID) && ok
+	if !ok {
+		r.Import = nil
+	}
+}
+
+// describedWholly reports whether the manifest has a generation and, for each of its blocks, the key that the prompt
+// gives at that place and a length.
+func describedWholly(m *dialer.Manifest, keys []keyer.Key) bool {
+	if m.Generation == 0 || len(m.Blocks) > len(keys) {
+		return false
+	}
+	for i, b := range m.Blocks {
+		if b.Key != keys[i] || b.Length <= 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// checkStart reports a run that an engine began on another weight version than the request's block keys are for.
+func checkStart(as *asserter.Asserter, r *request.Request, st *dialer.RunStart) {
+	// The scope of a resumed stream is not known here; its run keeps the version that it began with.
+	if r.Resume != nil || r.Scope.Version == 0 {
+		return
+	}
+	as.Check(asserter.VersionIsolation, st.Version == r.Scope.Version,
+		"run %s of version %d has block keys of version %d", r.Run, st.Version, r.Scope.Version)
+}
--- a/internal/server/dispatcher/stream.go
+++ b/internal/server/dispatcher/stream.go
@@ -110,6 +110,7 @@
 		s.r.Import = nil
 		identifier.SetScope(s.r, v)
 	}
+	checkImport(s.step.Asserter, s.r)
 	s.in = runRequest(s.r)
 	s.in.DeadlineMs = int(max(1, deadline.Sub(s.step.Now()).Milliseconds()))
 }
@@ -245,6 +246,7 @@
 		return nil, err
 	case ev.Start != nil && s.start == nil:
 		s.start = ev.Start
+		checkStart(s.step.Asserter, s.r, ev.Start)
 	case ev.End != nil && (ev.End.Finish == finishCancelled || ev.End.Offset < s.handed):
 		return nil, errCancelled
 	case ev.End != nil:
