fix(limiter): keep the limit in use while demand rises

Cause: each instance counted the others with what they advertise and itself with what is in force, so while demand rose everywhere from nothing the instances together spent little more than a fifth of the limit for 40 s. Change: every member counts with at least a quarter of an even part, and a demand is advertised at most half as much again as is in force.

--- a/internal/limiter/doc.go
+++ b/internal/limiter/doc.go
@@ -7,7 +7,10 @@
 //
 // N counts the members, also those that died less than 10 minutes ago. d(i) is
 // the instance's demand in force, the smallest that it advertised in the last
-// [Settle]. D is d(i) plus what the others advertised last.
+// [Settle]. D is d(i) plus what the others advertised last. Every member counts
+// with at least a quarter of an even part, and advertises at most half as much
+// again as it has in force, so that the limit does not go unused while demand
+// rises everywhere.
 //
 // # Bound
 //
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -9,8 +9,12 @@
 const (
 	// evenPart of a limit is divided evenly, so that an instance can serve an account it had no demand of.
 	evenPart = 0.2
-	// floorPart of a limit is the demand that every member counts with at least.
-	floorPart = 0.001
+	// floorPart of an even part of a limit is the demand that every member counts with at least. A small floor would
+	// leave most of the limit unused while demand rises from it everywhere.
+	floorPart = 0.25
+	// growth bounds how far an advertised demand may be above the one in force. While all rise at once each instance
+	// counts the others with what they advertise and itself with what is in force, so this bounds what is unused.
+	growth = 1.5
 	// KeepDead is how long a dead member counts.
 	KeepDead = 10 * time.Minute
 	// Settle is how long a demand must have been advertised before it is in force. It covers the detection of a
--- a/internal/limiter/report.go
+++ b/internal/limiter/report.go
@@ -108,9 +108,11 @@
 
 // reportAccount adds up to two entries: the own demand, and the data centre's if this instance reports it.
 func (l *Limiter) reportAccount(out []Usage, name string, ac *account, now time.Time) []Usage {
-	v := ac.demand.vector(ac.streams, now)
+	floor := l.floor(ac, 1)
+	// More than the whole limit cannot be had.
+	v := ac.demand.vector(ac.streams, now).min(ac.limits).min(ac.own.low(now).max(floor).scale(growth))
 	refresh := now.Sub(ac.sentAt) >= refreshPeriod && ac.own.last != Vector{}
-	change := changed(ac.own.last, v, ac.floor(1))
+	change := changed(ac.own.last, v, floor)
 	if change {
 		ac.dirty = repeats
 		ac.own.set(rounded(v), now)
@@ -124,7 +126,7 @@
 		return out
 	}
 	sum, n := l.centreSum(name, ac)
-	if rises(ac.sum, sum, ac.floor(n)) || changed(ac.sum, sum, ac.floor(n)) {
+	if rises(ac.sum, sum, l.floor(ac, n)) || changed(ac.sum, sum, l.floor(ac, n)) {
 		ac.sum, ac.dirtySum = sum, repeats
 	}
 	if refresh || ac.dirtySum > 0 {
@@ -136,10 +138,10 @@
 
 // centreSum returns the demand of the own data centre and its number of members.
 func (l *Limiter) centreSum(name string, ac *account) (Vector, int) {
-	sum, n := ac.own.last.max(ac.floor(1)), 1
+	sum, n := ac.own.last.max(l.floor(ac, 1)), 1
 	for unitName, u := range l.units {
 		if isInstance(unitName) {
-			sum, n = sum.add(u.last(name, ac)), n+1
+			sum, n = sum.add(l.last(u, name, ac)), n+1
 		}
 	}
 	return rounded(sum), n
--- a/internal/limiter/share.go
+++ b/internal/limiter/share.go
@@ -101,23 +101,23 @@
 		out[name] = map[string]Vector{}
 	}
 	for a, ac := range l.accounts {
-		own := ac.own.low(now).max(ac.floor(1))
+		own := ac.own.low(now).max(l.floor(ac, 1))
 		free := Vector{1, 1, 1}
 		all := own
 		for name, u := range l.units {
 			switch {
 			case slices.Contains(lost, name):
-				all = all.add(u.last(a, ac))
+				all = all.add(l.last(u, a, ac))
 			case u.isFixed(now):
 				for k, f := range u.fixed[a] {
 					free[k] -= f
 				}
 			default:
-				all = all.add(u.low(a, ac, now))
+				all = all.add(l.low(u, a, ac, now))
 			}
 		}
 		for _, name := range lost {
-			f := l.units[name].last(a, ac)
+			f := l.last(l.units[name], a, ac)
 			for k := range f {
 				f[k] *= max(0, free[k]) / max(all[k], tiny)
 			}
@@ -132,22 +132,25 @@
 	return u.fixed != nil && (u.dead || now.Before(u.keepUntil))
 }
 
-func (u *unit) last(name string, ac *account) Vector {
+// last returns the last advertised demand of a unit, low the smallest of the last Settle.
+func (l *Limiter) last(u *unit, name string, ac *account) Vector {
 	if t := u.demands[name]; t != nil {
-		return t.last.max(ac.floor(u.members))
+		return t.last.max(l.floor(ac, u.members))
 	}
-	return ac.floor(u.members)
+	return l.floor(ac, u.members)
 }
 
-func (u *unit) low(name string, ac *account, now time.Time) Vector {
+func (l *Limiter) low(u *unit, name string, ac *account, now time.Time) Vector {
 	if t := u.demands[name]; t != nil {
-		return t.low(now).max(ac.floor(u.members))
+		return t.low(now).max(l.floor(ac, u.members))
 	}
-	return ac.floor(u.members)
+	return l.floor(ac, u.members)
 }
 
 // floor returns the least demand that n members count with.
-func (ac *account) floor(n int) Vector { return ac.limits.scale(floorPart * float64(n)) }
+func (l *Limiter) floor(ac *account, n int) Vector {
+	return ac.limits.scale(floorPart * float64(n) / float64(l.members))
+}
 
 // share returns the parts of the limits, computed anew after shareLife.
 func (l *Limiter) share(name string, ac *account, now time.Time) Vector {
@@ -167,11 +170,11 @@
 // part returns this instance's part of what is divided by demand; settling tells whether units that are back still
 // count with their fixed fractions.
 func (l *Limiter) part(name string, ac *account, now time.Time, settling bool) Vector {
-	own := ac.own.low(now).max(ac.floor(1))
+	own := ac.own.low(now).max(l.floor(ac, 1))
 	all, free := own, Vector{1, 1, 1}
 	for _, u := range l.units {
 		if !u.isFixed(now) || !u.dead && !settling {
-			all = all.add(u.last(name, ac))
+			all = all.add(l.last(u, name, ac))
 			continue
 		}
 		f, known := u.fixed[name]
