--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -208,6 +208,32 @@
 	}
 }
 
+// Guards against a leaving target that stays unknown because all messages about it fell into a partition that is too
+// short to be noticed.
+func TestMarkInShortPartition(t *testing.T) {
+	c := newCluster(4)
+	for i := range 7 {
+		c.start(i)
+	}
+	c.join()
+	c.run(40 * c.period)
+	n := c.order[2]
+	n.group = 1
+	n.p.Mark("letters-1", true, c.now.Add(time.Hour), c.now)
+	c.run(2 * c.period)
+	n.group = 0
+	for _, o := range c.order {
+		require.Equal(t, o == n, !o.p.Leaving()["letters-1"].IsZero())
+	}
+	// The transmissions are used up; the hash of the table must show the difference.
+	clear(n.p.queue.byKey)
+	n.p.queue.urgentRounds = 0
+	c.run(2 * minSyncEvery * c.period)
+	for _, o := range c.order {
+		require.NotZero(t, o.p.Leaving()["letters-1"], o.ID)
+	}
+}
+
 // Guards against dead members that are kept for ever, and against members that left being tried.
 func TestDeadMembersAreForgotten(t *testing.T) {
 	c := newCluster(2)
