--- a/internal/benchmarker/baselines_test.go
+++ b/internal/benchmarker/baselines_test.go
@@ -1,6 +1,8 @@
 package benchmarker
 
 import (
+	"cmp"
+	"slices"
 	"strconv"
 	"time"
 
@@ -98,3 +100,29 @@
 		return best
 	}}
 }
+
+// boundedLoad takes the first target in the conversation's rendezvous order whose load is at most 1.25 times the mean.
+func boundedLoad() *policy {
+	return &policy{store: true, choose: func(s *sim, in *router.Input) *view.Target {
+		var ts []*view.Target
+		load, sum := map[string]float64{}, 0.0
+		for _, t := range in.View.Engines(model) {
+			if !t.Usable() {
+				continue
+			}
+			_, own := t.Own.Backlog(0, time.UnixMilli(t.Load.AtMs), s.c.time(), 1)
+			load[t.ID] = float64(t.Load.Running + t.Load.Waiting + own)
+			sum += load[t.ID]
+			ts = append(ts, t)
+		}
+		slices.SortFunc(ts, func(a, b *view.Target) int {
+			return cmp.Compare(keyer.Weight(in.Anchor, b.ID), keyer.Weight(in.Anchor, a.ID))
+		})
+		for _, t := range ts {
+			if load[t.ID] <= 1.25*(sum+1)/float64(len(ts)) {
+				return t
+			}
+		}
+		return nil
+	}}
+}
