--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -112,6 +112,7 @@
 	defer cancel()
 	if res, ok := w.(*nbhttp.Response); ok && res.Parser != nil {
 		conn := res.Parser.Conn
+		w = &writer{res: res}
 		s.mu.Lock()
 		s.active[conn] = cancel
 		s.mu.Unlock()
--- a/internal/server/gatekeeper/gatekeeper.go
+++ b/internal/server/gatekeeper/gatekeeper.go
@@ -1,10 +1,14 @@
 // Package gatekeeper is the step that admits a request or refuses it at once.
 //
-// A refusal here is always "not run": nothing was sent anywhere.
+// It applies the account's limits, which all instances share, and the admission
+// policy with the wait that the view lets it expect. A refusal here is always
+// "not run": nothing was sent anywhere. What a request took is given back when
+// it ends, and its tokens are charged then.
 //
 // # Usage
 //
-//	s := &gatekeeper.Step{}
+//	g := gatekeeper.NewGate("kochi-a-1", "kochi-a")
+//	s := &gatekeeper.Step{Gate: g, Tracker: tracker, Now: time.Now, Seed: rand.Uint64}
 package gatekeeper
 
 import (
@@ -12,7 +16,10 @@
 	"net/http"
 	"time"
 
+	"github.com/papayaworks/papayaworks/internal/admitter"
+	"github.com/papayaworks/papayaworks/internal/keyer"
 	"github.com/papayaworks/papayaworks/internal/request"
+	"github.com/papayaworks/papayaworks/internal/tracker"
 	"github.com/papayaworks/papayaworks/pkg/configurer"
 )
 
@@ -20,13 +27,20 @@
 const drainRetryAfter = 100 * time.Millisecond
 
 // Step admits requests.
-type Step struct{}
+type Step struct {
+	// Gate is shared by the steps of all configurations.
+	Gate    *Gate
+	Tracker *tracker.Tracker
+	Now     func() time.Time
+	// Seed spreads the times after which refused callers come back.
+	Seed func() uint64
+}
 
 // String names the step.
 func (s *Step) String() string { return "admit" }
 
-// Default has nothing to take from the configuration.
-func (s *Step) Default(*configurer.Config) {}
+// Default takes the accounts of the configuration.
+func (s *Step) Default(cfg *configurer.Config) { s.Gate.setAccounts(cfg.Accounts, s.Now()) }
 
 // Run admits the request.
 func (s *Step) Run(_ context.Context, r *request.Request) error {
@@ -34,5 +48,46 @@
 		return request.Refuse(http.StatusServiceUnavailable, request.CodeDraining, "",
 			"this instance is leaving").WithRetryAfter(drainRetryAfter)
 	}
+	if r.Resume != nil {
+		// Its run was admitted before; refusing it would waste that work.
+		return nil
+	}
+	now := s.Now()
+	tokens := 0
+	if r.Chat != nil {
+		tokens = keyer.Tokens(len(r.Prompt))
+	}
+	if d := s.Gate.take(r.View, r.Account, tokens, now); !d.OK {
+		return request.Refuse(http.StatusTooManyRequests, request.CodeLimited, "", "account %q is at its limit %s", r.Account.Name, d.Limit).
+			WithRetryAfter(admitter.Jitter(d.RetryAfter, s.Seed()))
+	}
+	if r.Chat == nil {
+		r.Release = func() { s.Gate.finish(r.Account, 0, s.Now()) }
+		return nil
+	}
+	return s.admit(r, tokens, now)
+}
+
+// admit asks the admission policy about a chat.
+func (s *Step) admit(r *request.Request, tokens int, now time.Time) error {
+	e := expect(r, tokens, s.Tracker.Means(r.Chat.Model), now)
+	factor := s.Gate.factor(r.Chat.Model)
+	scaled := e
+	scaled.Wait, scaled.First = scale(e.Wait, factor), scale(e.First, factor)
+	scaled.Full += scaled.First - e.First
+	d := s.Gate.decide(r.Account, scaled, now, s.Seed())
+	if !d.Accept {
+		s.Gate.finish(r.Account, -tokens, now)
+		return request.Refuse(http.StatusServiceUnavailable, request.CodeOverloaded, "", "request was not admitted: %s", d.Reason).
+			WithRetryAfter(d.RetryAfter)
+	}
+	r.Release = func() {
+		if !r.FirstToken.IsZero() {
+			s.Gate.learn(r.Chat.Model, e.Wait+e.First, r.FirstToken.Sub(now))
+		}
+		s.Gate.finish(r.Account, r.Tokens, s.Now())
+	}
 	return nil
 }
+
+func scale(d time.Duration, f float64) time.Duration { return time.Duration(f * float64(d)) }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -32,6 +32,8 @@
 	"github.com/papayaworks/papayaworks/internal/listener"
 	"github.com/papayaworks/papayaworks/internal/logger"
 	"github.com/papayaworks/papayaworks/internal/request"
+	"github.com/papayaworks/papayaworks/internal/server/dispatcher"
+	"github.com/papayaworks/papayaworks/internal/server/gatekeeper"
 	"github.com/papayaworks/papayaworks/internal/signer"
 	"github.com/papayaworks/papayaworks/internal/tracker"
 	"github.com/papayaworks/papayaworks/internal/versioner"
@@ -59,6 +61,8 @@
 	peers   *membership
 	control *controller.Controller
 	tracker *tracker.Tracker
+	retries *dispatcher.Retries
+	gate    *gatekeeper.Gate
 	// ledger and versions are nil if the settings name no log.
 	ledger   *ledger.Ledger
 	versions *versioner.Versioner
@@ -128,6 +132,9 @@
 		s.client = dialer.NewWith(s.Network.DialContext)
 	}
 	s.tracker = tracker.New(time.Now)
+	s.retries = dispatcher.NewRetries()
+	s.gate = gatekeeper.NewGate(s.Settings.Instance.ID, s.Settings.Instance.DataCentre)
+	s.usage = s.gate
 	s.control = controller.New(view.New(s.Initial, 0, s.Settings.Instance.DataCentre))
 	s.peers = &membership{s: s, local: map[string]time.Time{}, drained: map[string]bool{}, listed: map[string]bool{}, shared: map[string]time.Time{}}
 	s.control.Published = s.published
@@ -193,6 +200,7 @@
 	if p := s.path.Load(); p == nil || p.cfg != v.Config {
 		s.path.Store(&path{cfg: v.Config, steps: s.newSteps(v.Config)})
 	}
+	s.gate.SetMembers(v.Members, time.Now())
 	s.peers.published(v)
 }
 
