test(benchmarker): compare with bounded-load hashing

Cause: the comparison of ways to spread load named it. Change: the ablation has a policy that walks the rendezvous order.

--- a/internal/benchmarker/policies_bench_test.go
+++ b/internal/benchmarker/policies_bench_test.go
@@ -104,6 +104,7 @@
 	}
 	return map[string]func() *policy{
 		"all":           ours,
+		"bounded-load":  boundedLoad,
 		"no-own":        without(func(_ *policy, r *router.Planner) { r.NoOwn = true }),
 		"no-mix":        without(func(_ *policy, r *router.Planner) { r.NoMix = true }),
 		"no-work-price": without(func(_ *policy, r *router.Planner) { r.WorkPrice = 0 }),
