--- /dev/null
+++ b/internal/controller/controller_bench_test.go
@@ -0,0 +1,69 @@
+package controller
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/papayaworks/papayaworks/internal/view"
+	"github.com/papayaworks/papayaworks/pkg/configurer"
+)
+
+// centres is the number of data centres at the design size; an instance gets the reports of one of them.
+const centres = 12
+
+func sized(n int) *configurer.Config {
+	cfg := &configurer.Config{}
+	for i := range centres {
+		cfg.DataCentres = append(cfg.DataCentres, configurer.DataCentre{Name: fmt.Sprintf("dc-%d", i), Region: fmt.Sprintf("r-%d", i%3)})
+	}
+	for i := range n {
+		cfg.Targets = append(cfg.Targets, configurer.Target{
+			ID: fmt.Sprintf("letters-%d", i), DataCentre: fmt.Sprintf("dc-%d", i%centres), Kind: configurer.KindEngine,
+			Models: []string{fmt.Sprintf("m-%d", i%5)}, Store: fmt.Sprintf("store-%d", i),
+		})
+	}
+	return cfg
+}
+
+func heap() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// BenchmarkViewChange measures the work of the control goroutine: one report of a peer, one poll of the own data
+// centre, and a new configuration, with the memory of one view.
+func BenchmarkViewChange(b *testing.B) {
+	for _, n := range []int{15, 150, 830} {
+		cfg := sized(n)
+		before := heap()
+		v := view.New(cfg, 1, "dc-0")
+		memory := heap() - before
+		one := map[string]view.Status{"letters-0": {Versions: map[string]int64{"m-0": 1}}}
+		own := map[string]view.Status{}
+		for i := 0; i < n; i += centres {
+			own[fmt.Sprintf("letters-%d", i)] = view.Status{}
+		}
+		b.Run(fmt.Sprintf("report/%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				v.WithTargets(one)
+			}
+			b.ReportMetric(memory, "B-view")
+		})
+		b.Run(fmt.Sprintf("poll/%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				v.WithTargets(own)
+			}
+		})
+		b.Run(fmt.Sprintf("config/%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for i := int64(2); b.Loop(); i++ {
+				v.WithConfig(cfg, i)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/exporter/exporter_bench_test.go
@@ -0,0 +1,36 @@
+package exporter
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkMetrics measures the counters of one request, and a scrape by the number of reasons of decisions.
+func BenchmarkMetrics(b *testing.B) {
+	for _, n := range []int{4, 16, 64} {
+		m := New(Gauges{})
+		for i := range n {
+			m.Decision("route", fmt.Sprintf("reason %d", i))
+		}
+		b.Run(fmt.Sprintf("request/%d", n), func(b *testing.B) {
+			for b.Loop() {
+				m.Outcome(Answered)
+				m.FirstToken(time.Millisecond)
+				m.Prompt(1, 2, 3)
+				for range 4 {
+					m.Decision("route", "reason 1")
+				}
+			}
+		})
+		b.Run(fmt.Sprintf("scrape/%d", n), func(b *testing.B) {
+			var out bytes.Buffer
+			for b.Loop() {
+				out.Reset()
+				m.Write(&out)
+			}
+			b.ReportMetric(float64(out.Len()), "B/scrape")
+		})
+	}
+}
--- /dev/null
+++ b/internal/fencer/fencer_bench_test.go
@@ -0,0 +1,73 @@
+package fencer
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/papayaworks/papayaworks/internal/appender"
+)
+
+// BenchmarkLease measures the appends of instances that all want one resource, in steady state and when the holder
+// dies, on virtual time, and the fold of one record.
+func BenchmarkLease(b *testing.B) {
+	for _, n := range []int{7, 70, 420} {
+		b.Run(fmt.Sprintf("holders/%d", n), func(b *testing.B) {
+			var steady, takeover, bytes float64
+			for b.Loop() {
+				w := &world{now: time.Unix(1_700_000_000, 0)}
+				var fs []*Fencer
+				for i := range n {
+					f := New(w, fmt.Sprintf("kochi-a-%d-3k2j1h", i), ttl, skewed{w, w.now, 1})
+					f.Want("targets")
+					fs = append(fs, f)
+				}
+				run := func(d time.Duration) float64 {
+					before := len(w.records)
+					for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(ttl / (2 * renewDivisor)) {
+						for _, f := range fs {
+							_ = f.Poll(context.Background(), 0)
+						}
+						for _, f := range fs { // all have read the same records before any of them asks
+							f.Campaign(context.Background())
+						}
+					}
+					return float64(len(w.records) - before)
+				}
+				run(2 * ttl)
+				steady = run(time.Minute) / 60
+				var alive []*Fencer
+				for _, f := range fs {
+					if _, ok := f.Held("targets"); !ok {
+						alive = append(alive, f)
+					}
+				}
+				fs = alive
+				takeover = run(3 * ttl)
+				bytes = float64(len(w.records[0].Data))
+			}
+			b.ReportMetric(steady, "appends/s-steady")
+			b.ReportMetric(takeover, "appends-after-death-15s")
+			b.ReportMetric(bytes, "B/record")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+	for _, n := range []int{1, 12, 120} {
+		b.Run(fmt.Sprintf("fold/%d", n), func(b *testing.B) {
+			book, at := Book{}, time.Unix(1_700_000_000, 0)
+			for i := range n {
+				book = book.With(int64(i), at, Record{Resource: fmt.Sprintf("targets-%d", i), Holder: "a", TTLMs: 5000})
+			}
+			data, _ := Record{Resource: "targets-0", Holder: "a", TTLMs: 5000}.Encode()
+			rec := appender.Record{Data: data, At: at}
+			for i := int64(n); b.Loop(); i++ {
+				r, err := DecodeRecord(rec.Data)
+				if err != nil {
+					b.Fatal(err)
+				}
+				book = book.With(i, rec.At, r)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/gossiper/load_bench_test.go
@@ -0,0 +1,51 @@
+package gossiper
+
+import (
+	"fmt"
+	"testing"
+)
+
+// BenchmarkReports measures the traffic of one instance when the reports of the targets, and of their stores, of its
+// data centre are passed on every three periods, each by one instance. The body is that of a load report.
+func BenchmarkReports(b *testing.B) {
+	for _, targets := range []int{0, 14, 70, 140} {
+		b.Run(fmt.Sprint(targets), func(b *testing.B) {
+			const size = 35 // instances of one data centre
+			c := newCluster(uint64(targets))
+			c.centres = 1
+			for i := range size {
+				c.start(i)
+			}
+			c.join()
+			c.run(10 * c.period)
+			for _, n := range c.order {
+				n.sent, n.wire = 0, 0
+			}
+			body, rounds, got := make([]byte, 45), 0, 0
+			b.ResetTimer()
+			for i := range b.N {
+				for t := i % 3; t < targets; t += 3 {
+					if err := c.order[t%size].p.Report(fmt.Sprintf("letters-%04d", t), body, c.now); err != nil {
+						b.Fatal(err)
+					}
+				}
+				c.run(c.period)
+				rounds++
+			}
+			b.StopTimer()
+			for _, n := range c.order {
+				got += len(n.p.items[itemLoad])
+			}
+			var sent, wire int
+			for _, n := range c.order {
+				sent, wire = sent+n.sent, wire+n.wire
+			}
+			per := float64(rounds * size)
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/per, "us/instance-period")
+			b.ReportMetric(float64(wire)/per, "B/instance-s")
+			b.ReportMetric(float64(sent)/per, "msgs/instance-period")
+			b.ReportMetric(float64(got)/size, "reports-known")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
--- /dev/null
+++ b/internal/limiter/limiter_bench_test.go
@@ -0,0 +1,100 @@
+package limiter
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/papayaworks/papayaworks/pkg/configurer"
+)
+
+// BenchmarkLimiter measures one instance's shared limits by members and accounts: a request, a report, the merge of a
+// full report, the memory of the state when all units told all demands, and the bytes of a report.
+func BenchmarkLimiter(b *testing.B) {
+	for _, members := range []int{7, 70, 420} {
+		for _, accounts := range []int{10, 120, 1200} {
+			benchLimiter(b, members, accounts)
+		}
+	}
+}
+
+func benchLimiter(b *testing.B, members, accounts int) {
+	now, centres := time.Unix(1_700_000_000, 0), min(12, 3*members/7)
+	heap := func() float64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapAlloc)
+	}
+	before := heap()
+	l := New("i-0", "dc-0")
+	var as []configurer.Account
+	for i := range accounts {
+		as = append(as, configurer.Account{Name: fmt.Sprintf("account-%04d", i), RequestsPerSecond: 50, TokensPerSecond: 20_000, Streams: 64})
+	}
+	l.SetAccounts(as, now)
+	var ms []Member
+	for i := range members {
+		ms = append(ms, Member{ID: fmt.Sprintf("i-%d", i), DataCentre: fmt.Sprintf("dc-%d", i%centres)})
+	}
+	l.SetMembers(ms, now)
+	full := func(m Member, first int) []Usage {
+		dc := m.DataCentre
+		if dc == "dc-0" {
+			dc = ""
+		}
+		var us []Usage
+		for i := range min(MaxUsages, accounts) {
+			us = append(us, Usage{Account: as[(first+i)%accounts].Name, DataCentre: dc, Requests: 3, Tokens: 900, Streams: 2})
+		}
+		return us
+	}
+	for _, m := range ms[1:] {
+		for first := 0; first < accounts; first += MaxUsages {
+			l.Merge(m, full(m, first), now)
+		}
+	}
+	memory := heap() - before
+	name := func(what string) string { return fmt.Sprintf("%s/%d/%d", what, members, accounts) }
+	b.Run(name("take"), func(b *testing.B) {
+		for i := 0; b.Loop(); i++ {
+			now = now.Add(50 * time.Millisecond)
+			l.Take(as[i%accounts], 300, now)
+			l.Finish(as[i%accounts], 300, now)
+		}
+		b.ReportMetric(memory, "B-state")
+	})
+	b.Run(name("report"), func(b *testing.B) {
+		now = now.Add(ReportPeriod)
+		for _, a := range as { // demands that all changed, so that the first report is full
+			for range 20 {
+				l.Take(a, 300, now)
+			}
+		}
+		now = now.Add(ReportPeriod)
+		first, err := Encode(l.Report(now))
+		if err != nil {
+			b.Fatal(err)
+		}
+		for b.Loop() {
+			now = now.Add(ReportPeriod)
+			l.Report(now)
+		}
+		b.ReportMetric(float64(len(first)), "B-full")
+	})
+	b.Run(name("merge"), func(b *testing.B) {
+		data, err := Encode(full(ms[1], 0))
+		if err != nil {
+			b.Fatal(err)
+		}
+		for b.Loop() {
+			us, err := Decode(data)
+			if err != nil {
+				b.Fatal(err)
+			}
+			l.Merge(ms[1], us, now)
+		}
+	})
+	runtime.KeepAlive(l)
+}
--- /dev/null
+++ b/internal/server/capacity_bench_test.go
@@ -0,0 +1,221 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"runtime"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/BurntSushi/toml"
+	"github.com/stretchr/testify/require"
+
+	"github.com/papayaworks/papayaworks/internal/appender"
+	"github.com/papayaworks/papayaworks/internal/dialer"
+	"github.com/papayaworks/papayaworks/internal/emulator"
+	"github.com/papayaworks/papayaworks/internal/server/identifier"
+	"github.com/papayaworks/papayaworks/internal/view"
+	"github.com/papayaworks/papayaworks/pkg/configurer"
+)
+
+const benchCentres = 12
+
+// sizedConfig returns a configuration with n targets, each with a store, and some accounts, in 12 data centres.
+func sizedConfig(n, accounts int) *configurer.Config {
+	cfg := &configurer.Config{Deployment: configurer.Deployment{Name: "design-size"}}
+	for i := range benchCentres {
+		cfg.DataCentres = append(cfg.DataCentres, configurer.DataCentre{Name: fmt.Sprintf("dc-%02d", i), Region: fmt.Sprintf("region-%d", i%3)})
+	}
+	for i := range 5 {
+		cfg.Models = append(cfg.Models, configurer.Model{Name: fmt.Sprintf("model-%d", i)})
+	}
+	for i := range n {
+		dc, addr := fmt.Sprintf("dc-%02d", i%benchCentres), fmt.Sprintf("10.1.%d.%d", i>>8, i&255)
+		cfg.Stores = append(cfg.Stores, configurer.Store{ID: fmt.Sprintf("store-%04d", i), Address: addr + ":9000", DataCentre: dc})
+		cfg.Targets = append(cfg.Targets, configurer.Target{
+			ID: fmt.Sprintf("letters-%04d", i), Address: addr + ":8000", DataCentre: dc, Kind: configurer.KindEngine,
+			Models: []string{fmt.Sprintf("model-%d", i%5)}, Store: fmt.Sprintf("store-%04d", i),
+		})
+	}
+	for i := range accounts {
+		name := fmt.Sprintf("account-%04d", i)
+		cfg.Accounts = append(cfg.Accounts, configurer.Account{Name: name, KeySHA256: identifier.HashKey(name), Share: 1})
+	}
+	cfg.SetDefaults()
+	return cfg
+}
+
+// manyMembers returns a view with n live members in the data centres.
+func manyMembers(v *view.View, n int) *view.View {
+	var ms []view.Member
+	for i := range n {
+		ms = append(ms, view.Member{ID: fmt.Sprintf("i-%03d", i), DataCentre: fmt.Sprintf("dc-%02d", i%benchCentres), State: "alive"})
+	}
+	return v.WithMembers(ms)
+}
+
+func heapAlloc() float64 {
+	runtime.GC()
+	runtime.GC() // the second one empties the pools
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// BenchmarkConfiguration measures the size of a configuration's text, its check, and the memory of the result.
+func BenchmarkConfiguration(b *testing.B) {
+	for _, size := range [][2]int{{15, 10}, {150, 120}, {830, 1200}} {
+		b.Run(fmt.Sprintf("%d-%d", size[0], size[1]), func(b *testing.B) {
+			var out bytes.Buffer
+			require.NoError(b, toml.NewEncoder(&out).Encode(sizedConfig(size[0], size[1])))
+			text := out.String()
+			_, err := configurer.Parse("bench", text) // fills the caches of the decoder
+			require.NoError(b, err)
+			before := heapAlloc()
+			cfg, err := configurer.Parse("bench", text)
+			require.NoError(b, err)
+			parsed := heapAlloc()
+			id := &identifier.Step{}
+			id.Default(cfg)
+			index := heapAlloc()
+			for b.Loop() {
+				_, _ = configurer.Parse("bench", text)
+			}
+			b.ReportMetric(float64(len(text)), "B-text")
+			b.ReportMetric(parsed-before, "B-config")
+			b.ReportMetric(index-parsed, "B-accounts")
+			runtime.KeepAlive(cfg)
+			runtime.KeepAlive(id)
+			runtime.KeepAlive(&out)
+		})
+	}
+}
+
+// BenchmarkResponsible measures how an instance finds the targets that it polls, once a period.
+func BenchmarkResponsible(b *testing.B) {
+	for _, members := range []int{7, 70, 420} {
+		for _, n := range []int{15, 150, 830} {
+			cfg := sizedConfig(n, 1)
+			v := manyMembers(view.New(cfg, 1, "dc-00"), members)
+			m := &membership{s: &Server{Settings: &configurer.Settings{Instance: configurer.Instance{ID: "i-000"}}}}
+			b.Run(fmt.Sprintf("%d/%d", members, n), func(b *testing.B) {
+				found := 0
+				for b.Loop() {
+					found = 0
+					for _, t := range cfg.Targets {
+						if m.responsible(v, t) {
+							found++
+						}
+					}
+				}
+				b.ReportMetric(float64(found), "polled")
+			})
+		}
+	}
+}
+
+// wire counts the bytes of the connections that it opens.
+type wire struct{ in, out atomic.Int64 }
+
+type wireConn struct {
+	net.Conn
+	w *wire
+}
+
+func (c wireConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.w.in.Add(int64(n))
+	return n, err
+}
+
+func (c wireConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.w.out.Add(int64(n))
+	return n, err
+}
+
+func (w *wire) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+	return wireConn{c, w}, err
+}
+
+// BenchmarkPoll measures polls of engines, stores, the log and the platform's list at stand-ins: bytes of HTTP on the
+// wire and, for engines and stores, CPU time of both ends.
+func BenchmarkPoll(b *testing.B) {
+	report := func(b *testing.B, w *wire, one func()) {
+		one()
+		w.in.Store(0)
+		w.out.Store(0)
+		begun := cpu()
+		b.ResetTimer()
+		for range b.N {
+			one()
+		}
+		b.ReportMetric(float64((cpu()-begun).Microseconds())/float64(b.N), "cpu-us/poll")
+		b.ReportMetric(float64(w.out.Load())/float64(b.N), "B-out/poll")
+		b.ReportMetric(float64(w.in.Load())/float64(b.N), "B-in/poll")
+	}
+	b.Run("engine", func(b *testing.B) {
+		e, w := &emulator.Engine{Models: map[string]int64{"m": 1}, Slots: 8}, new(wire)
+		_, err := e.Start()
+		require.NoError(b, err)
+		defer e.Kill()
+		s := &Server{client: dialer.NewWith(w.dial)}
+		report(b, w, func() { require.True(b, s.pollTarget(b.Context(), configurer.Target{ID: "e", Address: e.Addr}).ok) })
+	})
+	b.Run("store", func(b *testing.B) {
+		st, w := &emulator.Store{ID: "s", MemoryBytes: 1 << 30, LinkBytesPerSec: 1e9}, new(wire)
+		_, err := st.Start()
+		require.NoError(b, err)
+		defer st.Kill()
+		client := dialer.NewWith(w.dial)
+		report(b, w, func() {
+			_, err := client.StoreState(b.Context(), st.Addr)
+			require.NoError(b, err)
+		})
+	})
+	b.Run("log", func(b *testing.B) {
+		l, w := new(emulator.Log), new(wire)
+		_, err := l.Start()
+		require.NoError(b, err)
+		defer l.Kill()
+		c := &appender.Client{Addr: l.Addr, HTTP: dialer.NewWith(w.dial).HTTP()}
+		report(b, w, func() {
+			_, err := c.Read(b.Context(), "ledger.17", 1_000_000, appender.PollRecords, 0)
+			require.NoError(b, err)
+		})
+	})
+	for _, n := range []int{22, 220, 1250} {
+		b.Run(fmt.Sprintf("list/%d", n), func(b *testing.B) {
+			l, w := new(emulator.List), new(wire)
+			_, err := l.Start()
+			require.NoError(b, err)
+			defer l.Kill()
+			for i := range n {
+				l.Set(emulator.Listed{ID: fmt.Sprintf("letters-%04d", i), Kind: "target", Address: fmt.Sprintf("10.1.%d.%d:8000", i>>8, i&255), DataCentre: "dc-00"})
+			}
+			s := &Server{client: dialer.NewWith(w.dial), Settings: &configurer.Settings{Platform: configurer.Platform{List: l.Addr}}}
+			m := &membership{s: s, local: map[string]time.Time{}, listed: map[string]bool{}}
+			report(b, w, func() { require.NoError(b, m.readList(b.Context())) })
+		})
+	}
+}
+
+// BenchmarkSharedLoad gives the size of a report of a target as it is passed on.
+func BenchmarkSharedLoad(b *testing.B) {
+	st := view.Status{
+		Load:     dialer.Load{AtMs: time.Now().UnixMilli(), Running: 8, Waiting: 40, WaitingTokens: 120_000, Blocks: 60, CapacityBlocks: 64},
+		Versions: map[string]int64{"model-1": 17},
+	}
+	var body []byte
+	for b.Loop() {
+		body, _ = encodeLoad(st)
+	}
+	b.ReportMetric(float64(len(body)), "B/report")
+	raw, _ := json.Marshal(st.Load)
+	b.ReportMetric(float64(len(raw)), "B/json")
+}
