fix(server): many instances read the platform's list by turns

Each instance read the whole list every 5 s: 128,341 B at 1,250 entries (BenchmarkPoll), or 26 KB/s at each of 420 instances against a limit of 7 KB/s. The period now grows with the number of live members above 24, so that all together read at most 5 times a second; what one reads reaches the others as marks, as before. A mark that an instance made from the list is withdrawn up to a minute later than before, when it ends by itself. Result: 90 s between two reads at 420 instances, 1.4 KB/s. Deployments of up to 24 instances read as before.

--- a/internal/server/loads_stores_test.go
+++ b/internal/server/loads_stores_test.go
@@ -126,3 +126,12 @@
 	require.NoError(t, err)
 	require.Less(t, len(body), 64, fmt.Sprint(len(body)))
 }
+
+// Guards against a list that is read by each of many instances at the full rate, and against an instance that has lost
+// the others and looks for them rarely.
+func TestListIsReadByTurns(t *testing.T) {
+	for members, want := range map[int]time.Duration{0: 5 * time.Second, 1: 5 * time.Second, 7: 5 * time.Second,
+		24: 5 * time.Second, 25: 10 * time.Second, 420: 90 * time.Second} {
+		require.Equal(t, want, listEvery(manyMembers(view.New(sizedConfig(1, 1), 1, "dc-00"), members)), "%d members", members)
+	}
+}
--- a/internal/server/platformlist.go
+++ b/internal/server/platformlist.go
@@ -10,6 +10,7 @@
 	"github.com/papayaworks/papayaworks/internal/dialer"
 	"github.com/papayaworks/papayaworks/internal/failer"
 	"github.com/papayaworks/papayaworks/internal/logger"
+	"github.com/papayaworks/papayaworks/internal/view"
 	"github.com/papayaworks/papayaworks/pkg/configurer"
 )
 
@@ -41,7 +42,7 @@
 			if err := m.readList(ctx); err != nil && ctx.Err() == nil {
 				logger.WithError(m.s.Log, err).Info("platform's list not read")
 			}
-			t := time.NewTimer(configurer.Milliseconds(m.s.control.View().Config.Timing.ListMs))
+			t := time.NewTimer(listEvery(m.s.control.View()))
 			select {
 			case <-ctx.Done():
 				t.Stop()
@@ -52,6 +53,14 @@
 	}()
 }
 
+// listEvery is the time between two reads of this instance. The list grows with the deployment: read every 5 s by each
+// of 420 instances, its 128 KB would take 26 KB/s. Marks are passed on, so it is enough that the instances together
+// read as often as the largest deployment in which each reads at the full rate.
+func listEvery(v *view.View) time.Duration {
+	n := (len(live(v, "")) + pollAllUpTo - 1) / pollAllUpTo
+	return configurer.Milliseconds(v.Config.Timing.ListMs) * time.Duration(max(1, n))
+}
+
 func (m *membership) readList(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
