feat(capacity): benchmark of the whole control work of one instance

Sums of parts miss what runs beside them. BenchmarkControl starts an instance with the members of the deployment in its view and measures CPU, bytes of polls and memory.

--- a/internal/server/capacity_bench_test.go
+++ b/internal/server/capacity_bench_test.go
@@ -17,9 +17,11 @@
 	"github.com/papayaworks/papayaworks/internal/appender"
 	"github.com/papayaworks/papayaworks/internal/dialer"
 	"github.com/papayaworks/papayaworks/internal/emulator"
+	"github.com/papayaworks/papayaworks/internal/logger"
 	"github.com/papayaworks/papayaworks/internal/server/identifier"
 	"github.com/papayaworks/papayaworks/internal/view"
 	"github.com/papayaworks/papayaworks/pkg/configurer"
+	"github.com/papayaworks/papayaworks/pkg/recorder"
 )
 
 const benchCentres = 12
@@ -220,3 +222,82 @@
 	raw, _ := json.Marshal(st.Load)
 	b.ReportMetric(float64(len(raw)), "B/json")
 }
+
+// BenchmarkControl measures the control work of an instance without traffic for some seconds: its polls at a stand-in
+// engine and store (whose share of the CPU time is included), the reports that reach it from peers, and its memory. The
+// other instances are only in its view; their gossip and the log are measured elsewhere.
+func BenchmarkControl(b *testing.B) {
+	for _, size := range []struct{ members, targets, accounts int }{{7, 15, 10}, {70, 150, 120}, {420, 830, 1200}} {
+		b.Run(fmt.Sprintf("%d-%d", size.members, size.targets), func(b *testing.B) {
+			benchControl(b, size.members, sizedConfig(size.targets, size.accounts))
+		})
+	}
+}
+
+func benchControl(b *testing.B, members int, cfg *configurer.Config) {
+	e, st := &emulator.Engine{Models: map[string]int64{"model-0": 1}, Slots: 8}, &emulator.Store{ID: "s", LinkBytesPerSec: 1e9}
+	_, err := e.Start()
+	require.NoError(b, err)
+	defer e.Kill()
+	_, err = st.Start()
+	require.NoError(b, err)
+	defer st.Kill()
+	var remote []string // targets of the own data centre that others poll
+	for i := range cfg.Targets {
+		cfg.Targets[i].Address, cfg.Stores[i].Address = e.Addr, st.Addr
+	}
+	before := heapAlloc()
+	s := New(&configurer.Settings{
+		Instance: configurer.Instance{ID: "i-000", DataCentre: "dc-00", Listen: "127.0.0.1:0"},
+		Keys:     configurer.Keys{Token: []string{fmt.Sprintf("%064x", 1)}},
+	}, cfg, logger.Discard(), recorder.New(recorder.NewClock(time.Now), "i-000", 4096, nil), nil)
+	ctx, cancel := context.WithCancel(b.Context())
+	defer cancel()
+	w := new(wire)
+	s.Network = wireNetwork{w}
+	require.NoError(b, s.Start(ctx))
+	defer s.Kill()
+	s.control.Apply(ctx, func(v *view.View) *view.View { return manyMembers(v, members) })
+	<-time.After(2 * time.Second) // the first poll asked all, since it knew no members
+	w.in.Store(0)
+	w.out.Store(0)
+	r := s.peers.roster(s.control.View())
+	for _, t := range cfg.Targets {
+		if !r.polls(t.ID, t.DataCentre) && t.DataCentre == "dc-00" {
+			remote = append(remote, t.ID)
+		}
+	}
+	body, err := encodeLoad(view.Status{Versions: map[string]int64{"model-0": 1}})
+	require.NoError(b, err)
+	seconds := max(5, b.N)
+	begun, used := time.Now(), cpu()
+	every := time.Hour
+	if len(remote) > 0 {
+		every = shareEvery / time.Duration(len(remote))
+	}
+	tick, end := time.NewTicker(every), time.After(time.Duration(seconds)*time.Second)
+	defer tick.Stop()
+	for i, run := 0, true; run; i++ {
+		select {
+		case <-tick.C:
+			s.peers.load(remote[i%len(remote)], body)
+		case <-end:
+			run = false
+		}
+	}
+	took := time.Since(begun).Seconds()
+	b.ReportMetric((cpu()-used).Seconds()/took*100, "%core")
+	b.ReportMetric(float64(w.out.Load())/took, "B-out/s")
+	b.ReportMetric(float64(w.in.Load())/took, "B-in/s")
+	b.ReportMetric((heapAlloc()-before)/(1<<20), "MiB")
+	b.ReportMetric(0, "ns/op")
+}
+
+// wireNetwork counts the bytes towards targets and stores.
+type wireNetwork struct{ w *wire }
+
+func (n wireNetwork) DialContext(ctx context.Context, network, addr string) (net.Conn, error) {
+	return n.w.dial(ctx, network, addr)
+}
+
+func (n wireNetwork) PacketConn(c net.PacketConn) net.PacketConn { return c }
