--- a/internal/limiter/report.go
+++ b/internal/limiter/report.go
@@ -11,8 +11,12 @@
 )
 
 const (
-	// MaxUsages bounds the accounts in one report; with names of 12 bytes it then fits a gossip message of 1,200 bytes.
+	// MaxUsages bounds the entries of one report.
 	MaxUsages = 32
+	// maxReportBytes bounds the encoded entries of one report, so that it fits the payload of a gossip message.
+	maxReportBytes = 850
+	// entryBytes is the encoded size of an entry without its names: array, two lengths, three floats.
+	entryBytes = 1 + 2*2 + 3*5
 	// ReportPeriod is the shortest time between two reports.
 	ReportPeriod = 5 * time.Second
 	// refreshPeriod is how often an unchanged demand is advertised again, for members that lost the last report.
@@ -83,15 +87,21 @@
 	}
 	l.reportAt = now
 	var out []Usage
+	size := 0
 	names := sorted(l.accounts)
 	// The accounts after the last one of the previous report come first, so that all have their turn.
 	i, _ := slices.BinarySearch(names, l.cursor+"\x00")
 	for _, name := range slices.Concat(names[i:], names[:i]) {
-		out = l.reportAccount(out, name, l.accounts[name], now)
-		if len(out) >= MaxUsages-1 {
-			l.cursor = name
+		// One account adds at most two entries.
+		if len(out) > MaxUsages-2 || size+2*(entryBytes+len(name))+len(l.dataCentre) > maxReportBytes {
 			break
 		}
+		n := len(out)
+		out = l.reportAccount(out, name, l.accounts[name], now)
+		for _, u := range out[n:] {
+			size += entryBytes + len(u.Account) + len(u.DataCentre)
+		}
+		l.cursor = name
 	}
 	return out
 }
--- a/internal/server/selector/selector.go
+++ b/internal/server/selector/selector.go
@@ -22,6 +22,7 @@
 	"github.com/papayaworks/papayaworks/internal/request"
 	"github.com/papayaworks/papayaworks/internal/router"
 	"github.com/papayaworks/papayaworks/internal/server/identifier"
+	"github.com/papayaworks/papayaworks/internal/shaper"
 	"github.com/papayaworks/papayaworks/internal/tracker"
 	"github.com/papayaworks/papayaworks/internal/view"
 	"github.com/papayaworks/papayaworks/pkg/configurer"
@@ -68,12 +69,14 @@
 	}
 	s.apply(r, d, m)
 	d.Target.Own.Sent(now, d.Computed)
+	s.Tracker.Sent(r.Chat.Model, d.Computed)
 	return nil
 }
 
 // apply writes the decision into the request.
 func (s *Step) apply(r *request.Request, d router.Decision, m *dialer.Manifest) {
-	r.Target, r.Reason, r.Alternatives, r.Known.Expected = d.Target, d.Reason, d.Alternatives, d.Expected
+	r.Target, r.Reason, r.Alternatives = d.Target, d.Reason, d.Alternatives
+	r.Known.Expected, r.Known.Wait = d.Expected, d.Wait+max(0, s.Tracker.Means(r.Chat.Model).Late)
 	if d.Version != 0 {
 		identifier.SetScope(r, d.Version)
 	}
@@ -88,7 +91,8 @@
 	part.Blocks = m.Blocks[:d.Import.Blocks]
 	r.Import = &dialer.Import{StoreAddress: st.Address, Manifest: part}
 	if r.Reason != router.ReasonCached {
-		s.Tracker.Importing(st.ID, linkRate(st, m.Tier), bytesOf(part.Blocks))
+		limit := linkRate(st, dialer.TierMemory)
+		s.Tracker.Importing(st.ID, limit, shaper.Weighted(bytesOf(part.Blocks), linkRate(st, m.Tier), limit))
 	}
 }
 
@@ -103,8 +107,7 @@
 	}
 	identifier.SetScope(r, model.Version)
 	var buf [8]*view.Target
-	home := r.View.HomeDataCentre(r.Chat.Model, r.Anchor)
-	for _, t := range r.View.AppendHomes(buf[:0], r.Chat.Model, home, r.Anchor) {
+	for _, t := range r.View.AppendRegionHomes(buf[:0], r.Chat.Model, r.Anchor) {
 		if v := t.Version(r.Chat.Model); t.Usable() && v != 0 {
 			return v
 		}
@@ -119,24 +122,37 @@
 		View: r.View, Model: r.Chat.Model, Anchor: r.Anchor, Blocks: len(r.Keys), PromptTokens: keyer.Tokens(len(r.Prompt)),
 		ComputedShare: means.ComputedShare, RunTime: means.RunTime, Seed: s.Seed(),
 	}
+	in.Others = others(r.View)
+	in.RunRate, in.TokenRate = s.Tracker.Rates(r.Chat.Model)
 	k := &r.Known
-	if k.LastTarget != "" {
+	if k.LastTarget != "" && k.Gap > 0 {
 		in.Last = router.Last{
 			Target: k.LastTarget, Version: k.LastVersion, Blocks: k.LastBlocks, Resident: s.Tracker.Resident(k.Gap),
 		}
 	}
 	if len(k.Stored) > 0 {
 		st, _ := r.View.StoreConfig(k.Store)
-		rate, backlog := s.Tracker.Rate(k.Store, linkRate(st, k.Tier))
+		achieved, backlog := s.Tracker.Achieved(k.Store, linkRate(st, dialer.TierMemory))
 		reported := configurer.Milliseconds(int(r.View.Store(k.Store).State.LinkBacklogMs))
 		in.Stored = router.Stored{
 			Store: k.Store, Version: k.Version, Blocks: len(k.Stored), Bytes: bytesOf(k.Stored),
-			Backlog: max(backlog, reported), BytesPerSec: rate,
+			Backlog: max(backlog, reported), BytesPerSec: achieved * linkRate(st, k.Tier),
 		}
 	}
 	return in
 }
 
+// others is how many other live instances of the region dispatch to the same targets.
+func others(v *view.View) int {
+	n := 0
+	for i := range v.Members {
+		if m := &v.Members[i]; (m.State == "alive" || m.State == "suspect") && v.Region(m.DataCentre) == v.Region(v.DataCentre) {
+			n++
+		}
+	}
+	return max(0, n-1)
+}
+
 // selectService chooses a target of a plain service by the key of the call, so that a repeated call meets the same one.
 func selectService(r *request.Request) error {
 	id := r.IdempotencyKey
