--- a/internal/gossiper/load_bench_test.go
+++ b/internal/gossiper/load_bench_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 )
 
 // BenchmarkReports measures the traffic of one instance when the reports of the targets of its data centre are passed on
 // every three periods and those of their stores every thirty, each by one instance. The body is that of a load report.
+// With usage, each instance also sends a full usage payload every five periods.
 func BenchmarkReports(b *testing.B) {
-	for _, targets := range []int{0, 14, 70, 140} {
-		b.Run(fmt.Sprint(targets), func(b *testing.B) {
+	for name, targets := range map[string]int{"0": 0, "14": 14, "70": 70, "140": 140, "0-usage": 0, "70-usage": 70} {
+		b.Run(name, func(b *testing.B) {
+			usage := strings.HasSuffix(name, "usage")
 			const size = 35 // instances of one data centre
 			c := newCluster(uint64(targets))
 			c.centres = 1
@@ -21,7 +24,7 @@
 			for _, n := range c.order {
 				n.sent, n.wire = 0, 0
 			}
-			body, rounds, got := make([]byte, 33), 0, 0
+			body, rounds, got, told := make([]byte, 33), 0, 0, 0
 			b.ResetTimer()
 			for i := range b.N {
 				for t := i % 3; t < targets; t += 3 {
@@ -36,12 +39,20 @@
 						b.Fatal(err)
 					}
 				}
+				for j, n := range c.order {
+					if usage && (i+j)%5 == 0 {
+						if err := n.p.Usage(make([]byte, 771), nil, c.now); err != nil {
+							b.Fatal(err)
+						}
+					}
+				}
 				c.run(c.period)
 				rounds++
 			}
 			b.StopTimer()
 			for _, n := range c.order {
 				got += len(n.p.items[itemLoad])
+				told += len(n.p.items[itemUsage])
 			}
 			var sent, wire int
 			for _, n := range c.order {
@@ -52,6 +63,7 @@
 			b.ReportMetric(float64(wire)/per, "B/instance-s")
 			b.ReportMetric(float64(sent)/per, "msgs/instance-period")
 			b.ReportMetric(float64(got)/size, "reports-known")
+			b.ReportMetric(float64(told)/size, "usage-known")
 			b.ReportMetric(0, "ns/op")
 		})
 	}
