--- a/internal/fencer/fencer_test.go
+++ b/internal/fencer/fencer_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/papayaworks/papayaworks/internal/appender"
+	_ "github.com/papayaworks/papayaworks/internal/seeder" // fixed seed
 )
 
 const ttl = 5 * time.Second
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	_ "github.com/papayaworks/papayaworks/internal/seeder" // fixed seed
 )
 
 const quiet = 120 * time.Second
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	_ "github.com/papayaworks/papayaworks/internal/seeder" // fixed seed
 )
 
 var testNow = time.Unix(1_000_000, 0)
--- a/internal/questioner/questioner_test.go
+++ b/internal/questioner/questioner_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	_ "github.com/papayaworks/papayaworks/internal/seeder" // fixed seed
 	"github.com/papayaworks/papayaworks/pkg/configurer"
 )
 
--- a/internal/retrier/retrier_test.go
+++ b/internal/retrier/retrier_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	_ "github.com/papayaworks/papayaworks/internal/seeder" // fixed seed
 )
 
 // A fixed seed makes failures repeatable; -rapid.seed on the command line overrides it.
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/papayaworks/papayaworks/internal/dialer"
 	"github.com/papayaworks/papayaworks/internal/keyer"
+	_ "github.com/papayaworks/papayaworks/internal/seeder" // fixed seed
 	"github.com/papayaworks/papayaworks/internal/view"
 	"github.com/papayaworks/papayaworks/pkg/configurer"
 )
--- a/internal/shaper/shaper_test.go
+++ b/internal/shaper/shaper_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	_ "github.com/papayaworks/papayaworks/internal/seeder" // fixed seed
 )
 
 const testRate = 100e6
--- a/internal/streamer/streamer_test.go
+++ b/internal/streamer/streamer_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/papayaworks/papayaworks/internal/dialer"
+	_ "github.com/papayaworks/papayaworks/internal/seeder" // fixed seed
 )
 
 // A fixed seed makes failures repeatable; -rapid.seed on the command line overrides it.
--- a/internal/swapper/plan_test.go
+++ b/internal/swapper/plan_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/papayaworks/papayaworks/internal/dialer"
+	_ "github.com/papayaworks/papayaworks/internal/seeder" // fixed seed
 	"github.com/papayaworks/papayaworks/pkg/configurer"
 )
 
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/papayaworks/papayaworks/internal/keyer"
 	"github.com/papayaworks/papayaworks/internal/placer"
+	_ "github.com/papayaworks/papayaworks/internal/seeder" // fixed seed
 	"github.com/papayaworks/papayaworks/internal/shaper"
 )
 
