test(demonstrator): give each deployment a loopback address of its own

Cause: scripts run side by side and the port of a killed instance went to another script's instance; a caller got 404 unknownModel from it once under load. Change: each deployment of the scripts listens on 127.0.2.N.

--- a/internal/demonstrator/deployment.go
+++ b/internal/demonstrator/deployment.go
@@ -13,6 +13,7 @@
 package demonstrator
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/hex"
@@ -47,6 +48,8 @@
 	// PrefillRate and DecodeRate are tokens a second.
 	PrefillRate, DecodeRate int
 	LinkMiBPerSec           int
+	// Host is the loopback address that everything listens on; empty means 127.0.0.1.
+	Host string
 
 	answers func() *questioner.User
 }
@@ -144,6 +147,9 @@
 	}
 }
 
+// any is an address with a port that the system chooses.
+func (d *Deployment) any() string { return cmp.Or(d.Size.Host, "127.0.0.1") + ":0" }
+
 func randomKey() string {
 	var k [32]byte
 	_, _ = rand.Read(k[:])
@@ -151,9 +157,9 @@
 }
 
 func (d *Deployment) startPlatform() error {
-	d.Log = &emulator.Log{}
-	d.List = &emulator.List{Lag: 2 * time.Second}
-	d.Weights = &emulator.Weights{Speed: d.Speed}
+	d.Log = &emulator.Log{Addr: d.any()}
+	d.List = &emulator.List{Addr: d.any(), Lag: 2 * time.Second}
+	d.Weights = &emulator.Weights{Addr: d.any(), Speed: d.Speed}
 	for _, s := range []interface {
 		Start() (string, error)
 		Kill()
@@ -193,7 +199,8 @@
 	const mib = 1 << 20
 	c := &d.Config.Stores[i]
 	s := &emulator.Store{
-		ID: c.ID, LinkBytesPerSec: float64(c.LinkMiBPerSec) * mib, DiskBytesPerSec: float64(c.DiskMiBPerSec) * mib,
+		Addr: d.any(),
+		ID:   c.ID, LinkBytesPerSec: float64(c.LinkMiBPerSec) * mib, DiskBytesPerSec: float64(c.DiskMiBPerSec) * mib,
 		MemoryBytes: int64(c.MemoryMiB) * mib, DiskBytes: int64(c.DiskMiB) * mib, Speed: d.Speed,
 	}
 	addr, err := s.Start()
@@ -207,7 +214,8 @@
 
 func (d *Deployment) startEngine(c *configurer.Target) error {
 	e := &emulator.Engine{
-		ID: c.ID, Models: map[string]int64{}, Slots: c.Slots, CacheBlocks: c.CacheBlocks,
+		Addr: d.any(),
+		ID:   c.ID, Models: map[string]int64{}, Slots: c.Slots, CacheBlocks: c.CacheBlocks,
 		PrefillRate: float64(d.Size.PrefillRate), DecodeRate: float64(d.Size.DecodeRate),
 		LoadMs: d.Size.LoadMs, WeightsAddr: d.Weights.Addr, ReportLag: time.Second, Speed: d.Speed, ChecksFencing: c.ChecksFencing,
 	}
@@ -226,7 +234,7 @@
 }
 
 func (d *Deployment) startService(c *configurer.Target) error {
-	s := &emulator.Service{ID: c.ID}
+	s := &emulator.Service{ID: c.ID, Addr: d.any()}
 	addr, err := s.Start()
 	if err != nil {
 		return err
@@ -243,7 +251,7 @@
 	e.ctx, e.cancel = context.WithCancel(ctx)
 	e.Settings = &configurer.Settings{
 		Instance: configurer.Instance{
-			ID: e.ID, DataCentre: d.dataCentre(i), Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", Seeds: d.peerAddresses(),
+			ID: e.ID, DataCentre: d.dataCentre(i), Listen: d.any(), PeerListen: d.any(), Seeds: d.peerAddresses(),
 		},
 		Platform: configurer.Platform{Log: d.Log.Addr, List: d.List.Addr},
 		Keys:     configurer.Keys{Token: []string{d.tokenKey}},
--- a/internal/demonstrator/scenario_test.go
+++ b/internal/demonstrator/scenario_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -49,6 +50,9 @@
 
 type scenarioKey struct{}
 
+// deployments numbers the deployments of all scripts.
+var deployments atomic.Int32
+
 func setUpScenario(env *testscript.Env) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &scenario{ctx: ctx, streams: map[string]chan error{}, threads: map[string][]caller.Message{}}
@@ -112,6 +116,8 @@
 	if !ok {
 		return errors.New("unknown user")
 	}
+	// Scripts run side by side; with one address for all, the port of a killed instance could go to another deployment.
+	size.Host = fmt.Sprintf("127.0.2.%d", deployments.Add(1))
 	var err error
 	s.dep, err = Start(s.ctx, size, float64(max(1, number(args, 1))), logger.Discard())
 	return err
