--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -1,7 +1,9 @@
 package gossiper
 
 import (
+	"flag"
 	"fmt"
+	"os"
 	"slices"
 	"testing"
 	"time"
@@ -10,6 +12,16 @@
 	"pgregory.net/rapid"
 )
 
+// TestMain fixes the seed of the random test, so that a failure is the same for everyone; -rapid.seed draws other runs.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true", "rapid.checks": "200"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
 const quiet = 120 * time.Second
 
 // Guards against views that stay different after joins, crashes, pauses and partitions, against a live member that
