--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	_ "github.com/papayaworks/papayaworks/internal/seeder" // fixed seed
 )
 
 // TestMain fixes the seed of the random test, so that a failure is the same for everyone; -rapid.seed draws other runs.
--- /dev/null
+++ b/internal/gossiper/load_bench_test.go
@@ -0,0 +1,70 @@
+package gossiper
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// BenchmarkReports measures the traffic of one instance when the reports of the targets of its data centre are passed on
+// every three periods and those of their stores every thirty, each by one instance. The body is that of a load report.
+// With usage, each instance also sends a full usage payload every five periods.
+func BenchmarkReports(b *testing.B) {
+	for name, targets := range map[string]int{"0": 0, "14": 14, "70": 70, "140": 140, "0-usage": 0, "70-usage": 70} {
+		b.Run(name, func(b *testing.B) {
+			usage := strings.HasSuffix(name, "usage")
+			const size = 35 // instances of one data centre
+			c := newCluster(uint64(targets))
+			c.centres = 1
+			for i := range size {
+				c.start(i)
+			}
+			c.join()
+			c.run(10 * c.period)
+			for _, n := range c.order {
+				n.sent, n.wire = 0, 0
+			}
+			body, rounds, got, told := make([]byte, 33), 0, 0, 0
+			b.ResetTimer()
+			for i := range b.N {
+				for t := i % 3; t < targets; t += 3 {
+					n := c.order[t%size].p
+					if err := n.Report(fmt.Sprintf("letters-%04d", t), body, c.now); err != nil {
+						b.Fatal(err)
+					}
+					if i/3%10 != t%10 {
+						continue
+					}
+					if err := n.Report(fmt.Sprintf("store/store-%04d", t), body, c.now); err != nil {
+						b.Fatal(err)
+					}
+				}
+				for j, n := range c.order {
+					if usage && (i+j)%5 == 0 {
+						if err := n.p.Usage(make([]byte, 771), nil, c.now); err != nil {
+							b.Fatal(err)
+						}
+					}
+				}
+				c.run(c.period)
+				rounds++
+			}
+			b.StopTimer()
+			for _, n := range c.order {
+				got += len(n.p.items[itemLoad])
+				told += len(n.p.items[itemUsage])
+			}
+			var sent, wire int
+			for _, n := range c.order {
+				sent, wire = sent+n.sent, wire+n.wire
+			}
+			per := float64(rounds * size)
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/per, "us/instance-period")
+			b.ReportMetric(float64(wire)/per, "B/instance-s")
+			b.ReportMetric(float64(sent)/per, "msgs/instance-period")
+			b.ReportMetric(float64(got)/size, "reports-known")
+			b.ReportMetric(float64(told)/size, "usage-known")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
