--- a/internal/benchmarker/policies_bench_test.go
+++ b/internal/benchmarker/policies_bench_test.go
@@ -117,7 +117,6 @@
 		"export-always": without(func(p *policy, _ *router.Planner) { p.placer.Always = true }),
 		"no-link-price": without(func(p *policy, _ *router.Planner) { p.placer.LinkPrice = 0 }),
 		"no-admission":  without(func(p *policy, _ *router.Planner) { p.noAdmit = true }),
-		"prefetch":      without(func(p *policy, _ *router.Planner) { p.prefetch = true }),
 	}
 }
 
--- a/internal/benchmarker/policies_test.go
+++ b/internal/benchmarker/policies_test.go
@@ -17,13 +17,13 @@
 
 // policy is a way to route requests and to keep their context.
 type policy struct {
-	choose                    func(s *sim, in *router.Input) *view.Target // a baseline; nil for the product's policy
-	store                     bool                                        // the baseline exports every context and imports what is stored
-	router                    router.Policy
-	placer                    *placer.Placer
-	noHint, noAdmit, prefetch bool
-	noLink                    bool              // exports go out at once instead of through the shaper
-	next                      map[*view.Own]int // turns, by the first target's counter, which is the instance's own
+	choose          func(s *sim, in *router.Input) *view.Target // a baseline; nil for the product's policy
+	store           bool                                        // the baseline exports every context and imports what is stored
+	router          router.Policy
+	placer          *placer.Placer
+	noHint, noAdmit bool
+	noLink          bool              // exports go out at once instead of through the shaper
+	next            map[*view.Own]int // turns, by the first target's counter, which is the instance's own
 }
 
 func (p *policy) route(s *sim, r *run) bool {
@@ -190,7 +190,6 @@
 	start := func(done func(bool)) {
 		p.write(s, r, st, d.Disk, func(ok bool) {
 			if ok {
-				p.later(s, r, k.Key, st, 0)
 				t.Keep(d.Store, d.Disk, tracker.Kept{Kept: k, Anchor: r.conv.anchor, Generation: int64(r.arrived)})
 			}
 			done(ok)
@@ -203,27 +202,6 @@
 	t.Move(d.Store, s.stores[st].linkRate, shaper.Job{Class: shaper.Export, Bytes: s.stores[st].weighted(int(n/blockBytes), d.Disk)}, start)
 }
 
-// later looks at a few times after a run whether the context should be brought back to the accelerator.
-func (p *policy) later(s *sim, r *run, k placer.Key, st, step int) {
-	waits := []time.Duration{time.Minute, 3 * time.Minute, 6 * time.Minute, 12 * time.Minute}
-	if !p.prefetch || step == len(waits) {
-		return
-	}
-	s.c.after(waits[step]-(s.c.now-r.firstAt), func() {
-		to := s.stores[st]
-		h := to.find(r.conv.anchor)
-		if r.conv.blocks != r.blocks || h.blocks == 0 || to.dead || s.engines[r.target].dead {
-			return
-		}
-		if r.instance.tracker.Prefetch(p.placer, k, waits[step], max(0, to.linkFree-s.c.now)) {
-			end := to.transfer(s.c.now, int64(h.blocks)*blockBytes, h.disk)
-			s.c.after(end-s.c.now, func() { s.engines[r.target].cache.put(held{anchor: r.conv.anchor, blocks: h.blocks}) })
-			return
-		}
-		p.later(s, r, k, st, step+1)
-	})
-}
-
 // free is the room in a tier by the last report, above the reserve.
 func free(r *run, st int, w *workload, disk bool) int64 {
 	state := r.instance.view.Store(id("s", st)).State
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -139,24 +139,3 @@
 	}
 	return k.Saving * chance * (1 - before) / left
 }
-
-const (
-	// prefetchChance is the chance of a return in the window above which a prefetch is worth the link.
-	prefetchChance = 0.5
-	// prefetchWindow is how long prefetched blocks are expected to stay on the accelerator.
-	prefetchWindow = 10 * time.Second
-)
-
-// Prefetch says whether a context should be brought to the accelerator at a time after its last run.
-// The link must be idle, and the conversation must be likely to return while the blocks stay there.
-func (p *Placer) Prefetch(k Key, since time.Duration, backlog time.Duration, returns *Returns) bool {
-	if backlog > 0 {
-		return false
-	}
-	before := returns.Within(k, since)
-	soon := returns.Within(k, since+prefetchWindow) - before
-	chance := returns.Chance(k)
-	// The chance of a return in the window, given that there was none so far.
-	left := 1 - chance*before
-	return left > 0 && chance*soon/left >= prefetchChance
-}
--- a/internal/tracker/kept.go
+++ b/internal/tracker/kept.go
@@ -82,13 +82,6 @@
 	t.kept[at] = slices.DeleteFunc(t.kept[at], func(o Kept) bool { return o.Anchor == anchor })
 }
 
-// Prefetch asks the placer whether a context should be brought to the accelerator.
-func (t *Tracker) Prefetch(p *placer.Placer, k placer.Key, since, backlog time.Duration) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return p.Prefetch(k, since, backlog, t.returns)
-}
-
 // Life returns how long contexts are expected to stay on the accelerators.
 func (t *Tracker) Life() time.Duration {
 	t.mu.Lock()
