--- a/internal/server/entry_bench_test.go
+++ b/internal/server/entry_bench_test.go
@@ -42,12 +42,14 @@
 	cfg := &configurer.Config{
 		Deployment:  configurer.Deployment{Name: "test"},
 		DataCentres: []configurer.DataCentre{{Name: "a", Region: "r"}},
-		Models:      []configurer.Model{{Name: "m"}},
+		// Admission estimates the wait by the configured rate, so it must be that of the stand-in.
+		Models: []configurer.Model{{Name: "m", PrefillTokensPerSecond: 1 << 30, DecodeTokensPerSecond: 1 << 20}},
 		Targets: []configurer.Target{{
 			ID: "e", Address: e.Addr, DataCentre: "a", Kind: configurer.KindEngine, Models: []string{"m"}, Slots: e.Slots,
 		}},
 		Accounts: []configurer.Account{{
 			Name: "acc", KeySHA256: identifier.HashKey("key"), RequestsPerSecond: 1 << 20, TokensPerSecond: 1 << 30, Streams: 1 << 20,
+			FirstTokenMs: 60_000, DeadlineMs: 600_000,
 		}},
 	}
 	cfg.SetDefaults()
