fix(swapper): the lease's holder remembers targets that are as wanted

The holder gets load reports of its own data centre only. It asked every other target in each round, and took a target that it had to ask for one that needs an order, so rounds followed each other every 0.1 s: 2.3 MB/s at 830 targets. Now an answer that says that the target is as wanted is used for 30 s (2 s while a swap is in progress, since plans count the targets that serve), and such a target does not make the next round early. Another wanted version, or a load report, overrides the answer.

--- a/internal/swapper/swapper.go
+++ b/internal/swapper/swapper.go
@@ -40,6 +40,12 @@
 	reportLimit  = 2 * time.Second
 	// busyPeriod is the time between two rounds while a target is not as wanted.
 	busyPeriod = 100 * time.Millisecond
+	// askAgain is how long the answer of a target that was as wanted is used. The holder gets no load reports of other
+	// data centres: at 830 targets, asking 761 of them each second would take 230 KB/s.
+	askAgain = 30 * time.Second
+	// askAgainBusy is that time while a target is not as wanted: plans count the targets that serve, so one that died
+	// must be seen early.
+	askAgainBusy = 2 * time.Second
 )
 
 // Leases grants the right to send orders.
@@ -64,8 +70,21 @@
 	// Period is the time between two rounds while every target is as wanted.
 	Period time.Duration
 
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
+
 	mu      sync.Mutex
 	loading map[string]bool
+	// answers are the last answers of targets; only the goroutine of the rounds uses them.
+	answers map[string]answer
+	// busy is what the last round reported.
+	busy bool
+}
+
+// answer is what a target said of itself.
+type answer struct {
+	state dialer.EngineState
+	at    time.Time
 }
 
 // Run runs rounds while the lease is held, until ctx ends.
@@ -91,6 +110,7 @@
 func (s *Swapper) Round(ctx context.Context) bool {
 	v := s.View()
 	reports, busy := s.reports(ctx, v)
+	s.busy = busy
 	if !busy {
 		return false
 	}
@@ -162,6 +182,39 @@
 	return true
 }
 
+// stateWanted reports whether a target's answer says that it needs no order.
+func stateWanted(cfg *configurer.Config, t configurer.Target, st dialer.EngineState) bool {
+	if st.Loading || st.Leaving || st.Draining != t.Leaving {
+		return false
+	}
+	for _, name := range t.Models {
+		m, ok := cfg.Model(name)
+		if ok && st.Versions[name] != m.Version {
+			return false
+		}
+	}
+	return true
+}
+
+// remembered returns the last answer of a target if it is recent and says that the target is as wanted. Only targets
+// without load reports are remembered: a report would be newer.
+func (s *Swapper) remembered(cfg *configurer.Config, t *view.Target) (dialer.EngineState, bool) {
+	a, ok := s.answers[t.ID]
+	limit := askAgain
+	if s.busy {
+		limit = askAgainBusy
+	}
+	ok = ok && len(t.Versions) == 0 && s.now().Sub(a.at) < limit && stateWanted(cfg, t.Target, a.state)
+	return a.state, ok
+}
+
+func (s *Swapper) now() time.Time {
+	if s.Now != nil {
+		return s.Now()
+	}
+	return time.Now()
+}
+
 // reports returns the states of all engines, and whether one of them is not as wanted.
 func (s *Swapper) reports(ctx context.Context, v *view.View) ([]Report, bool) {
 	ctx, cancel := context.WithTimeout(ctx, reportLimit)
@@ -176,6 +229,8 @@
 		r := Report{Target: ct, Leaving: ct.Leaving}
 		if asWanted(v.Config, t) {
 			r.Known, r.State = !t.Down, dialer.EngineState{Versions: t.Versions, Draining: t.Load.Draining}
+		} else if st, ok := s.remembered(v.Config, t); ok {
+			r.Known, r.State = true, st
 		} else {
 			ask = append(ask, len(out))
 		}
@@ -192,10 +247,28 @@
 		})
 	}
 	wg.Wait()
-	busy := slices.ContainsFunc(ask, func(i int) bool { return out[i].Known && !out[i].Leaving })
+	s.remember(out, ask)
+	busy := slices.ContainsFunc(ask, func(i int) bool {
+		r := out[i]
+		return r.Known && !r.Leaving && !stateWanted(v.Config, r.Target, r.State)
+	})
 	return out, busy || s.wantsDrain(out)
 }
 
+// remember keeps the answers of a round.
+func (s *Swapper) remember(reports []Report, asked []int) {
+	if s.answers == nil {
+		s.answers = map[string]answer{}
+	}
+	for _, i := range asked {
+		r := reports[i]
+		delete(s.answers, r.Target.ID)
+		if r.Known {
+			s.answers[r.Target.ID] = answer{state: r.State, at: s.now()}
+		}
+	}
+}
+
 // wantsDrain reports whether the configuration wants a target out of service that still serves.
 func (s *Swapper) wantsDrain(reports []Report) bool {
 	return slices.ContainsFunc(reports, func(r Report) bool {
