--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -165,6 +165,23 @@
 	return &n
 }
 
+// The states in which a member takes part; a suspect may refute the suspicion.
+const (
+	memberAlive   = "alive"
+	memberSuspect = "suspect"
+)
+
+// LiveMembers returns how many instances take part, this one included.
+func (v *View) LiveMembers() int {
+	n := 0
+	for _, m := range v.Members {
+		if m.State == memberAlive || m.State == memberSuspect {
+			n++
+		}
+	}
+	return max(1, n)
+}
+
 // WithMembers returns a view with other members.
 func (v *View) WithMembers(ms []Member) *View {
 	n := *v
