fix(fencer): eight instances request the lease, not all

All 420 instances wanted the one resource: when its holder died, each appended a request in the same round, and each read the stream every 0.83 s, 504 reads a second in all. Above 24 live members only the first eight by rendezvous request it; the others read every 10 s. The log still decides who holds the lease, a holder renews whether it is a candidate or not, and each part of a partitioned system has candidates among its own members.

--- a/internal/fencer/fencer.go
+++ b/internal/fencer/fencer.go
@@ -40,6 +40,9 @@
 	renewDivisor = 3
 	readMax      = 1000
 	appendLimit  = 2 * time.Second
+	// idlePause is the time between two reads of an instance that may not request any of its resources: the records are
+	// of no use to it but for its status page, and reads like a candidate's by 420 instances are 504 a second.
+	idlePause = 10 * time.Second
 )
 
 // The events of the chart "lease".
@@ -76,12 +79,15 @@
 
 // Fencer keeps the leases that an instance wants.
 type Fencer struct {
-	Log      Log
-	Holder   string
-	TTL      time.Duration
-	Clock    Clock
-	Logger   logger.Log
-	Recorder *recorder.Recorder
+	Log    Log
+	Holder string
+	TTL    time.Duration
+	Clock  Clock
+	// Candidate reports whether this instance may request a resource that it does not hold; nil means always. It only
+	// spares requests: the log decides who holds the lease.
+	Candidate func(resource string) bool
+	Logger    logger.Log
+	Recorder  *recorder.Recorder
 
 	mu     sync.Mutex
 	book   Book
@@ -152,10 +158,27 @@
 			pause(ctx, f.TTL/(2*renewDivisor))
 		}
 		f.Campaign(ctx)
+		if !f.engaged() {
+			pause(ctx, idlePause)
+		}
 	}
 	f.release()
 }
 
+// engaged reports whether a wanted lease is held, requested, or may be requested.
+func (f *Fencer) engaged() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for resource, c := range f.wanted {
+		if !c.machine.In("none") || f.mayRequest(resource) {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *Fencer) mayRequest(resource string) bool { return f.Candidate == nil || f.Candidate(resource) }
+
 // Poll reads new lease records and waits at most d for the first.
 func (f *Fencer) Poll(ctx context.Context, d time.Duration) error {
 	f.mu.Lock()
@@ -259,6 +282,9 @@
 		return Record{}, false
 	}
 	if c.machine.In("none") {
+		if !f.mayRequest(resource) {
+			return Record{}, false
+		}
 		if g, ok := f.book.Grant(resource); ok && g.Holder != f.Holder && now.Before(f.freeAt(g)) {
 			return Record{}, false
 		}
--- a/internal/fencer/fencer_bench_test.go
+++ b/internal/fencer/fencer_bench_test.go
@@ -9,17 +9,19 @@
 	"github.com/papayaworks/papayaworks/internal/appender"
 )
 
-// BenchmarkLease measures the appends of instances that all want one resource, in steady state and when the holder
+// BenchmarkLease measures the appends of instances of which all or some request one resource, in steady state and when the holder
 // dies, on virtual time, and the fold of one record.
 func BenchmarkLease(b *testing.B) {
-	for _, n := range []int{7, 70, 420} {
-		b.Run(fmt.Sprintf("holders/%d", n), func(b *testing.B) {
+	for _, size := range [][2]int{{7, 7}, {70, 70}, {420, 420}, {420, 8}} {
+		n, candidates := size[0], size[1]
+		b.Run(fmt.Sprintf("holders/%d/%d", n, candidates), func(b *testing.B) {
 			var steady, takeover, bytes float64
 			for b.Loop() {
 				w := &world{now: time.Unix(1_700_000_000, 0)}
 				var fs []*Fencer
 				for i := range n {
 					f := New(w, fmt.Sprintf("kochi-a-%d-3k2j1h", i), ttl, skewed{w, w.now, 1})
+					f.Candidate = func(string) bool { return i < candidates }
 					f.Want("targets")
 					fs = append(fs, f)
 				}
--- a/internal/fencer/fencer_test.go
+++ b/internal/fencer/fencer_test.go
@@ -149,3 +149,30 @@
 		}
 	})
 }
+
+// Guards against 420 instances that all append a request when a holder dies, against an instance that becomes a
+// candidate and never requests, and against a holder that gives up because it is no candidate any more.
+func TestOnlyCandidatesRequest(t *testing.T) {
+	w, ctx := &world{now: time.Unix(1_700_000_000, 0)}, context.Background()
+	candidate := false
+	f := New(w, "i0", ttl, skewed{w, w.now, 1})
+	f.Candidate = func(string) bool { return candidate }
+	f.Want("targets")
+	f.Campaign(ctx)
+	require.Empty(t, w.records)
+	require.False(t, f.engaged())
+	candidate = true
+	require.True(t, f.engaged())
+	f.Campaign(ctx)
+	require.Len(t, w.records, 1)
+	require.NoError(t, f.Poll(ctx, 0))
+	candidate = false
+	for range 20 {
+		w.now = w.now.Add(ttl / renewDivisor)
+		f.Campaign(ctx)
+		require.NoError(t, f.Poll(ctx, 0))
+		_, held := f.Held("targets")
+		require.True(t, held, "a holder renews its lease")
+		require.True(t, f.engaged())
+	}
+}
--- a/internal/server/loads.go
+++ b/internal/server/loads.go
@@ -80,25 +80,25 @@
 }
 
 // pollersOf returns which of the live members of its data centre poll a target or store when there are too many for
-// all to do it, by rendezvous.
-func pollersOf(members []string, id string) []string {
+// all to do it.
+func pollersOf(members []string, id string) []string { return chosen(members, id, pollersPerTarget) }
+
+// chosen returns the first n members for an id by rendezvous.
+func chosen(members []string, id string, n int) []string {
 	// A weight uses the first bytes of the key, which are alike in the ids of most targets.
 	hash := sha256.Sum256([]byte(id))
 	key := keyer.Key(hash[:keyer.KeyBytes])
-	out := make([]string, 0, pollersPerTarget+1)
-	var weights [pollersPerTarget + 1]uint64
+	out, weights := make([]string, 0, n+1), make([]uint64, 0, n+1)
 	for _, m := range members {
 		w, at := keyer.Weight(key, m), len(out)
 		for at > 0 && w > weights[at-1] {
 			at--
 		}
-		if at == pollersPerTarget {
+		if at == n {
 			continue
 		}
-		out = slices.Insert(out, at, m)
-		copy(weights[at+1:], weights[at:])
-		weights[at] = w
-		out = out[:min(len(out), pollersPerTarget)]
+		out, weights = slices.Insert(out, at, m), slices.Insert(weights, at, w)
+		out, weights = out[:min(len(out), n)], weights[:min(len(weights), n)]
 	}
 	return out
 }
--- a/internal/server/loads_test.go
+++ b/internal/server/loads_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/papayaworks/papayaworks/internal/controller"
 	"github.com/papayaworks/papayaworks/internal/dialer"
 	"github.com/papayaworks/papayaworks/internal/view"
 	"github.com/papayaworks/papayaworks/pkg/configurer"
@@ -58,3 +59,19 @@
 	require.NoError(t, msgpack.Unmarshal(body, out))
 	require.Equal(t, sharedLoad{Load: in.Load, Versions: in.Versions, Leaving: true}, *out)
 }
+
+// Guards against a lease that nobody requests, or that hundreds of instances request.
+func TestLeaseHasSomeCandidates(t *testing.T) {
+	for members, want := range map[int]int{7: 7, 24: 24, 25: leaseCandidates, 420: leaseCandidates} {
+		v, n := manyMembers(view.New(sizedConfig(1, 1), 1, "dc-00"), members), 0
+		for _, id := range live(v, "") {
+			s := &Server{Settings: &configurer.Settings{Instance: configurer.Instance{ID: id}}, control: controller.New(v)}
+			if s.candidate("targets") {
+				n++
+			}
+		}
+		require.Equal(t, want, n, "%d members", members)
+	}
+	alone := &Server{Settings: &configurer.Settings{}, control: controller.New(view.New(sizedConfig(1, 1), 1, "dc-00"))}
+	require.True(t, alone.candidate("targets"), "an instance that joins no others")
+}
