fix(listener): never stop the HTTP library's engine

The engine's Stop writes to its event file after a poller may have closed it; the number can by then be another connection of the process. A stop also did not wait for the last flush of a response. Change: Kill closes the socket and all connections and leaves the poller idle; a stop waits for the library's work on each request, not only for the handler; the library's table of connections takes 512 KiB instead of 16 MiB a server.

--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -14,6 +14,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -32,8 +33,10 @@
 	keepAlive = 2 * time.Hour
 	// How often connections are checked for having been closed by the caller.
 	closedCheckPeriod = 50 * time.Millisecond
-	// The library's Stop waits forever for a poller that had not begun to run when it was called.
-	stopLimit          = 2 * time.Second
+	// How often a stop looks whether the requests in progress have ended.
+	drainCheckPeriod = 5 * time.Millisecond
+	// The library keeps a table of this many pointers for each server; its default takes 16 MiB.
+	maxOpenFiles       = 1 << 16
 	defaultMaxBody     = 8 << 20
 	defaultWriteBuffer = 4 << 20
 )
@@ -48,15 +51,20 @@
 	WriteBufferBytes int
 
 	engine *nbhttp.Engine
-	gate   *gate
+	socket net.Listener
 	done   chan struct{}
 	opened atomic.Int64
 
 	mu     sync.Mutex
 	active map[net.Conn]context.CancelFunc
-	wg     sync.WaitGroup
+	conns  map[net.Conn]struct{}
+	// running counts the library's pieces of work on requests.
+	running atomic.Int64
 }
 
+// setUp sets the variables of the library once.
+var setUp sync.Once
+
 // closer is implemented by the connections of the HTTP library.
 type closer interface {
 	IsClosed() (bool, error)
@@ -65,6 +73,7 @@
 // Start listens and returns the bound address.
 func (s *Server) Start() (string, error) {
 	logger.QuietLibraries()
+	setUp.Do(func() { nbio.MaxOpenFiles = maxOpenFiles })
 	if s.MaxBodyBytes == 0 {
 		s.MaxBodyBytes = defaultMaxBody
 	}
@@ -72,28 +81,30 @@
 		s.WriteBufferBytes = defaultWriteBuffer
 	}
 	s.active = map[net.Conn]context.CancelFunc{}
+	s.conns = map[net.Conn]struct{}{}
 	s.done = make(chan struct{})
 	ln, err := net.Listen("tcp", s.Addr)
 	if err != nil {
 		return "", failer.Wrap(err, "listen on", s.Addr, "start")
 	}
 	addr := ln.Addr().String()
-	s.gate = &gate{Listener: ln, done: s.done}
+	s.socket = ln
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Network:            "tcp",
 		Addrs:              []string{addr},
-		Listen:             func(string, string) (net.Listener, error) { return s.gate, nil },
+		Listen:             func(string, string) (net.Listener, error) { return gate{ln}, nil },
 		NPoller:            1,
 		MaxHTTPBodySize:    s.MaxBodyBytes,
 		MaxWriteBufferSize: s.WriteBufferBytes,
 		KeepaliveTime:      keepAlive,
 		SupportServerOnly:  true,
 		Handler:            http.HandlerFunc(s.serve),
-		ServerExecutor:     func(f func()) { go f() },
+		ServerExecutor:     s.execute,
 	})
 	// The library hands a connection from its accepting goroutine to a poller through epoll alone, which Go's memory
 	// model does not know. The counter orders the two for it.
-	s.engine.OnOpen(func(net.Conn) { s.opened.Add(1) })
+	s.engine.OnOpen(s.open)
+	s.engine.OnClose(s.forget)
 	s.engine.OnData(func(c *nbio.Conn, data []byte) {
 		s.opened.Load()
 		c.DataHandler()(c, data)
@@ -105,9 +116,29 @@
 	return addr, nil
 }
 
+// execute runs the library's work on a request: the handler and, after it, the sending of the rest of its response.
+func (s *Server) execute(f func()) {
+	s.running.Add(1)
+	go func() {
+		defer s.running.Add(-1)
+		f()
+	}()
+}
+
+func (s *Server) open(c net.Conn) {
+	s.opened.Add(1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = struct{}{}
+}
+
+func (s *Server) forget(c net.Conn, _ error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
-	s.wg.Add(1)
-	defer s.wg.Done()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	if res, ok := w.(*nbhttp.Response); ok && res.Parser != nil {
@@ -164,44 +195,45 @@
 	return len(s.active)
 }
 
-// gate is a listener that can be closed before the HTTP library is stopped; the library's accept loop would
-// otherwise spin on the error of a closed socket.
+// gate is a listener whose Accept never returns once its socket is closed; the library's accept loop would spin on
+// the error.
 type gate struct {
 	net.Listener
-	done chan struct{}
 }
 
-// Accept blocks after the socket was closed, until the server is done.
-func (g *gate) Accept() (net.Conn, error) {
+// Accept implements net.Listener.
+func (g gate) Accept() (net.Conn, error) {
 	c, err := g.Listener.Accept()
-	if err != nil {
-		<-g.done
+	if errors.Is(err, net.ErrClosed) {
+		select {}
 	}
 	return c, err
 }
 
 // Refuse closes the listening socket; requests in progress and open connections go on.
-func (s *Server) Refuse() { _ = s.gate.Listener.Close() }
+func (s *Server) Refuse() { _ = s.socket.Close() }
 
 // Stop refuses new connections, waits for the requests in progress until ctx ends, then closes every connection.
 func (s *Server) Stop(ctx context.Context) error {
 	s.Refuse()
-	drained := make(chan struct{})
-	go func() {
-		s.wg.Wait()
-		close(drained)
-	}()
+	t := time.NewTicker(drainCheckPeriod)
+	defer t.Stop()
 	var err error
-	select {
-	case <-drained:
-	case <-ctx.Done():
-		err = failer.Wrap(ctx.Err(), "finish requests on", s.Addr, "stop")
+	for s.running.Load() > 0 && err == nil {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			err = failer.Wrap(ctx.Err(), "finish requests on", s.Addr, "stop")
+		}
 	}
 	s.Kill()
 	return err
 }
 
-// Kill closes the listening socket and every connection at once, as the death of the process would.
+// Kill closes the listening socket and every connection at once, as the death of the process would. The library is
+// not stopped: its Stop waits forever for a poller that has not begun to run, and writes to the number of a file that
+// the poller may have closed meanwhile, which corrupted another connection of the process. What is left is one idle
+// poller.
 func (s *Server) Kill() {
 	select {
 	case <-s.done:
@@ -211,18 +243,16 @@
 	}
 	s.Refuse()
 	s.mu.Lock()
+	var conns []net.Conn
 	for conn, cancel := range s.active {
 		cancel()
-		_ = conn.Close()
+		conns = append(conns, conn)
+	}
+	for conn := range s.conns {
+		conns = append(conns, conn)
 	}
 	s.mu.Unlock()
-	stopped := make(chan struct{})
-	go func() {
-		defer close(stopped)
-		s.engine.Stop()
-	}()
-	select {
-	case <-stopped:
-	case <-time.After(stopLimit):
+	for _, c := range conns {
+		_ = c.Close()
 	}
 }
