--- a/internal/limiter/limiter_bench_test.go
+++ b/internal/limiter/limiter_bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"runtime"
 	"testing"
 	"time"
@@ -98,3 +99,46 @@
 	})
 	runtime.KeepAlive(l)
 }
+
+// BenchmarkUsage measures the bytes that one instance reports a second at the design rate of 23 requests/s, spread
+// evenly over the accounts and at random over time, with as many members as at the design size.
+func BenchmarkUsage(b *testing.B) {
+	const rate, seconds = 23, 300
+	for _, accounts := range []int{10, 120, 1200} {
+		b.Run(fmt.Sprint(accounts), func(b *testing.B) {
+			var size, reported float64
+			for b.Loop() {
+				size, reported = 0, 0
+				now, rng := time.Unix(1_700_000_000, 0), rand.New(rand.NewPCG(1, uint64(accounts)))
+				l := New("i-0", "dc-0")
+				var as []configurer.Account
+				for i := range accounts {
+					as = append(as, configurer.Account{Name: fmt.Sprintf("account-%04d", i), RequestsPerSecond: 50, TokensPerSecond: 20_000, Streams: 64})
+				}
+				l.SetAccounts(as, now)
+				var ms []Member
+				for i := range 420 {
+					ms = append(ms, Member{ID: fmt.Sprintf("i-%d", i), DataCentre: fmt.Sprintf("dc-%d", i%12)})
+				}
+				l.SetMembers(ms, now)
+				for range seconds {
+					for range rate {
+						a := as[rng.IntN(accounts)]
+						now = now.Add(time.Second / rate)
+						l.Take(a, 300, now)
+						l.Finish(a, 300, now)
+					}
+					us := l.Report(now)
+					data, err := Encode(us)
+					if err != nil {
+						b.Fatal(err)
+					}
+					size, reported = size+float64(len(data)), reported+float64(len(us))
+				}
+			}
+			b.ReportMetric(size/seconds, "B/s")
+			b.ReportMetric(reported/seconds*ReportPeriod.Seconds(), "accounts/report")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
