fix(gossiper): load reports and usage payloads share the traffic

Cause: both kinds had one budget of 4,000 B a period and reports had to leave half of the burst to payloads, so that full payloads, 5.2 KB/s, left nothing to reports. Integers had fixed widths, each item was sent a second time with regular messages, messages to pass items on left eight times a period, and what waited was sent in the order of keys.

--- a/internal/gossiper/load_bench_test.go
+++ b/internal/gossiper/load_bench_test.go
@@ -8,11 +8,15 @@
 
 // BenchmarkReports measures the traffic of one instance when the reports of the targets of its data centre are passed on
 // every three periods and those of their stores every thirty, each by one instance. The body is that of a load report.
-// With usage, each instance also sends a full usage payload every five periods.
+// With usage, each instance also sends a full usage payload every five periods, and with large usage one of 771 bytes,
+// which is more than the budget allows.
 func BenchmarkReports(b *testing.B) {
-	for name, targets := range map[string]int{"0": 0, "14": 14, "70": 70, "140": 140, "0-usage": 0, "70-usage": 70} {
+	for name, targets := range map[string]int{"0": 0, "14": 14, "70": 70, "140": 140, "0-usage": 0, "70-usage": 70, "70-large-usage": 70} {
 		b.Run(name, func(b *testing.B) {
-			usage := strings.HasSuffix(name, "usage")
+			usage, full := strings.HasSuffix(name, "usage"), 330
+			if strings.Contains(name, "large") {
+				full = 771
+			}
 			const size = 35 // instances of one data centre
 			c := newCluster(uint64(targets))
 			c.centres = 1
@@ -41,7 +45,7 @@
 				}
 				for j, n := range c.order {
 					if usage && (i+j)%5 == 0 {
-						if err := n.p.Usage(make([]byte, 771), nil, c.now); err != nil {
+						if err := n.p.Usage(make([]byte, full), nil, c.now); err != nil {
 							b.Fatal(err)
 						}
 					}
--- a/internal/gossiper/message.go
+++ b/internal/gossiper/message.go
@@ -30,6 +30,9 @@
 	kinds
 )
 
+// limitShift is what messages leave out of a position: two of 420 positions share the upper half once in 50,000 rings.
+const limitShift = 32
+
 // The kinds of items.
 const (
 	itemLeaving uint8 = iota
@@ -53,7 +56,8 @@
 	// Off withdraws an earlier observation.
 	Off  bool
 	Body []byte
-	// Limit is the position on the ring up to which the receiver passes the item on; 0 if it does not.
+	// Limit is the position on the ring up to which the receiver passes the item on; 0 if it does not. Messages carry
+	// its upper half.
 	Limit uint64
 
 	// passed says that the item was passed on here.
@@ -119,11 +123,13 @@
 
 // encode returns v in msgpack; all types that are passed can be encoded.
 func encode(v any) []byte {
-	b, err := msgpack.Marshal(v)
-	if err != nil {
+	var b bytes.Buffer
+	enc := msgpack.NewEncoder(&b)
+	enc.UseCompactInts(true) // fixed widths would be a quarter of a load report
+	if err := enc.Encode(v); err != nil {
 		panic(err) // a type of this package cannot be encoded
 	}
-	return b
+	return b.Bytes()
 }
 
 const (
--- a/internal/gossiper/protocol.go
+++ b/internal/gossiper/protocol.go
@@ -27,8 +27,11 @@
 	retryEvery = 5
 	// urgentPerPeriod bounds the extra rounds for urgent changes.
 	urgentPerPeriod = 4
-	// passPerPeriod is how often brief items are passed on. Nine hops, the most at 420 members, then take 0.6 s on average.
-	passPerPeriod = 8
+	// passPerPeriod is how often brief items are passed on. Nine hops, the most at 420 members, then take 1.5 s on average.
+	passPerPeriod = 3
+	// loadPassEvery is the part of these times at which load reports alone are worth a message: an envelope has as many
+	// bytes as a report, so that reports wait for each other.
+	loadPassEvery = 2
 	// fanout is the number of messages of a round.
 	fanout = 3
 )
@@ -76,7 +79,7 @@
 
 	nextPeriod, lastTick, lastRound, lastPass, lastSync, lastForced time.Time
 	periods                                                         int
-	turn, localTurn, urgentTurn, deadTurn, seedTurn                 int
+	turn, localTurn, urgentTurn, deadTurn, seedTurn, passTurn       int
 	watched                                                         map[string]time.Time
 	stopped                                                         bool
 	wall                                                            int64
@@ -111,7 +114,7 @@
 	if p.queue.urgentRounds > 0 {
 		next = earlier(next, p.lastRound.Add(p.opt.Period/urgentPerPeriod))
 	}
-	if len(p.queue.outbox) > 0 && p.queue.briefLeft > 0 {
+	if len(p.queue.outbox) > 0 {
 		next = earlier(next, p.lastPass.Add(p.opt.Period/passPerPeriod))
 	}
 	return next
@@ -168,7 +171,7 @@
 		p.nextPeriod = now.Add(p.opt.Period)
 	}
 	p.periods++
-	p.queue.briefLeft = min(briefBurst, p.queue.briefLeft+briefBytes)
+	p.queue.refill()
 	p.expire(now)
 	p.watch(now)
 	p.round(now)
--- a/internal/gossiper/queue.go
+++ b/internal/gossiper/queue.go
@@ -14,13 +14,15 @@
 	local bool
 	rank  rank
 	sent  int
+	// serial orders what waits in an outbox.
+	serial int
 }
 
 // rank orders pending changes.
 type rank uint8
 
-// The ranks. Changes from rankUsage on are brief: they are replaced every few periods, are sent fewer times and share
-// a budget of bytes.
+// The ranks. Changes from rankUsage on are brief: they are replaced every few periods, are sent fewer times and have
+// a budget of bytes for each rank.
 const (
 	rankUrgent rank = iota
 	rankUsage
@@ -36,47 +38,57 @@
 	outbox map[string]map[string]*pending
 	// urgentRounds is how many more urgent rounds are due.
 	urgentRounds int
-	// briefLeft is how many bytes of brief changes may still be sent in this period.
-	briefLeft int
+	// left is how many bytes of each kind of brief changes may still be sent in this period.
+	left map[rank]int
+	// serial numbers the items of the outboxes in the order in which they came.
+	serial int
 }
 
 func newQueue() *queue {
-	return &queue{byKey: map[string]*pending{}, outbox: map[string]map[string]*pending{}}
+	return &queue{byKey: map[string]*pending{}, outbox: map[string]map[string]*pending{}, left: map[rank]int{}}
 }
 
 func (q *queue) put(p *pending) { q.byKey[p.key] = p }
 
-const (
-	// briefBytes is how many bytes of brief changes an instance sends in a period on average. It receives as many;
-	// with the rest of the messages and the overhead of QUIC both directions stay under 7 KB/s.
-	briefBytes = 4000
-	// briefBurst is what it may send at once: a payload of its own to every finger.
-	briefBurst = 12000
-	// briefTimes is how often an instance adds a brief change to its regular messages, in case the passing on of it failed.
-	briefTimes = 1
-)
+// briefTimes is how often an instance adds a brief change to its regular messages, in case the passing on of it failed.
+const briefTimes = 1
+
+// allowance is a budget of bytes.
+type allowance struct{ period, burst int }
+
+// allowances are what an instance sends of each kind of brief changes in a period on average, and at once: a payload of
+// its own to every finger. Each kind has its own, because in a common one full usage payloads left nothing to load
+// reports. With the rest of the messages the sum stays under 7 KB/s.
+var allowances = map[rank]allowance{rankUsage: {period: 3200, burst: 9000}, rankLoad: {period: 2200, burst: 5000}}
+
+// refill starts a period.
+func (q *queue) refill() {
+	for r, a := range allowances {
+		q.left[r] = min(a.burst, q.left[r]+a.period)
+	}
+}
 
-// pass puts an item into a member's outbox.
+// pass puts an item into a member's outbox. A newer one takes the place of the one that waits, so that no item waits
+// longer than those that came after it.
 func (q *queue) pass(to string, p *pending) {
 	if q.outbox[to] == nil {
 		q.outbox[to] = map[string]*pending{}
 	}
+	q.serial++
+	p.serial = q.serial
+	if old := q.outbox[to][p.key]; old != nil {
+		p.serial = old.serial
+	}
 	q.outbox[to][p.key] = p
 }
 
-// affords reports whether the budget allows a brief item. Load reports leave half of the burst to usage payloads, on
-// which the limits of accounts rest; reports only get older.
-func (q *queue) affords(p *pending) bool {
-	if p.rank == rankLoad {
-		return len(p.raw) <= q.briefLeft-briefBurst/2
-	}
-	return len(p.raw) <= q.briefLeft
-}
+// affords reports whether the budget of its kind allows a brief item.
+func (q *queue) affords(p *pending) bool { return len(p.raw) <= q.left[p.rank] }
 
-// ready reports whether something for a member can be sent now.
-func (q *queue) ready(to string) bool {
+// ready reports whether something for a member can be sent now, load reports only if they are due.
+func (q *queue) ready(to string, loads bool) bool {
 	for _, p := range q.outbox[to] {
-		if q.affords(p) {
+		if q.affords(p) && (loads || p.rank != rankLoad) {
 			return true
 		}
 	}
@@ -89,12 +101,12 @@
 	for _, p := range q.outbox[to] {
 		list = append(list, p)
 	}
-	slices.SortFunc(list, func(a, b *pending) int { return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.key, b.key)) })
+	slices.SortFunc(list, func(a, b *pending) int { return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.serial, b.serial)) })
 	for _, p := range list {
 		if used+len(p.raw) > size || !q.affords(p) {
 			continue
 		}
-		q.briefLeft -= len(p.raw)
+		q.left[p.rank] -= len(p.raw)
 		used += len(p.raw)
 		out = append(out, p.raw)
 		delete(q.outbox[to], p.key)
@@ -105,6 +117,12 @@
 	return out, used
 }
 
+// spare reports whether an item fits into what its kind leaves of the budget.
+func (q *queue) spare(p *pending) bool {
+	a := allowances[p.rank]
+	return q.left[p.rank]-len(p.raw) >= a.burst-a.period
+}
+
 // take returns changes that fit into size bytes, urgent ones and those sent least first, and counts them as sent.
 // Only local receivers get local items. A change that was sent limit times is dropped.
 func (q *queue) take(size int, local bool, limit int) []msgpack.RawMessage {
@@ -121,11 +139,11 @@
 	used := 0
 	for _, p := range list {
 		// What must be passed on comes first: regular messages repeat brief changes only while the budget is not in use.
-		if used+len(p.raw) > size || (p.brief() && q.briefLeft-len(p.raw) < briefBurst-briefBytes) {
+		if used+len(p.raw) > size || (p.brief() && !q.spare(p)) {
 			continue
 		}
 		if p.brief() {
-			q.briefLeft -= len(p.raw)
+			q.left[p.rank] -= len(p.raw)
 		}
 		used += len(p.raw)
 		out = append(out, p.raw)
--- a/internal/gossiper/receive.go
+++ b/internal/gossiper/receive.go
@@ -46,7 +46,9 @@
 		}
 	}
 	if c.Item != nil {
-		p.mergeItem(*c.Item)
+		it := *c.Item
+		it.Limit <<= limitShift
+		p.mergeItem(it)
 	}
 	return nil
 }
--- a/internal/gossiper/send.go
+++ b/internal/gossiper/send.go
@@ -64,14 +64,22 @@
 // enqueueItem spreads an item: a leaving target in urgent rounds, the others with regular messages and by passing on.
 func (p *Protocol) enqueueItem(it Item) {
 	it.Limit = 0
-	c := pendingItem(it)
-	p.queue.put(c)
+	// Items of a data centre are passed on over streams and replaced within seconds; a second copy in regular messages
+	// doubled their bytes.
+	if it.brief() && it.local() && len(p.table.members)+1 > wideMembers {
+		return
+	}
+	p.queue.put(pendingItem(it))
 	if !it.brief() {
 		p.startUrgent()
 	}
 }
 
 func pendingItem(it Item) *pending {
+	if it.brief() {
+		it.UntilMs = 0 // each receiver sets its own
+		it.Limit >>= limitShift
+	}
 	c := &pending{key: string([]byte{'0' + it.Kind}) + it.Key, raw: encode(&Change{Item: &it}), local: it.local()}
 	switch it.Kind {
 	case itemLoad:
@@ -111,13 +119,14 @@
 		return
 	}
 	p.lastPass = now
+	p.passTurn++
 	for _, id := range slices.Sorted(maps.Keys(p.queue.outbox)) {
 		m := p.table.members[id]
 		if m == nil || !m.State.Live() {
 			delete(p.queue.outbox, id)
 			continue
 		}
-		if p.queue.ready(id) {
+		if p.queue.ready(id, p.passTurn%loadPassEvery == 0) {
 			p.send(m, kindGossip, now)
 		}
 	}
