fix(limiter): let an unused rate add up for 5 s

Cause: at an idle deployment the third of three calls a second through one instance was refused with 429 although the account may send 12 a second; one instance of six holds a sixth of the rate, and a bucket held one second of it.

--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -21,8 +21,11 @@
 	// partition (10 s), the way of an advertisement to another data centre (two report periods and two times 3 s) and
 	// a gap of 10 s without messages that ends before it is detected.
 	Settle = 40 * time.Second
-	// Burst is the time for which an unused rate adds up.
-	Burst = time.Second
+	// Burst is the time for which an unused rate adds up. With 1 s, an account of 12 requests a second that came to one
+	// of six instances was refused its third request of a second at an idle deployment.
+	Burst = 5 * time.Second
+	// streamRetry is when a caller whose account has too many streams should try again.
+	streamRetry = time.Second
 	// shareLife is how long a computed part of a limit is used.
 	shareLife = 250 * time.Millisecond
 )
@@ -156,7 +159,7 @@
 		}
 	}
 	if float64(ac.streams) >= max(1, share[Streams]) {
-		return Decision{Limit: Streams, RetryAfter: Burst}
+		return Decision{Limit: Streams, RetryAfter: streamRetry}
 	}
 	ac.level[Requests]--
 	ac.level[Tokens] -= float64(tokens)
