--- a/internal/appender/appender.go
+++ b/internal/appender/appender.go
@@ -75,18 +75,3 @@
 	}
 	return err != nil
 }
-
-// sleep waits for d and reports false if ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/appender/fake.go
+++ b/internal/appender/fake.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/papayaworks/papayaworks/internal/sleeper"
 )
 
 // errFakeDown is the error of a fake log that is down.
@@ -96,7 +98,7 @@
 // Append implements [Log].
 func (f *Fake) Append(ctx context.Context, stream string, records [][]byte) (int64, error) {
 	x := f.switches()
-	if !sleep(ctx, x.Delay) || x.Down {
+	if !sleeper.Sleep(ctx, x.Delay) || x.Down {
 		return 0, &AppendError{Maybe: true, Err: errFakeDown}
 	}
 	f.mu.Lock()
@@ -125,7 +127,7 @@
 		defer t.Stop()
 		expired = t.C
 	}
-	if !sleep(ctx, f.switches().Delay) {
+	if !sleeper.Sleep(ctx, f.switches().Delay) {
 		return Batch{}, ctx.Err()
 	}
 	for {
--- a/internal/appender/follower.go
+++ b/internal/appender/follower.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/papayaworks/papayaworks/internal/logger"
+	"github.com/papayaworks/papayaworks/internal/sleeper"
 )
 
 const (
@@ -59,7 +60,7 @@
 		}
 		f.failed(err, backOff)
 		backOff = min(maxBackOff, max(firstBackOff, 2*backOff))
-		if !sleep(ctx, backOff/2+rand.N(backOff/2)) {
+		if !sleeper.Sleep(ctx, backOff/2+rand.N(backOff/2)) {
 			return
 		}
 	}
--- a/internal/appender/writer.go
+++ b/internal/appender/writer.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/papayaworks/papayaworks/internal/sleeper"
 )
 
 const (
@@ -130,7 +132,7 @@
 		} else {
 			backOff = 0
 		}
-		if !sleep(ctx, max(pause, w.interval()-time.Since(begun))) {
+		if !sleeper.Sleep(ctx, max(pause, w.interval()-time.Since(begun))) {
 			return
 		}
 	}
--- a/internal/emulator/engine_cache.go
+++ b/internal/emulator/engine_cache.go
@@ -13,6 +13,7 @@
 
 	"github.com/papayaworks/papayaworks/internal/dialer"
 	"github.com/papayaworks/papayaworks/internal/keyer"
+	"github.com/papayaworks/papayaworks/internal/sleeper"
 )
 
 // cachedBlock is a block in accelerator memory with the truth about whose it is.
@@ -209,7 +210,7 @@
 
 func (e *Engine) fetchWeights(r *http.Request, o dialer.Order) error {
 	if e.WeightsAddr == "" {
-		wait(r.Context(), scale(seconds(float64(e.LoadMs)/1000), e.Speed))
+		sleeper.Sleep(r.Context(), scale(seconds(float64(e.LoadMs)/1000), e.Speed))
 		return nil
 	}
 	u := fmt.Sprintf("http://%s/v1/weights/%s/%d?ms=%d", e.WeightsAddr, url.PathEscape(o.Model), o.Version, e.LoadMs)
--- a/internal/emulator/engine_run.go
+++ b/internal/emulator/engine_run.go
@@ -12,6 +12,7 @@
 
 	"github.com/papayaworks/papayaworks/internal/dialer"
 	"github.com/papayaworks/papayaworks/internal/keyer"
+	"github.com/papayaworks/papayaworks/internal/sleeper"
 )
 
 // run is one run with its stream so far.
@@ -250,7 +251,7 @@
 	e.prefill = e.prefill.Add(scale(seconds(float64(start.RecomputedTokens)/e.PrefillRate), e.Speed))
 	d := e.prefill.Sub(now)
 	e.mu.Unlock()
-	wait(rn.ctx, d)
+	sleeper.Sleep(rn.ctx, d)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.waiting -= rn.req.PromptTokens
@@ -268,7 +269,7 @@
 	begun := time.Now()
 	for i := range rn.req.MaxTokens {
 		due := begun.Add(scale(seconds(float64(i)/e.DecodeRate), e.Speed))
-		if !wait(rn.ctx, time.Until(due)) {
+		if !sleeper.Sleep(rn.ctx, time.Until(due)) {
 			rn.update(func() { rn.end = &dialer.RunEnd{Offset: i, Finish: "cancelled"} })
 			return
 		}
--- a/internal/emulator/log.go
+++ b/internal/emulator/log.go
@@ -1,13 +1,13 @@
 package emulator
 
 import (
-	"context"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
 
 	"github.com/papayaworks/papayaworks/internal/listener"
+	"github.com/papayaworks/papayaworks/internal/sleeper"
 )
 
 // maxPollWait bounds a long poll.
@@ -124,7 +124,7 @@
 	f := l.faults
 	l.mu.Unlock()
 	if f.Delay > 0 {
-		wait(r.Context(), f.Delay)
+		sleeper.Sleep(r.Context(), f.Delay)
 	}
 	if f.Down {
 		writeError(w, http.StatusServiceUnavailable, "log is down")
@@ -204,21 +204,6 @@
 	return b, l.changed
 }
 
-// wait sleeps for d or until ctx ends, and reports whether d has passed.
-func wait(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func orLoopback(addr string) string {
 	if addr == "" {
 		return "127.0.0.1:0"
--- a/internal/emulator/service.go
+++ b/internal/emulator/service.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/papayaworks/papayaworks/internal/listener"
+	"github.com/papayaworks/papayaworks/internal/sleeper"
 )
 
 // ServiceFaults are the switches of a [Service].
@@ -79,7 +80,7 @@
 		s.runs[key]++
 	}
 	s.mu.Unlock()
-	wait(r.Context(), f.Delay)
+	sleeper.Sleep(r.Context(), f.Delay)
 	if f.LoseAnswers {
 		dropConnection(w)
 		return
--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -10,6 +10,7 @@
 	"github.com/papayaworks/papayaworks/internal/dialer"
 	"github.com/papayaworks/papayaworks/internal/keyer"
 	"github.com/papayaworks/papayaworks/internal/listener"
+	"github.com/papayaworks/papayaworks/internal/sleeper"
 )
 
 // StoreFaults are the switches of a [Store].
@@ -153,7 +154,7 @@
 	s.used[tier] += length
 	d := s.transfer(length, tier)
 	s.mu.Unlock()
-	wait(r.Context(), d)
+	sleeper.Sleep(r.Context(), d)
 	w.WriteHeader(http.StatusNoContent)
 }
 
@@ -176,7 +177,7 @@
 	}
 	d := s.transfer(b.length, b.tier)
 	s.mu.Unlock()
-	wait(r.Context(), d)
+	sleeper.Sleep(r.Context(), d)
 	_, _ = w.Write(content)
 }
 
--- a/internal/emulator/weights.go
+++ b/internal/emulator/weights.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/papayaworks/papayaworks/internal/listener"
+	"github.com/papayaworks/papayaworks/internal/sleeper"
 )
 
 // freeLoads is the number of concurrent loads that the weight store serves at full rate.
@@ -58,7 +59,7 @@
 	slow := max(1, float64(s.loading)/freeLoads)
 	fail := s.fail
 	s.mu.Unlock()
-	wait(r.Context(), scale(time.Duration(float64(base)*slow), s.Speed))
+	sleeper.Sleep(r.Context(), scale(time.Duration(float64(base)*slow), s.Speed))
 	s.mu.Lock()
 	s.loading--
 	s.mu.Unlock()
--- a/internal/fencer/fencer.go
+++ b/internal/fencer/fencer.go
@@ -28,6 +28,7 @@
 	"github.com/papayaworks/papayaworks/internal/charter"
 	"github.com/papayaworks/papayaworks/internal/failer"
 	"github.com/papayaworks/papayaworks/internal/logger"
+	"github.com/papayaworks/papayaworks/internal/sleeper"
 	"github.com/papayaworks/papayaworks/pkg/recorder"
 )
 
@@ -155,11 +156,11 @@
 	for ctx.Err() == nil {
 		if err := f.Poll(ctx, f.TTL/(2*renewDivisor)); err != nil && ctx.Err() == nil {
 			logger.WithError(f.Logger, err).Debug("could not follow leases")
-			pause(ctx, f.TTL/(2*renewDivisor))
+			sleeper.Sleep(ctx, f.TTL/(2*renewDivisor))
 		}
 		f.Campaign(ctx)
 		if !f.engaged() {
-			pause(ctx, idlePause)
+			sleeper.Sleep(ctx, idlePause)
 		}
 	}
 	f.release()
@@ -324,12 +325,3 @@
 		logger.WithError(f.Logger, err).Debug("lease was not released; it ends by its term")
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/server/dispatcher/retries.go
+++ b/internal/server/dispatcher/retries.go
@@ -11,6 +11,7 @@
 
 	"github.com/papayaworks/papayaworks/internal/dialer"
 	"github.com/papayaworks/papayaworks/internal/retrier"
+	"github.com/papayaworks/papayaworks/internal/sleeper"
 	"github.com/papayaworks/papayaworks/internal/view"
 	"github.com/papayaworks/papayaworks/pkg/configurer"
 )
@@ -139,24 +140,12 @@
 			ts = append(ts[:i:i], ts[i+1:]...)
 		}
 		d := s.Retries.decide(retrier.Attempt{N: n, Outcome: out, Left: deadline.Sub(s.Now())})
-		if !d.Retry || !pause(ctx, d.Pause) {
+		if !d.Retry || !sleeper.Sleep(ctx, d.Pause) {
 			return failed
 		}
 	}
 }
 
-// pause waits and reports whether ctx is still alive.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // outcome tells what is known of a run that could not be opened. Runs have no effect but their answer, so one that may
 // have begun may run again.
 func outcome(err error) retrier.Outcome {
--- a/internal/server/dispatcher/stream.go
+++ b/internal/server/dispatcher/stream.go
@@ -15,6 +15,7 @@
 	"github.com/papayaworks/papayaworks/internal/request"
 	"github.com/papayaworks/papayaworks/internal/retrier"
 	"github.com/papayaworks/papayaworks/internal/server/identifier"
+	"github.com/papayaworks/papayaworks/internal/sleeper"
 	"github.com/papayaworks/papayaworks/internal/streamer"
 	"github.com/papayaworks/papayaworks/internal/view"
 	"github.com/papayaworks/papayaworks/pkg/configurer"
@@ -141,7 +142,7 @@
 	s.event("broken")
 	for s.resumes < maxResumes && !errors.Is(cause, errCancelled) {
 		s.resumes++
-		if s.resumes > 1 && !pause(ctx, retrier.Pause(s.resumes, uint64(s.handed))) {
+		if s.resumes > 1 && !sleeper.Sleep(ctx, retrier.Pause(s.resumes, uint64(s.handed))) {
 			return ctx.Err()
 		}
 		err := s.attach(ctx)
@@ -300,7 +301,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), grace+cancelTimeout)
 		defer cancel()
 		var err error
-		for i := 0; i < cancelTries && pause(ctx, max(grace, cancelPause)); i++ {
+		for i := 0; i < cancelTries && sleeper.Sleep(ctx, max(grace, cancelPause)); i++ {
 			grace = 0
 			if err = s.Client.CancelIdle(ctx, addr, run); err == nil {
 				return
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -23,6 +23,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/papayaworks/papayaworks/internal/sleeper"
 )
 
 const (
@@ -135,14 +137,7 @@
 	if errors.As(err, &r) && r.RetryAfterMs > 0 {
 		d = time.Duration(r.RetryAfterMs) * time.Millisecond
 	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return sleeper.Sleep(ctx, d)
 }
 
 // final reports whether another try cannot help.
