fix(server): answer oversize bodies with a JSON error up to 32 MiB

Cause: generated configurations limit bodies to 1 MiB, so the library closed the connection of a body of 5 MB without an answer. Change: bodies are taken up to 32 MiB or four times the limit before the connection is closed.

--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -42,8 +42,12 @@
 	"github.com/papayaworks/papayaworks/pkg/recorder"
 )
 
-// bodyHeadroom lets bodies over the configured limit arrive, so that they get a JSON error and not a closed connection.
-const bodyHeadroom = 4
+// The library closes the connection of a body that is larger than it takes. Bodies over the configured limit are taken
+// up to these bounds, so that they get a JSON error.
+const (
+	bodyHeadroom  = 4
+	leastHardBody = 32 << 20
+)
 
 // Server is one entry instance.
 type Server struct {
@@ -148,7 +152,7 @@
 	s.startStorePollers(ctx)
 	s.http = &listener.Server{
 		Addr: s.Settings.Instance.Listen, Handler: s.routes(),
-		MaxBodyBytes:     bodyHeadroom * s.Initial.Limits.MaxBodyBytes,
+		MaxBodyBytes:     max(leastHardBody, bodyHeadroom*s.Initial.Limits.MaxBodyBytes),
 		WriteBufferBytes: s.Initial.Limits.StreamBufferBytes,
 	}
 	addr, err := s.http.Start()
