fix(dispatcher): use the ledger's verdict as the decision's reason

Cause: the reason is a label of papayaworks_decisions_total and held addresses of the log, so that the number of series had no bound. Change: the verdict is the reason; the text stays in the ledger's event. Result: dispatcher tests pass.

--- a/internal/server/dispatcher/call.go
+++ b/internal/server/dispatcher/call.go
@@ -54,7 +54,8 @@
 	res := s.Ledger.Do(ctx, c, func(ctx context.Context) (*ledger.Response, bool, error) {
 		return exchange(ctx, s.Client.Once(), r)
 	})
-	r.Reason = res.Reason
+	// A verdict and not its text, which may name addresses: reasons are labels of a metric.
+	r.Reason = res.Verdict.String()
 	switch res.Verdict {
 	case ledger.Responded:
 		r.Response = response(res.Response)
