--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -21,6 +21,11 @@
 	dayDivisor = 10
 	// minAnswerTokens and maxAnswerTokens bound the length of the demo's answers.
 	minAnswerTokens, maxAnswerTokens = 24, 400
+	// maxTurns and maxGap bound a conversation's letters and the time between them, which stands for hours.
+	maxTurns = 4
+	maxGap   = 3 * time.Second
+	// threadGap is the mean time between conversations.
+	threadGap = 60 * time.Millisecond
 	// letterBytes is the length of one letter in a thread; Malayalam takes three bytes a character.
 	letterBytes = 12000
 )
@@ -108,13 +113,10 @@
 	end := time.Now().Add(d.Duration)
 	for i := 0; time.Now().Before(end) && ctx.Err() == nil; i++ {
 		account := dep.Size.Accounts[r.IntN(len(dep.Size.Accounts))]
-		th := &thread{
-			account: account, id: i, turns: 1 + r.IntN(4), tokens: minAnswerTokens + r.IntN(maxAnswerTokens-minAnswerTokens), seed: r.Int64N(1 << 30), gap: time.Duration(r.IntN(3000)) * time.Millisecond,
-			end:    end,
-			client: &caller.Client{Next: bal.next, Key: Key(account), HTTP: pool},
-		}
+		th := newThread(r, account, i)
+		th.end, th.client = end, &caller.Client{Next: bal.next, Key: Key(account), HTTP: pool}
 		wg.Go(func() { th.run(ctx, dep, t, d.begun) })
-		pause := time.NewTimer(time.Duration(r.ExpFloat64() * float64(60*time.Millisecond)))
+		pause := time.NewTimer(time.Duration(r.ExpFloat64() * float64(threadGap)))
 		select {
 		case <-pause.C:
 		case <-ctx.Done():
@@ -135,6 +137,17 @@
 	client  *caller.Client
 }
 
+// newThread draws a conversation of a few turns.
+func newThread(r *rand.Rand, account string, id int) *thread {
+	return &thread{
+		account: account, id: id,
+		turns:  1 + r.IntN(maxTurns),
+		tokens: minAnswerTokens + r.IntN(maxAnswerTokens-minAnswerTokens),
+		seed:   r.Int64N(1 << 30),
+		gap:    time.Duration(r.Int64N(int64(maxGap))),
+	}
+}
+
 func (th *thread) run(ctx context.Context, dep *Deployment, t *tally, begun time.Time) {
 	msgs := []caller.Message{{Role: "system", Content: "ദയവായി മലയാളത്തിൽ മറുപടി എഴുതുക. Account " + th.account}}
 	token := ""
@@ -142,7 +155,7 @@
 		if n > 0 && !time.Now().Before(th.end) {
 			return
 		}
-		letter := strings.Repeat(fmt.Sprintf("thread %d letter %d: ചെരിപ്പ് നന്നാക്കണം. ", th.id, n), 1)
+		letter := fmt.Sprintf("thread %d letter %d: ചെരിപ്പ് നന്നാക്കണം. ", th.id, n)
 		letter = strings.Repeat(letter, letterBytes/len(letter)+1)
 		msgs = append(msgs, caller.Message{Role: "user", Content: letter})
 		ans, err := th.client.Chat(ctx, caller.Chat{
