feat(dispatcher): an event and a count for each decision about a retry

Cause: why a request moved to another target was not on the time line. Change: the retry policy's decision and reason are an event and a label of papayaworks_decisions_total.

--- a/internal/server/dispatcher/dispatcher.go
+++ b/internal/server/dispatcher/dispatcher.go
@@ -58,7 +58,9 @@
 	// Now is the clock of deadlines.
 	Now func() time.Time
 	// Retries is shared by the steps of all configurations.
-	Retries  *Retries
+	Retries *Retries
+	// Decided is told of each decision about a retry; it may be nil.
+	Decided  func(kind, target, reason string)
 	Asserter *asserter.Asserter
 	Log      logger.Log
 	// Grace is how long the run of a caller that went away goes on; 0 means DefaultGrace.
--- a/internal/server/dispatcher/retries.go
+++ b/internal/server/dispatcher/retries.go
@@ -140,6 +140,9 @@
 			ts = append(ts[:i:i], ts[i+1:]...)
 		}
 		d := s.Retries.decide(retrier.Attempt{N: n, Outcome: out, Left: deadline.Sub(s.Now())})
+		if s.Decided != nil {
+			s.Decided("retry", t.ID, d.Reason)
+		}
 		if !d.Retry || !sleeper.Sleep(ctx, d.Pause) {
 			return failed
 		}
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/papayaworks/papayaworks/internal/exporter"
 	"github.com/papayaworks/papayaworks/internal/request"
+	"github.com/papayaworks/papayaworks/pkg/recorder"
 )
 
 // newMetrics returns the instance's metrics; the gauges read the view at each scrape.
@@ -39,6 +40,12 @@
 	r.Reason = ""
 }
 
+// decidedOn makes a decision about a target an event and counts its reason.
+func (s *Server) decidedOn(kind, target, reason string) {
+	s.Recorder.Record(recorder.Event{Kind: kind, Target: target, Reason: reason})
+	s.metrics.Decision(kind, reason)
+}
+
 // measure counts a request that ended.
 func (s *Server) measure(r *request.Request, outcome string) {
 	s.metrics.Outcome(outcome)
--- a/internal/server/steps.go
+++ b/internal/server/steps.go
@@ -26,6 +26,7 @@
 		&selector.Step{Client: s.client, Tracker: s.tracker, Policy: router.New(), Seed: rand.Uint64},
 		&dispatcher.Step{
 			Client: s.client, Ledger: s.ledgerFor(cfg), Now: time.Now, Retries: s.retries, Asserter: s.Asserter, Log: s.Log,
+			Decided: s.decidedOn,
 			Leaving: s.peers,
 		},
 		&deliverer.Step{Signer: s.signer, Now: time.Now, Asserter: s.Asserter},
