fix(ledger): say "not run" only after a read of the log

Cause: while the log was down an instance that did not know a key said "not run", although an earlier try with the key may have run the call elsewhere; and an owner that was paused past the log's retention said so of a key that it had dropped. Ruled out: one rule for both by the key's age; a retry may follow its first try within milliseconds. Change: both say "outcome unknown". TestRandomLedger now also requires that a key told "not run" had not run before the try began.

--- a/internal/ledger/attempt.go
+++ b/internal/ledger/attempt.go
@@ -112,9 +112,13 @@
 		return a.giveUp(now)
 	}
 	if !before(now, a.GiveUp) {
-		if a.intents == 0 && !a.unanswered {
+		if a.intents == 0 && !a.unanswered && before(now, a.Deadline) {
 			return a.answer(NotRun, "the time was over before anything was written")
 		}
+		if a.intents == 0 && !a.unanswered {
+			// The owner may have been paused for longer than the log keeps records, and a free key then says nothing.
+			return a.answer(Unknown, "the owner was paused past the deadline")
+		}
 		return a.giveUp(now)
 	}
 	if a.unanswered || a.intentAt >= e.Next {
@@ -145,12 +149,14 @@
 }
 
 // Refuse ends an attempt before its first append, while the log cannot be read: what the fold knows of the key
-// decides, and a key that it does not know was not run by this try.
+// decides. A key that it does not know was not run by this try, but an earlier try at another instance may have run it
+// and its records may not have been read, so "not run" would not be true for the key.
 func (a *Attempt) Refuse(e Entry, reason string) {
-	a.Next(e, a.Deadline)
-	if e.State == Free && a.verdict == NotRun {
-		a.reason = reason
+	if e.State == Free {
+		a.answer(Unknown, "this try has run nothing, but whether an earlier one with the key did cannot be read: "+reason)
+		return
 	}
+	a.Next(e, a.Deadline)
 }
 
 // IntentBegun reports that an append of the intent begins.
--- a/internal/ledger/owner.go
+++ b/internal/ledger/owner.go
@@ -75,7 +75,7 @@
 	case r := <-o.appended:
 		maybe := appender.MayHaveAppended(r.err)
 		o.a.IntentEnded(r.offset, r.err != nil, maybe)
-		if r.err != nil && !maybe && o.a.intents == 0 {
+		if r.err != nil && !maybe && o.a.intents == 0 && before(o.l.Now(), o.a.Deadline) {
 			o.a.End(NotRun, r.err.Error())
 		}
 	case <-t.C:
--- a/internal/ledger/random_test.go
+++ b/internal/ledger/random_test.go
@@ -38,8 +38,10 @@
 	owner int
 	a     *Attempt
 	told  Verdict
-	ran   bool
-	lost  bool // its owner died
+	// earlier is how often the key had run when the try began.
+	earlier int
+	ran     bool
+	lost    bool // its owner died
 }
 
 // simFlight is an append that was sent and has not arrived yet.
@@ -164,6 +166,7 @@
 	}
 	deadline := s.now.Add(time.Duration(rapid.IntRange(1, 20).Draw(s.t, "seconds")) * time.Second)
 	tr.a = NewAttempt(ID{byte(s.ids), byte(s.ids >> 8), 1}, keyHash("a", key), tr.body, s.now, deadline)
+	tr.earlier = s.runs[key]
 	s.tries, s.active = append(s.tries, tr), append(s.active, tr)
 	if err := s.read(tr.owner, 0); err != nil {
 		tr.a.Refuse(s.entry(tr), "log is down")
@@ -223,6 +226,7 @@
 	switch tr.told {
 	case NotRun:
 		require.True(s.t, e.State == Free || e.Abandoned || e.Holder != tr.a.ID, "not run, although the key is held by the try")
+		require.Zero(s.t, tr.earlier, "not run, although the key had run before the try began")
 	case Responded:
 		if !tr.ran {
 			require.Equal(s.t, 201, tr.a.Found().Status, "a retry finds another outcome than the first")
