--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -33,6 +33,7 @@
 // Guards against views that stay different after joins, crashes, pauses and partitions, against a live member that
 // stays dead for others, incarnations that fall, versions that are shown at members that have another, and messages that grow with what happened.
 func TestRandomMembership(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		c := newCluster(rapid.Uint64().Draw(t, "seed"))
 		c.drop = rapid.Float64Range(0, 0.2).Draw(t, "drop")
@@ -167,6 +168,7 @@
 
 // Guards against dissemination that slows down with the number of instances and against load that grows with it.
 func TestDisseminationTime(t *testing.T) {
+	t.Parallel()
 	for _, size := range sizes() {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			c := newCluster(uint64(size))
@@ -281,6 +283,7 @@
 
 // Guards against live members that are declared dead, even for a short time, because messages are lost.
 func TestLossDoesNotKill(t *testing.T) {
+	t.Parallel()
 	c := newCluster(3)
 	c.drop = 0.1
 	const size = 70
--- a/internal/gossiper/load_test.go
+++ b/internal/gossiper/load_test.go
@@ -55,6 +55,7 @@
 // Guards against load reports that usage payloads crowd out, payloads that load reports crowd out, and more bytes than
 // an instance may send: 5 KB/s leave 2 KB/s of the 7 to polls, the log and the headers of packets.
 func TestReportsAndUsageFitTogether(t *testing.T) {
+	t.Parallel()
 	const size, targets, length = 35, 70, 40 * time.Second
 	for name, usage := range map[string]int{"full usage": 330, "no usage": 0} {
 		t.Run(name, func(t *testing.T) {
@@ -79,6 +80,7 @@
 // Guards against one kind of report that starves the other when both want more than the budget has, and against items
 // that never get their turn.
 func TestOverloadStarvesNoKind(t *testing.T) {
+	t.Parallel()
 	const size, targets = 35, 280
 	c := busy(size, targets, MaxPayloadBytes-50, time.Minute)
 	for _, n := range c.order {
--- a/internal/gossiper/usage_test.go
+++ b/internal/gossiper/usage_test.go
@@ -81,6 +81,7 @@
 
 // Guards against shared limits that rest on old reports, and against reports that take more than their bytes.
 func TestUsageArrivesInTime(t *testing.T) {
+	t.Parallel()
 	// At 420 instances a data centre has 70 targets, each reported every 3 s.
 	for _, size := range sizes() {
 		reports := map[int]int{7: 0, 70: 1, 112: 2, 420: 5}[size]
@@ -96,6 +97,7 @@
 
 // Guards against a data centre that is noticed late when it is cut off, or found late when it is back.
 func TestDataCentreCutOff(t *testing.T) {
+	t.Parallel()
 	large := 210
 	if raceEnabled {
 		large = 84
--- a/internal/gossiper/versions_test.go
+++ b/internal/gossiper/versions_test.go
@@ -23,6 +23,7 @@
 // Guards against an instance that shows other members at an old configuration after they have the new one, as those do
 // that are not its neighbours in the ring, and against the bytes that this takes.
 func TestVersionsOfOthersAreKnown(t *testing.T) {
+	t.Parallel()
 	for _, size := range sizes() {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			c := newCluster(uint64(size))
