--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -18,7 +18,7 @@
 func TestMain(m *testing.M) {
 	checks := "200"
 	if raceEnabled {
-		checks = "40"
+		checks = "100"
 	}
 	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true", "rapid.checks": checks} {
 		if err := flag.Set(name, value); err != nil {
@@ -293,7 +293,7 @@
 	c.join()
 	length := 10 * time.Minute
 	if raceEnabled {
-		length = 3 * time.Minute
+		length = 5 * time.Minute
 	}
 	c.run(length)
 	for _, n := range c.order {
