--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -251,9 +251,11 @@
 			r.Release()
 		}
 	}()
+	life := requestChart.Start()
 	for _, st := range s.path.Load().steps {
 		err := st.Run(hr.Context(), r)
 		s.decided(r, st)
+		life = s.advance(r, life, eventOf(st, err))
 		if err != nil {
 			s.fail(r, st, err)
 			return
