fix(admitter): guard the order of accounts in the fair shares

Cause: sums of floats depend on the order in which the accounts are walked, and a map has none. The book sorts the accounts already; no test held it to that. Change: TestBookIsDeterministic compares the fair shares of equal books. Result: it fails when the sort is taken out and passes with it.

--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -124,3 +124,22 @@
 		book.Decide(as[i%len(as)], Expected{Wait: 200 * time.Millisecond, First: 50 * time.Millisecond, Cost: 1000}, now, uint64(i))
 	}
 }
+
+// Guards against decisions that depend on the order in which a map is walked: two books with equal inputs must agree.
+func TestBookIsDeterministic(t *testing.T) {
+	levels := func() (out []Level) {
+		book := NewBook()
+		for i := range 5000 {
+			a := account(1 + i%7)
+			a.Name = fmt.Sprintf("account-%d", i%97)
+			e := Expected{Wait: 300 * time.Millisecond, First: 50 * time.Millisecond, Cost: 0.1 + float64(i%13)/3}
+			book.Decide(a, e, epoch.Add(time.Duration(i)*10*time.Millisecond), uint64(i))
+			out = append(out, book.Level())
+		}
+		return out
+	}
+	first := levels()
+	for range 3 {
+		require.Equal(t, first, levels())
+	}
+}
