fix(tracker,router): lateness fades, own runs count until they must have ended

Cause, from a trace of the workload deadline: lateness is learned only from first tokens of admitted requests. Three of six instances learned 1.5 to 1.96 s, admitted nothing more and so never learned anything else; the other three overfilled some targets (8 running, 8 queued) while others had free slots, since all followed one report to the same targets. Change: lateness fades with 5 s. The estimate of a target's busy slots takes 0.3 of its value from own dispatches of the last run time, taken as much of each other instance; the rest is from the report as before.

--- a/internal/router/cost.go
+++ b/internal/router/cost.go
@@ -131,7 +131,12 @@
 	busy := float64(t.Load.Running+t.Load.Waiting+runs) + others*in.RunRate*age
 	if run := in.RunTime.Seconds(); run > 0 && t.Slots > 0 {
 		done := min(busy, age*min(busy, float64(t.Slots))/run)
-		if over := busy - done - float64(t.Slots) + 1; over > 0 {
+		busy -= done
+		if in.Others > 0 {
+			own := t.Own.Recent(now, in.RunTime) * float64(in.Others+1)
+			busy += p.OwnWeight * (own - busy)
+		}
+		if over := busy - float64(t.Slots) + 1; over > 0 {
 			slot = over * run / float64(t.Slots)
 		}
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -130,6 +130,9 @@
 	Tolerance time.Duration
 	// Near and Far are the distances to another data centre of the region and to another region, one way.
 	Near, Far time.Duration
+	// OwnWeight is the part of the estimate of a target's busy slots that comes from own dispatches of the last run
+	// time, taken as much from each other instance; the rest comes from the report, which all instances follow at once.
+	OwnWeight float64
 	// NoOwn leaves out own dispatches since the report; NoMix imports all or nothing. Both serve measurements.
 	NoOwn, NoMix bool
 }
@@ -138,7 +141,8 @@
 func New() *Planner {
 	return &Planner{
 		LocalSample: 6, RemoteSample: 6, WorkPrice: 0.5, LinkPrice: 0.1, Tolerance: 2 * time.Millisecond,
-		Near: 1200 * time.Microsecond, Far: 40 * time.Millisecond,
+		OwnWeight: 0.3,
+		Near:      1200 * time.Microsecond, Far: 40 * time.Millisecond,
 	}
 }
 
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -196,3 +196,19 @@
 		})
 	}
 }
+
+// Guards against instances that all follow one report to the same target: own runs that must still be in progress count,
+// with as many of each other instance, even if the report shows an idle target.
+func TestChooseCountsOwnRunsUntilTheyMustHaveEnded(t *testing.T) {
+	in := Input{View: testView(2, idle), Model: "m", PromptTokens: 100, ComputedShare: 1, RunTime: 3 * time.Second, Others: 5}
+	busy, _ := in.View.Target("t0")
+	for range 6 {
+		busy.Own.Sent(testNow.Add(-2*time.Second), 100)
+	}
+	d, err := New().Choose(in, testNow)
+	require.NoError(t, err)
+	require.Equal(t, "t1", d.Target.ID)
+	d, err = New().Choose(in, testNow.Add(1250*time.Millisecond))
+	require.NoError(t, err)
+	require.Equal(t, "t0", d.Target.ID)
+}
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -32,6 +32,9 @@
 	meanWeight = 0.05
 	// rateWindow is the time constant of the rates of own dispatches, about the lag of a load report.
 	rateWindow = 2 * time.Second
+	// lateFade is the time constant with which the lateness fades. It is learned only from admitted requests, so without
+	// fading an instance whose lateness is above the first-token target would refuse everything for ever.
+	lateFade = 5 * time.Second
 	// suspicion is how long a store that did not answer is not asked.
 	suspicion = 2 * time.Second
 )
@@ -58,6 +61,17 @@
 	// Late is how much later the first token came than expected. Expectations are too low under overload, as the
 	// target with the lowest one is taken, and admission relies on them.
 	Late time.Duration
+
+	lateAt time.Time
+}
+
+// faded returns the means with the lateness as it is at a later time.
+func (m Means) faded(now time.Time) Means {
+	if age := now.Sub(m.lateAt); age > 0 {
+		m.Late = time.Duration(float64(m.Late) * math.Exp(-age.Seconds()/lateFade.Seconds()))
+	}
+	m.lateAt = now
+	return m
 }
 
 // rates counts own dispatches with an exponential window.
@@ -188,7 +202,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if m, ok := t.means[model]; ok {
-		return m
+		return m.faded(t.now())
 	}
 	return Means{ComputedShare: 1}
 }
@@ -214,6 +228,7 @@
 	if !ok {
 		m = Means{ComputedShare: 1}
 	}
+	m = m.faded(t.now())
 	m.Late += time.Duration(meanWeight * float64(took-expected-m.Late))
 	t.means[model] = m
 }
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -69,3 +69,15 @@
 		}
 	})
 }
+
+// Guards against an instance that refuses everything for ever: without admitted requests it learns no new lateness.
+func TestLatenessFadesWithoutRequests(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	tr := New(func() time.Time { return now })
+	for range 100 {
+		tr.First("m", 0, 2*time.Second)
+	}
+	require.Greater(t, tr.Means("m").Late, 1900*time.Millisecond)
+	now = now.Add(10 * lateFade)
+	require.Less(t, tr.Means("m").Late, 10*time.Millisecond)
+}
--- a/internal/view/own.go
+++ b/internal/view/own.go
@@ -51,3 +51,27 @@
 	}
 	return tokens, runs
 }
+
+// Recent returns the runs that were sent within a time before now; the time is cut to what the buckets cover, and the
+// count is scaled up for the rest.
+func (o *Own) Recent(now time.Time, within time.Duration) float64 {
+	const covered = (sentBuckets - 1) * sentWidth
+	window := min(within, covered)
+	if window <= 0 {
+		return 0
+	}
+	begin, last := now.Add(-window).UnixNano(), now.UnixNano()/int64(sentWidth)
+	runs := 0.0
+	for e := begin / int64(sentWidth); e <= last; e++ {
+		b := &o.sent[uint64(e)%sentBuckets]
+		if b.epoch.Load() != e {
+			continue
+		}
+		share := 1.0
+		if from := e * int64(sentWidth); from < begin {
+			share = 1 - float64(begin-from)/float64(sentWidth)
+		}
+		runs += share * float64(b.runs.Load())
+	}
+	return runs * float64(within) / float64(window)
+}
