feat(admitter): wait for the pool from own runs that have not ended

Cause: with lateness fading, all instances admitted in waves on reports that are one to two seconds old, and sent to the same targets. Change: admitter.Pool estimates the wait for a slot of all targets together from the instance's own runs that have not ended, times the live instances, but no more than was reported. The gatekeeper counts chats from admission to Release. The router takes 0.8 instead of 0.3 of a target's busy slots from own dispatches.

--- /dev/null
+++ b/internal/admitter/pool_test.go
@@ -0,0 +1,29 @@
+package admitter
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against waves that follow old reports, and against an instance that may use only its part while others are idle.
+func TestPoolWait(t *testing.T) {
+	for name, tc := range map[string]struct {
+		own, reported, instances int
+		want                     time.Duration
+	}{
+		"idle":                       {0, 0, 6, 0},
+		"below its part":             {14, 150, 6, 0},
+		"above its part":             {20, 120, 6, 930 * time.Millisecond},
+		"others have no demand":      {80, 80, 6, 0},
+		"report older than own runs": {100, 60, 6, 330 * time.Millisecond},
+		"members are not known yet":  {100, 100, 0, 330 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := Pool{Slots: 100, Own: tc.own, Reported: tc.reported, Instances: tc.instances, RunTime: 3 * time.Second}
+			require.InDelta(t, float64(tc.want), float64(p.Wait()), float64(time.Millisecond))
+		})
+	}
+	require.Zero(t, Pool{Own: 10, Reported: 10, Instances: 6, RunTime: time.Second}.Wait())
+}
--- a/internal/benchmarker/policies_test.go
+++ b/internal/benchmarker/policies_test.go
@@ -52,7 +52,7 @@
 	t, now := r.instance.tracker, s.c.time()
 	m := t.Means(model)
 	in.ComputedShare, in.RunTime = m.ComputedShare, m.RunTime
-	in.Others = s.w.size.instances - 1
+	in.Others = s.live() - 1
 	in.RunRate, in.TokenRate = t.Rates(model)
 	r.known, r.gap = router.Last{}, 0
 	if r.conv.turn > 0 {
@@ -89,7 +89,19 @@
 	e := admitter.Expected{
 		Wait: d.Wait + max(0, r.instance.tracker.Means(model).Late), First: d.Expected - d.Wait, Full: d.Expected - d.Wait + decode, Cost: float64(r.answer),
 	}
+	pool := admitter.Pool{Own: r.instance.running, Instances: s.live(), RunTime: r.instance.tracker.Means(model).RunTime}
+	for _, t := range r.instance.view.Engines(model) {
+		if t.Usable() {
+			pool.Slots += t.Slots
+			pool.Reported += t.Load.Running + t.Load.Waiting
+		}
+	}
+	e.Wait = max(e.Wait, pool.Wait())
 	r.admitted = r.instance.book.Decide(a, e, s.c.time(), s.rng.Uint64()).Accept
+	if r.admitted {
+		r.admitter = r.instance
+		r.admitter.running++
+	}
 	return r.admitted
 }
 
--- a/internal/benchmarker/sim_test.go
+++ b/internal/benchmarker/sim_test.go
@@ -31,7 +31,7 @@
 	arrived                    time.Duration
 	prompt, blocks, answer     int
 	reusable                   int // blocks that the conversation had before
-	instance                   *instance
+	instance, admitter         *instance
 	target                     int
 	source                     *store
 	sourceID                   int
@@ -52,6 +52,7 @@
 	tracker *tracker.Tracker
 	book    *admitter.Book
 	dead    bool
+	running int // admitted runs that have not ended
 }
 
 // sim is one policy under one workload.
@@ -189,9 +190,28 @@
 			r.instance.view = r.instance.view.WithTargets(map[string]view.Status{t.ID: st})
 		}
 	}
+	r.release()
 	s.tally.refused++
 }
 
+// live is how many instances are alive, which membership tells each of them.
+func (s *sim) live() (n int) {
+	for _, in := range s.instances {
+		if !in.dead {
+			n++
+		}
+	}
+	return n
+}
+
+// release ends the run in the count of the instance that admitted it.
+func (r *run) release() {
+	if r.admitter != nil {
+		r.admitter.running--
+		r.admitter = nil
+	}
+}
+
 func (s *sim) first(r *run) {
 	r.firstAt = s.c.now
 	r.instance.tracker.First(model, r.expected, s.c.now-r.arrived+r.distance)
@@ -201,6 +221,7 @@
 // ended keeps the context and has the conversation come back after its gap.
 func (s *sim) ended(r *run) {
 	s.tally.done(s, r)
+	r.release()
 	s.p.keep(s, r)
 	c := r.conv
 	c.last, c.lastEnd, c.blocks = r.target, s.c.now, r.blocks
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -141,7 +141,7 @@
 func New() *Planner {
 	return &Planner{
 		LocalSample: 6, RemoteSample: 6, WorkPrice: 0.5, LinkPrice: 0.1, Tolerance: 2 * time.Millisecond,
-		OwnWeight: 0.3,
+		OwnWeight: 0.8,
 		Near:      1200 * time.Microsecond, Far: 40 * time.Millisecond,
 	}
 }
--- a/internal/server/gatekeeper/expect.go
+++ b/internal/server/gatekeeper/expect.go
@@ -72,4 +72,21 @@
 	return seconds(wait)
 }
 
+// pool sums the slots and the reported runs of the model's usable targets.
+func pool(r *request.Request, own int, means tracker.Means) admitter.Pool {
+	p := admitter.Pool{Own: own, RunTime: means.RunTime}
+	for _, t := range r.View.Engines(r.Chat.Model) {
+		if t.Usable() {
+			p.Slots += t.Slots
+			p.Reported += t.Load.Running + t.Load.Waiting
+		}
+	}
+	for i := range r.View.Members {
+		if m := &r.View.Members[i]; (m.State == "alive" || m.State == "suspect") && r.View.Region(m.DataCentre) == r.View.Region(r.View.DataCentre) {
+			p.Instances++
+		}
+	}
+	return p
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/server/gatekeeper/gate.go
+++ b/internal/server/gatekeeper/gate.go
@@ -27,6 +27,8 @@
 	book    *admitter.Book
 	limits  *limiter.Limiter
 	factors map[string]float64
+	// running counts the admitted chats of each model that have not ended.
+	running map[string]int
 	// members is the list that the limits were computed with; dead holds since when a member is dead.
 	members []view.Member
 	dead    map[string]time.Time
@@ -37,7 +39,8 @@
 func NewGate(id, dataCentre string) *Gate {
 	return &Gate{
 		book: admitter.NewBook(), limits: limiter.New(id, dataCentre), factors: map[string]float64{},
-		dead: map[string]time.Time{}, byID: map[string]limiter.Member{},
+		running: map[string]int{},
+		dead:    map[string]time.Time{}, byID: map[string]limiter.Member{},
 	}
 }
 
@@ -104,6 +107,20 @@
 	return g.book.Decide(a, e, now, seed)
 }
 
+// begin adds n to the admitted chats of a model that have not ended; a negative n takes away.
+func (g *Gate) begin(model string, n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.running[model] += n
+}
+
+// own returns the admitted chats of a model that have not ended.
+func (g *Gate) own(model string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.running[model]
+}
+
 // factor returns the observed time to the first token relative to the expected one.
 func (g *Gate) factor(model string) float64 {
 	g.mu.Lock()
