--- a/internal/server/gatekeeper/gatekeeper_test.go
+++ b/internal/server/gatekeeper/gatekeeper_test.go
@@ -159,3 +159,15 @@
 	require.LessOrEqual(t, one[limiter.Requests]+two[limiter.Requests], 100.001)
 	gates["i2"].Merge("stranger", []byte{0xdd, 0xff, 0xff, 0xff, 0xff})
 }
+
+// Guards against runs that count as running for ever, which would shut the instance: refused and ended ones must not count.
+func TestRunsCountUntilTheyEnd(t *testing.T) {
+	f := newFixture(configurer.Account{RequestsPerSecond: 1000})
+	a := f.request()
+	require.Nil(t, f.run(t, a))
+	f.backlog(100000)
+	require.Equal(t, request.CodeOverloaded, f.run(t, f.request()).Code)
+	require.Equal(t, 1, f.step.Gate.own(a.Chat.Model))
+	a.Release()
+	require.Zero(t, f.step.Gate.own(a.Chat.Model))
+}
