feat(gatekeeper): the reason of an admission is an event and a count

Cause: the time line told why a chat was refused, but not why it was admitted. Change: the admission policy's reason is the step's reason. Result: gatekeeper tests pass.

--- a/internal/server/gatekeeper/gatekeeper.go
+++ b/internal/server/gatekeeper/gatekeeper.go
@@ -83,6 +83,7 @@
 		return request.Refuse(http.StatusServiceUnavailable, request.CodeOverloaded, "", "request was not admitted: %s", d.Reason).
 			WithRetryAfter(d.RetryAfter)
 	}
+	r.Reason = string(d.Reason)
 	s.Gate.begin(r.Chat.Model, 1)
 	r.Release = func() {
 		s.Gate.begin(r.Chat.Model, -1)
