--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -244,15 +244,20 @@
 	s.Refuse()
 	s.mu.Lock()
 	var conns []net.Conn
+	var cancels []context.CancelFunc
 	for conn, cancel := range s.active {
-		cancel()
+		cancels = append(cancels, cancel)
 		conns = append(conns, conn)
 	}
 	for conn := range s.conns {
 		conns = append(conns, conn)
 	}
 	s.mu.Unlock()
+	// The connections first: the library ends the response of a handler that returns early with an empty 200.
 	for _, c := range conns {
 		_ = c.Close()
 	}
+	for _, cancel := range cancels {
+		cancel()
+	}
 }
