--- a/cmd/papayaworks/forward.go
+++ b/cmd/papayaworks/forward.go
@@ -8,6 +8,7 @@
 
 	"github.com/papayaworks/papayaworks/internal/forwarder"
 	"github.com/papayaworks/papayaworks/internal/logger"
+	"github.com/papayaworks/papayaworks/internal/orderer"
 	"github.com/papayaworks/papayaworks/internal/watcher"
 	"github.com/papayaworks/papayaworks/platform"
 )
@@ -54,6 +55,7 @@
 	s := &forwarder.Server{
 		Settings: set.Instance, Wire: platform.Wire{}, Log: log,
 		Watcher: watcher.New(store.Operator(), store.Targets(), log),
+		Orderer: &orderer.Orderer{Journal: &platform.Journal{Store: store}, Targets: platform.NewWorkers()},
 	}
 	return s.Run(ctx)
 }
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -142,6 +142,8 @@
 	for _, t := range s.Watcher.View().Targets(c.Service.Name) {
 		switch {
 		case t.Leaving, slices.Contains(c.Tried, t.ID), !s.versionAllowed(c, t, now):
+		case s.Orderer != nil && s.Orderer.IsSwapping(t.ID):
+			failing = append(failing, t)
 		case !s.health.allows(t.ID, now):
 			failing = append(failing, t)
 		default:
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -28,6 +28,7 @@
 	"github.com/papayaworks/papayaworks/internal/failer"
 	"github.com/papayaworks/papayaworks/internal/listener"
 	"github.com/papayaworks/papayaworks/internal/logger"
+	"github.com/papayaworks/papayaworks/internal/orderer"
 	"github.com/papayaworks/papayaworks/internal/pooler"
 	"github.com/papayaworks/papayaworks/internal/request"
 	"github.com/papayaworks/papayaworks/internal/retrier"
@@ -79,7 +80,9 @@
 	Settings *Settings
 	Wire     Wire
 	Watcher  *watcher.Watcher
-	Log      logger.Log
+	// Orderer brings targets to the weights that were named; its fields that concern views are set by Start.
+	Orderer *orderer.Orderer
+	Log     logger.Log
 
 	book    *balancer.Book
 	health  *health
@@ -110,6 +113,7 @@
 	s.steps = s.newSteps()
 	s.Watcher.Published = s.published
 	go s.Watcher.Run(ctx)
+	s.startOrderer(ctx)
 	s.front = &listener.Server{
 		Addr: s.Settings.Front, Handler: http.HandlerFunc(s.serve), MaxBodyBytes: hardBodyBytes, WriteBufferBytes: writeBufferSize,
 	}
@@ -124,6 +128,19 @@
 	return nil
 }
 
+func (s *Server) startOrderer(ctx context.Context) {
+	o := s.Orderer
+	if o == nil {
+		return
+	}
+	o.Holder, o.Apart, o.Log = s.Settings.Instance, s.Settings.Lease, s.Log
+	o.View, o.VersionOf = s.Watcher.View, s.versionOf
+	o.Learned = func(t *cataloger.Target, model string, version int64) {
+		s.book.SetVersion(t.ID, t.Born, model, version)
+	}
+	go o.Run(ctx)
+}
+
 // published runs on the control goroutine for each new view.
 func (s *Server) published(v *cataloger.View) {
 	ids := v.IDs()
