feat(archiver): fetch and save shared prompt parts at the stores of kept context

Change: stores are followed by their events; a part's store is computed; only parts that are known to be complete are fetched, only under the newest weights.

--- a/cmd/papayaworks/forward.go
+++ b/cmd/papayaworks/forward.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/papayaworks/papayaworks/internal/archiver"
 	"github.com/papayaworks/papayaworks/internal/forwarder"
 	"github.com/papayaworks/papayaworks/internal/logger"
 	"github.com/papayaworks/papayaworks/internal/orderer"
@@ -54,8 +55,9 @@
 	defer stop()
 	s := &forwarder.Server{
 		Settings: set.Instance, Wire: platform.Wire{}, Log: log,
-		Watcher: watcher.New(store.Operator(), store.Targets(), log),
-		Orderer: &orderer.Orderer{Journal: &platform.Journal{Store: store}, Targets: platform.NewWorkers()},
+		Watcher:  watcher.New(store.Operator(), store.Targets(), log),
+		Orderer:  &orderer.Orderer{Journal: &platform.Journal{Store: store}, Targets: platform.NewWorkers()},
+		Archiver: &archiver.Archiver{Client: platform.NewKept(), Log: log},
 	}
 	return s.Run(ctx)
 }
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -40,6 +40,8 @@
 	remoteCost = 3 * time.Millisecond
 	// readRate is how many prompt tokens an engine reads in a second while it serves few requests.
 	readRate = 90_000
+	// fetchRate is how many kept tokens an engine fetches in a second.
+	fetchRate = 400_000
 	// slowdownPerRun is the share by which each running request slows an engine down.
 	slowdownPerRun = 0.03
 	// homeShare is the chance that the parts of a conversation are cached at its home.
@@ -63,6 +65,8 @@
 	Home int
 	// Seen counts the shared prompt tokens that this instance sent there lately.
 	Seen int
+	// Kept counts the shared prompt tokens that can be fetched from a store.
+	Kept int
 	// Service is the mean time of a call.
 	Service time.Duration
 	// Old: newer weights than the target's were named a while ago.
@@ -141,7 +145,8 @@
 	if c.Home == 0 {
 		cached = max(cached, homeShare*float64(in.Shared))
 	}
-	read := (float64(in.Shared+in.Own) - cached) / readRate
+	fetch := max(0, float64(c.Kept)-cached) / fetchRate
+	read := (float64(in.Shared+in.Own)-max(cached, float64(c.Kept)))/readRate + fetch
 	slow := 1 + slowdownPerRun*float64(c.Busy)
 	return wait, cost + time.Duration(read*slow*float64(time.Second))
 }
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -55,8 +55,8 @@
 	Version int64
 	// Scope separates kept context that must not be shared.
 	Scope string
-	// FetchFrom and SaveTo are addresses of kept context.
-	FetchFrom, SaveTo string
+	// FetchFrom and SaveTo are addresses of kept context for each part of the prompt; empty where there is none.
+	FetchFrom, SaveTo []string
 }
 
 // Reply is what the headers of a target's answer say.
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -129,6 +129,9 @@
 		if homes != nil {
 			cand.Home = homes[i]
 			_, scope := s.scope(c, t)
+			if s.Archiver != nil {
+				cand.Kept = tokensOf(c.Ask.Prompt, s.Archiver.Lookup(scope, keys))
+			}
 			cand.Seen = tokensOf(c.Ask.Prompt, s.book.Seen(t.ID, scoped(scope, keys), now))
 		}
 		in.Candidates = append(in.Candidates, cand)
@@ -167,6 +170,12 @@
 	return ok && s.versionOf(t, c.Ask.Prompt.Model) < named.Version && now.Sub(named.Seen) > versionGrace
 }
 
+// isNewest reports whether the call runs on the newest weights that were named; only their context is kept.
+func (s *Server) isNewest(c *Call) bool {
+	named, ok := s.Watcher.View().Named(c.Ask.Prompt.Model)
+	return !ok || c.Version >= named.Version
+}
+
 // versionAllowed reports whether calls may still begin on the target's weights.
 func (s *Server) versionAllowed(c *Call, t *cataloger.Target, now time.Time) bool {
 	if c.Service.Engine == nil {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -23,6 +23,7 @@
 	"net/http"
 	"time"
 
+	"github.com/papayaworks/papayaworks/internal/archiver"
 	"github.com/papayaworks/papayaworks/internal/balancer"
 	"github.com/papayaworks/papayaworks/internal/cataloger"
 	"github.com/papayaworks/papayaworks/internal/failer"
@@ -82,7 +83,9 @@
 	Watcher  *watcher.Watcher
 	// Orderer brings targets to the weights that were named; its fields that concern views are set by Start.
 	Orderer *orderer.Orderer
-	Log     logger.Log
+	// Archiver may be nil; then no kept context is fetched or saved.
+	Archiver *archiver.Archiver
+	Log      logger.Log
 
 	book    *balancer.Book
 	health  *health
@@ -111,7 +114,7 @@
 	s.budgets = newBudgets(retrier.Window{Share: s.Settings.RetryShare, Slack: s.Settings.RetrySlack, Length: s.Settings.RetryWindow})
 	s.pool = pooler.New()
 	s.steps = s.newSteps()
-	s.Watcher.Published = s.published
+	s.Watcher.Published = func(v *cataloger.View) { s.published(ctx, v) }
 	go s.Watcher.Run(ctx)
 	s.startOrderer(ctx)
 	s.front = &listener.Server{
@@ -142,7 +145,10 @@
 }
 
 // published runs on the control goroutine for each new view.
-func (s *Server) published(v *cataloger.View) {
+func (s *Server) published(ctx context.Context, v *cataloger.View) {
+	if s.Archiver != nil && v.Catalog != nil {
+		s.Archiver.SetStores(ctx, v.Catalog.Stores())
+	}
 	ids := v.IDs()
 	s.book.Keep(ids)
 	s.health.setTargets(v)
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -139,6 +139,11 @@
 	if c.Account != nil {
 		o.Account = c.Account.Name
 	}
+	if x.s.Archiver != nil && c.Scope != "" && x.s.isNewest(c) {
+		plan := x.s.Archiver.Plan(c.Scope, sharedKeys(c.Ask.Prompt), time.Now())
+		// The last part is the call's own and is not kept.
+		o.FetchFrom, o.SaveTo = append(plan.Fetch, ""), append(plan.Save, "")
+	}
 	x.s.Wire.Order(h, o)
 	if len(c.Body) > 0 || c.HTTP.Method != http.MethodGet && c.HTTP.Method != http.MethodHead {
 		h.Set("Content-Length", strconv.Itoa(len(c.Body)))
