feat(announcer): instances tell each other their calls in flight and weight versions

Cause: each instance saw a sixth of a target's load, placed by counts alone, and sent calls to targets whose weights had changed; targets emptied before a swap left a third of the engines idle for three seconds a wave. Change: datagrams with calls, tokens and versions; memory is part of the cost; weights are swapped under running calls, a sixth of the targets at a time.

--- a/cmd/papayaworks/forward.go
+++ b/cmd/papayaworks/forward.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/papayaworks/papayaworks/internal/announcer"
 	"github.com/papayaworks/papayaworks/internal/archiver"
 	"github.com/papayaworks/papayaworks/internal/forwarder"
 	"github.com/papayaworks/papayaworks/internal/logger"
@@ -59,5 +60,10 @@
 		Orderer:  &orderer.Orderer{Journal: &platform.Journal{Store: store}, Targets: platform.NewWorkers()},
 		Archiver: &archiver.Archiver{Client: platform.NewKept(), Log: log},
 	}
+	if set.Instance.Peers != "" {
+		s.Announcer = &announcer.Announcer{
+			Self: announcer.Peer{ID: set.Instance.Instance, Address: set.Instance.Peers}, Registry: &platform.Registry{Store: store}, Log: log,
+		}
+	}
 	return s.Run(ctx)
 }
--- /dev/null
+++ b/internal/announcer/announcer.go
@@ -0,0 +1,278 @@
+// Package announcer tells the other instances what this one has in flight at each target, and takes in what they tell.
+//
+// What an instance sees of a target with its own traffic is a small part of the
+// target's load once there are many instances, and loads that targets report lag.
+// So each instance sends datagrams with its own calls in flight to all others.
+// They may be lost: each is a complete state, a newer one replaces it, and what an
+// instance told is dropped when it has been silent for some periods.
+//
+// The period grows with the number of instances, so that what one instance sends
+// and receives is bounded however many there are. Datagrams are plain UDP: a
+// connection per pair would cost more than the state is worth, and a lost one is
+// not sent again.
+//
+// The addresses of the others come from a [Registry] in the platform's store.
+//
+// # Usage
+//
+//	a := &announcer.Announcer{Self: peer, Registry: r, State: book.Announcement, Learned: f, Log: log}
+//	go a.Run(ctx)
+//	l := a.Load("target-7", now)
+package announcer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/papayaworks/papayaworks/internal/failer"
+	"github.com/papayaworks/papayaworks/internal/logger"
+	"github.com/papayaworks/papayaworks/internal/sleeper"
+)
+
+const (
+	// leastPeriod is the time between two announcements in a small deployment.
+	leastPeriod = 60 * time.Millisecond
+	// perPeer bounds the datagrams of one instance: with more peers the period is longer.
+	perPeer = 10 * time.Millisecond
+	// silentPeriods after its last announcement what an instance told is dropped.
+	silentPeriods = 6
+	// registerPeriod is the time between two writes of the own address.
+	registerPeriod = 10 * time.Second
+	// registryWait is how long a read of the registry waits for news.
+	registryWait = 5 * time.Second
+	// peerLife is how long a peer that tells nothing is still told.
+	peerLife    = 30 * time.Second
+	callLimit   = 800 * time.Millisecond
+	retryPause  = 500 * time.Millisecond
+	maxDatagram = 8 << 10
+)
+
+// Peer is one instance and where it hears announcements.
+type Peer struct {
+	ID      string `json:"id"`
+	Address string `json:"address"`
+}
+
+// Registry is the list of instances in the platform's store.
+type Registry interface {
+	// Register writes the own address.
+	Register(ctx context.Context, p Peer) error
+	// Peers returns the addresses that were written from a position on, and the position after them; from 0 on it
+	// returns the newest of each instance.
+	Peers(ctx context.Context, from int64, wait time.Duration) ([]Peer, int64, error)
+}
+
+// Flight is what an instance has in flight at one target.
+type Flight struct {
+	Calls int
+	// Tokens are those of the prompts and of the answers that are expected.
+	Tokens int
+}
+
+// Version is the weight version that a process of a target showed.
+type Version struct {
+	Target  string `msgpack:"t"`
+	Born    int64  `msgpack:"b"`
+	Model   string `msgpack:"m"`
+	Version int64  `msgpack:"v"`
+}
+
+// State is what an instance tells.
+type State struct {
+	Flights  map[string]Flight `msgpack:"f"`
+	Versions []Version         `msgpack:"v"`
+}
+
+// announcement is the content of a datagram.
+type announcement struct {
+	ID     string `msgpack:"i"`
+	Number uint64 `msgpack:"n"`
+	Boot   int64  `msgpack:"b"`
+	State  State  `msgpack:"s"`
+}
+
+// Announcer sends and takes in announcements; it may be used by any number of goroutines.
+type Announcer struct {
+	Self     Peer
+	Registry Registry
+	// State returns what this instance tells.
+	State func() State
+	// Learned is told of weight versions that others saw.
+	Learned func(Version)
+	Log     logger.Log
+
+	conn *net.UDPConn
+	boot int64
+
+	mu    sync.RWMutex
+	peers map[string]*peer
+}
+
+type peer struct {
+	Peer
+	addr    *net.UDPAddr
+	known   time.Time
+	heard   time.Time
+	boot    int64
+	number  uint64
+	flights map[string]Flight
+}
+
+// Start binds the own address.
+func (a *Announcer) Start() error {
+	addr, err := net.ResolveUDPAddr("udp", a.Self.Address)
+	if err != nil {
+		return failer.Wrap(err, "resolve", a.Self.Address, "announce")
+	}
+	if a.conn, err = net.ListenUDP("udp", addr); err != nil {
+		return failer.Wrap(err, "listen on", a.Self.Address, "announce")
+	}
+	a.boot = time.Now().UnixNano()
+	a.peers = map[string]*peer{}
+	return nil
+}
+
+// Run announces until ctx ends.
+func (a *Announcer) Run(ctx context.Context) {
+	go a.receive()
+	go a.register(ctx)
+	go a.follow(ctx)
+	var n uint64
+	for sleeper.Sleep(ctx, a.period()) {
+		n++
+		a.send(n)
+	}
+	_ = a.conn.Close()
+}
+
+// period returns the time between two announcements.
+func (a *Announcer) period() time.Duration {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	return max(leastPeriod, time.Duration(len(a.peers))*perPeer)
+}
+
+func (a *Announcer) send(n uint64) {
+	data, err := msgpack.Marshal(announcement{ID: a.Self.ID, Number: n, Boot: a.boot, State: a.State()})
+	if err != nil {
+		logger.WithError(a.Log, err).Error("could not encode an announcement")
+		return
+	}
+	now := time.Now()
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	for _, p := range a.peers {
+		if now.Sub(p.known) < peerLife || now.Sub(p.heard) < peerLife {
+			_, _ = a.conn.WriteToUDP(data, p.addr) // a lost announcement is replaced by the next one
+		}
+	}
+}
+
+// receive takes in announcements until the socket is closed.
+func (a *Announcer) receive() {
+	buf := make([]byte, maxDatagram)
+	for {
+		n, from, err := a.conn.ReadFromUDP(buf)
+		if err != nil {
+			return
+		}
+		var in announcement
+		if err := msgpack.Unmarshal(buf[:n], &in); err != nil {
+			a.Log.WithField("peer", from.String()).Debug("announcement cannot be decoded")
+			continue
+		}
+		a.take(in, from, time.Now())
+	}
+}
+
+func (a *Announcer) take(in announcement, from *net.UDPAddr, now time.Time) {
+	if in.ID == a.Self.ID {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	p := a.peers[in.ID]
+	if p == nil {
+		p = &peer{Peer: Peer{ID: in.ID, Address: from.String()}, addr: from, known: now}
+		a.peers[in.ID] = p
+	}
+	if in.Boot < p.boot || in.Boot == p.boot && in.Number <= p.number {
+		return
+	}
+	p.boot, p.number, p.heard, p.flights = in.Boot, in.Number, now, in.State.Flights
+	for _, v := range in.State.Versions {
+		a.Learned(v)
+	}
+}
+
+// register writes the own address until ctx ends.
+func (a *Announcer) register(ctx context.Context) {
+	for ctx.Err() == nil {
+		cctx, cancel := context.WithTimeout(ctx, callLimit)
+		err := a.Registry.Register(cctx, a.Self)
+		cancel()
+		if err != nil {
+			logger.WithError(a.Log, err).Debug("could not register")
+			sleeper.Sleep(ctx, retryPause)
+			continue
+		}
+		sleeper.Sleep(ctx, registerPeriod)
+	}
+}
+
+// follow reads the registry until ctx ends.
+func (a *Announcer) follow(ctx context.Context) {
+	var next int64
+	for ctx.Err() == nil {
+		cctx, cancel := context.WithTimeout(ctx, registryWait+callLimit)
+		ps, n, err := a.Registry.Peers(cctx, next, registryWait)
+		cancel()
+		if err != nil {
+			sleeper.Sleep(ctx, retryPause)
+			continue
+		}
+		next = n
+		for _, p := range ps {
+			a.know(p, time.Now())
+		}
+		if len(ps) == 0 && next == 0 {
+			sleeper.Sleep(ctx, retryPause)
+		}
+	}
+}
+
+func (a *Announcer) know(p Peer, now time.Time) {
+	addr, err := net.ResolveUDPAddr("udp", p.Address)
+	if err != nil || p.ID == a.Self.ID {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if old := a.peers[p.ID]; old != nil && old.Address == p.Address {
+		old.known = now
+		return
+	}
+	a.peers[p.ID] = &peer{Peer: p, addr: addr, known: now}
+	a.Log.WithField("peer", p.ID).WithField("address", p.Address).Info("instance is known")
+}
+
+// Load returns what all other instances have in flight at a target.
+func (a *Announcer) Load(target string, now time.Time) Flight {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	life := silentPeriods * max(leastPeriod, time.Duration(len(a.peers))*perPeer)
+	var sum Flight
+	for _, p := range a.peers {
+		if now.Sub(p.heard) > life {
+			continue
+		}
+		f := p.flights[target]
+		sum.Calls += f.Calls
+		sum.Tokens += f.Tokens
+	}
+	return sum
+}
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -61,6 +61,8 @@
 	Remote bool
 	// Busy counts the requests that run or wait there.
 	Busy int
+	// Tokens are those of the requests that run or wait there.
+	Tokens int
 	// Home is the place of the target in the conversation's hash order; 0 is its home.
 	Home int
 	// Seen counts the shared prompt tokens that this instance sent there lately.
@@ -80,6 +82,11 @@
 	Engine bool
 	// Shared and Own are the prompt tokens that other requests share, and the rest.
 	Shared, Own int
+	// Out is the number of output tokens that is expected.
+	Out int
+	// Capacity is the memory of an engine in tokens, and Hold the mean time for which a request holds its part of it.
+	Capacity int
+	Hold     time.Duration
 	// Seed gives the random choices.
 	Seed uint64
 }
@@ -130,6 +137,9 @@
 	if over := c.Busy + 1 - slots; over > 0 {
 		wait = time.Duration(float64(c.Service) * float64(over) / float64(slots))
 	}
+	if over := c.Tokens + in.Shared + in.Own + in.Out - in.Capacity; in.Engine && in.Capacity > 0 && over > 0 {
+		wait = max(wait, time.Duration(float64(in.Hold)*float64(over)/float64(in.Capacity)))
+	}
 	cost = wait
 	if c.Remote {
 		cost += remoteCost
--- a/internal/balancer/book.go
+++ b/internal/balancer/book.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/papayaworks/papayaworks/internal/announcer"
 )
 
 const (
@@ -28,23 +30,32 @@
 	mu       sync.Mutex
 	targets  map[string]*entry
 	services map[string]time.Duration
+	// versions are the newest weight versions that were shown.
+	versions map[Weights]int64
 }
 
 type entry struct {
 	inFlight int
+	// tokens are those of the calls in flight.
+	tokens int
 	// reported is the last load, at the time when inFlight was as then.
 	reported Load
 	then     int
 	at       time.Time
 	seen     map[string]time.Time
-	// versions are the weight versions by model that the process born then has shown.
-	versions map[string]int64
-	born     int64
+}
+
+// Weights name the weights of one model in one process of a target.
+type Weights struct {
+	Target string
+	// Born is the start of the process.
+	Born  int64
+	Model string
 }
 
 // NewBook returns an empty book.
 func NewBook() *Book {
-	return &Book{targets: map[string]*entry{}, services: map[string]time.Duration{}}
+	return &Book{targets: map[string]*entry{}, services: map[string]time.Duration{}, versions: map[Weights]int64{}}
 }
 
 func (b *Book) entry(id string) *entry {
@@ -69,19 +80,36 @@
 			delete(b.targets, id)
 		}
 	}
+	for w := range b.versions {
+		if !known[w.Target] {
+			delete(b.versions, w)
+		}
+	}
 }
 
-// Begin counts a call that is sent to a target; the caller runs the returned function when it ends.
-func (b *Book) Begin(id string) (end func()) {
+// Begin counts a call of so many tokens that is sent to a target; the caller runs the returned function when it ends.
+func (b *Book) Begin(id string, tokens int) (end func()) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e := b.entry(id)
 	e.inFlight++
+	e.tokens += tokens
 	return func() {
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		e.inFlight--
+		e.tokens -= tokens
+	}
+}
+
+// Own returns what this instance has in flight at a target.
+func (b *Book) Own(id string) announcer.Flight {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if e := b.targets[id]; e != nil {
+		return announcer.Flight{Calls: e.inFlight, Tokens: e.tokens}
 	}
+	return announcer.Flight{}
 }
 
 // Report takes the load that a target sent with an answer.
@@ -162,23 +190,32 @@
 	return len(keys)
 }
 
-// SetVersion takes the weight version that a target showed; born is the start of its process.
-func (b *Book) SetVersion(id string, born int64, model string, version int64) {
+// SetVersion takes the weight version that a target showed.
+func (b *Book) SetVersion(w Weights, version int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	e := b.entry(id)
-	if e.versions == nil || e.born != born {
-		e.versions, e.born = map[string]int64{}, born
-	}
-	e.versions[model] = version
+	b.versions[w] = max(b.versions[w], version)
 }
 
-// Version returns the weight version that the target's process showed; 0 if it has shown none.
-func (b *Book) Version(id string, born int64, model string) int64 {
+// Version returns the newest weight version that a target showed; 0 if it has shown none.
+func (b *Book) Version(w Weights) int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if e := b.targets[id]; e != nil && e.born == born {
-		return e.versions[model]
+	return b.versions[w]
+}
+
+// Announcement returns what the other instances are told.
+func (b *Book) Announcement() announcer.State {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := announcer.State{Flights: map[string]announcer.Flight{}}
+	for id, e := range b.targets {
+		if e.inFlight > 0 {
+			out.Flights[id] = announcer.Flight{Calls: e.inFlight, Tokens: e.tokens}
+		}
+	}
+	for w, v := range b.versions {
+		out.Versions = append(out.Versions, announcer.Version{Target: w.Target, Born: w.Born, Model: w.Model, Version: v})
 	}
-	return 0
+	return out
 }
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -33,6 +33,12 @@
 	return n
 }
 
+// outShare is the part of the most output tokens that an answer has on average.
+const outShare = 0.5
+
+// expectedOut returns how many output tokens are expected.
+func (p Prompt) expectedOut() int { return int(outShare * float64(p.Out)) }
+
 // Ask is what a caller's headers say.
 type Ask struct {
 	ID string
@@ -68,7 +74,9 @@
 	NotRun bool
 	// Misdirected: another target has the address, or the target has other weights.
 	Misdirected bool
-	Load        *balancer.Load
+	// Instance is the target that answered, where it tells.
+	Instance string
+	Load     *balancer.Load
 	// Versions are the weight versions by model; the empty name stands for the model of the call.
 	Versions map[string]int64
 }
--- a/internal/forwarder/deliver.go
+++ b/internal/forwarder/deliver.go
@@ -84,6 +84,7 @@
 		if errors.Is(err, io.EOF) {
 			a.Stream.Finish()
 			st.s.health.observe(a.Target, true, time.Now())
+			st.s.book.Took(c.Service.Name, time.Since(c.Received))
 			return nil
 		}
 		if err != nil {
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/papayaworks/papayaworks/internal/announcer"
 	"github.com/papayaworks/papayaworks/internal/balancer"
 	"github.com/papayaworks/papayaworks/internal/cataloger"
 	"github.com/papayaworks/papayaworks/internal/request"
@@ -98,7 +99,7 @@
 	c.Version, c.Scope = s.scope(c, t)
 	c.Tried = append(c.Tried, t.ID)
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
-	x := &send{s: s, c: c, t: t, begun: now, cancel: cancel, end: s.book.Begin(t.ID)}
+	x := &send{s: s, c: c, t: t, begun: now, cancel: cancel, end: s.book.Begin(t.ID, c.Ask.Prompt.In+c.Ask.Prompt.expectedOut())}
 	out, err := x.run(ctx, left)
 	if c.Answer == nil || c.Answer.Stream == nil {
 		x.release()
@@ -115,6 +116,8 @@
 	if in.Engine {
 		in.Shared = c.Ask.Prompt.Shared()
 		in.Own = c.Ask.Prompt.In - in.Shared
+		in.Out = c.Ask.Prompt.expectedOut()
+		in.Capacity, in.Hold = c.Service.Engine.CapacityTokens, s.book.Service(c.Service.Name)
 		keys = sharedKeys(c.Ask.Prompt)
 		if len(keys) > 0 {
 			homes = balancer.Homes(keys[len(keys)-1], targets)
@@ -123,9 +126,10 @@
 	mean := s.book.Service(c.Service.Name)
 	for i, t := range targets {
 		cand := balancer.Candidate{
-			Target: t, Remote: t.DataCentre != s.Settings.DataCentre, Busy: s.book.Busy(t.ID, now), Home: 1, Service: mean,
-			Old: s.isOld(c, t, now),
+			Target: t, Remote: t.DataCentre != s.Settings.DataCentre, Home: 1, Service: mean, Old: s.isOld(c, t, now),
 		}
+		load := s.load(t.ID, now)
+		cand.Busy, cand.Tokens = load.Calls, load.Tokens
 		if homes != nil {
 			cand.Home = homes[i]
 			_, scope := s.scope(c, t)
@@ -139,6 +143,18 @@
 	return balancer.Choose(in)
 }
 
+// load returns what is in flight at a target: that of this instance, and what the others and the target itself told.
+func (s *Server) load(id string, now time.Time) announcer.Flight {
+	own := s.book.Own(id)
+	if s.Announcer != nil {
+		others := s.Announcer.Load(id, now)
+		own.Calls += others.Calls
+		own.Tokens += others.Tokens
+	}
+	own.Calls = max(own.Calls, s.book.Busy(id, now))
+	return own
+}
+
 // usable returns the targets of the call's service that may get it; those that fail are left out unless all do.
 func (s *Server) usable(c *Call, now time.Time) []*cataloger.Target {
 	var out, failing []*cataloger.Target
@@ -161,7 +177,7 @@
 
 // versionOf returns the weight version of a target as far as it is known.
 func (s *Server) versionOf(t *cataloger.Target, model string) int64 {
-	return max(t.Versions[model], s.book.Version(t.ID, t.Born, model))
+	return max(t.Versions[model], s.book.Version(balancer.Weights{Target: t.ID, Born: t.Born, Model: model}))
 }
 
 // isOld reports whether an answer of the target is worth less because newer weights were named.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -23,6 +23,7 @@
 	"net/http"
 	"time"
 
+	"github.com/papayaworks/papayaworks/internal/announcer"
 	"github.com/papayaworks/papayaworks/internal/archiver"
 	"github.com/papayaworks/papayaworks/internal/balancer"
 	"github.com/papayaworks/papayaworks/internal/cataloger"
@@ -58,6 +59,8 @@
 	DataCentre string
 	// Front and Ready are the addresses for callers and for the balancer's question; Metrics may be empty.
 	Front, Ready, Metrics string
+	// Peers is the address at which the other instances are heard.
+	Peers string
 	// Grace is the time from the request to stop until the process is killed.
 	Grace time.Duration
 	// KeyLife is how old the last read of the operator's configuration may be for keys to be trusted; 0 if keys are
@@ -83,6 +86,8 @@
 	Watcher  *watcher.Watcher
 	// Orderer brings targets to the weights that were named; its fields that concern views are set by Start.
 	Orderer *orderer.Orderer
+	// Announcer may be nil; then this instance knows only its own calls.
+	Announcer *announcer.Announcer
 	// Archiver may be nil; then no kept context is fetched or saved.
 	Archiver *archiver.Archiver
 	Log      logger.Log
@@ -117,6 +122,16 @@
 	s.Watcher.Published = func(v *cataloger.View) { s.published(ctx, v) }
 	go s.Watcher.Run(ctx)
 	s.startOrderer(ctx)
+	if s.Announcer != nil {
+		s.Announcer.State = s.book.Announcement
+		s.Announcer.Learned = func(v announcer.Version) {
+			s.book.SetVersion(balancer.Weights{Target: v.Target, Born: v.Born, Model: v.Model}, v.Version)
+		}
+		if err := s.Announcer.Start(); err != nil {
+			return err
+		}
+		go s.Announcer.Run(ctx)
+	}
 	s.front = &listener.Server{
 		Addr: s.Settings.Front, Handler: http.HandlerFunc(s.serve), MaxBodyBytes: hardBodyBytes, WriteBufferBytes: writeBufferSize,
 	}
@@ -139,7 +154,7 @@
 	o.Holder, o.Apart, o.Log = s.Settings.Instance, s.Settings.Lease, s.Log
 	o.View, o.VersionOf = s.Watcher.View, s.versionOf
 	o.Learned = func(t *cataloger.Target, model string, version int64) {
-		s.book.SetVersion(t.ID, t.Born, model, version)
+		s.book.SetVersion(balancer.Weights{Target: t.ID, Born: t.Born, Model: model}, version)
 	}
 	go o.Run(ctx)
 }
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/papayaworks/papayaworks/internal/balancer"
 	"github.com/papayaworks/papayaworks/internal/cataloger"
 	"github.com/papayaworks/papayaworks/internal/pooler"
 	"github.com/papayaworks/papayaworks/internal/retrier"
@@ -108,10 +109,27 @@
 func (x *send) notRun(reply Reply, status int) (retrier.Outcome, error) {
 	if reply.Misdirected {
 		x.c.Misdirected++
+		x.otherWeights(reply)
 	}
 	return retrier.NotRun, fmt.Errorf("target %s has not run it: status %d", x.t.ID, status)
 }
 
+// otherWeights takes it that a target which is the right one, but has not the weights that the call named, has those that
+// the operator named; the call may be sent to it again.
+func (x *send) otherWeights(reply Reply) {
+	named, ok := x.s.Watcher.View().Named(x.c.Ask.Prompt.Model)
+	if reply.Instance != x.t.ID || !ok || x.c.Version == 0 || x.c.Version >= named.Version {
+		return
+	}
+	x.s.book.SetVersion(x.weights(x.c.Ask.Prompt.Model), named.Version)
+	x.c.Tried = x.c.Tried[:len(x.c.Tried)-1]
+	x.c.Misdirected--
+}
+
+func (x *send) weights(model string) balancer.Weights {
+	return balancer.Weights{Target: x.t.ID, Born: x.t.Born, Model: model}
+}
+
 // learn takes what an answer tells about its target.
 func (x *send) learn(r Reply) {
 	now := time.Now()
@@ -122,7 +140,7 @@
 		if model == "" {
 			model = x.c.Ask.Prompt.Model
 		}
-		x.s.book.SetVersion(x.t.ID, x.t.Born, model, v)
+		x.s.book.SetVersion(x.weights(model), v)
 	}
 	if !r.NotRun && !r.Misdirected && x.c.Service.Engine != nil {
 		x.s.book.Sent(x.t.ID, scoped(x.c.Scope, sharedKeys(x.c.Ask.Prompt)), now)
--- a/internal/orderer/lease.go
+++ b/internal/orderer/lease.go
@@ -4,10 +4,8 @@
 
 const (
 	// term is how long a claim allows its holder to give orders, from before the claim was sent. It is short since a
-	// successor has to wait for its end, and renewed while there is work.
+	// successor has to wait for its end; each group of orders has a claim of its own.
 	term = 700 * time.Millisecond
-	// renewAfter leaves time for one renewal that fails.
-	renewAfter = 300 * time.Millisecond
 	// orderTimeout bounds how long after its sending an order may reach a target.
 	orderTimeout = 250 * time.Millisecond
 	// takeoverMargin is added to the wait of a successor, for timers that fire late.
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -45,7 +45,7 @@
 	retryPause       = 300 * time.Millisecond
 	reportTimeout    = 300 * time.Millisecond
 	// reportPause is the time between two reports of a target that is swapping.
-	reportPause = 200 * time.Millisecond
+	reportPause = 80 * time.Millisecond
 )
 
 // Mode is how a target ends its runs before it takes new weights.
@@ -255,8 +255,10 @@
 	o.mu.Unlock()
 	switch {
 	case !begin:
-	case l.Held(now) && l.Until-now > term-renewAfter && len(next) == 0:
-		o.ask(ctx, pending)
+	case len(next) == 0:
+		if l.Own {
+			o.ask(ctx, pending)
+		}
 	case l.Own || l.MayClaim(now, o.Apart):
 		if o.claim(ctx, l, next) {
 			o.order(ctx, next)
@@ -348,7 +350,7 @@
 	octx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	out := o.Targets.Order(octx, t, Order{
-		Model: w.Model, Version: w.Version, Mode: Finish, Holder: o.Holder, Fence: l.Fence, Expected: count,
+		Model: w.Model, Version: w.Version, Mode: Continue, Holder: o.Holder, Fence: l.Fence, Expected: count,
 	})
 	o.Log.WithField("target", t.ID).WithField("version", w.Version).WithField("fence", l.Fence).WithField("outcome", int(out)).Info("order was given")
 	o.mu.Lock()
--- a/internal/orderer/plan.go
+++ b/internal/orderer/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -9,8 +10,9 @@
 )
 
 const (
-	// maxSwapping is the share of a service's targets that take new weights together; the others carry the load.
-	maxSwapping = 0.34
+	// maxSwapping is the share of a service's targets that take new weights together: more load slowly at the weight store,
+	// and the others carry the load.
+	maxSwapping = 0.17
 	// swapTime is how long a target is taken to be swapping without a word from it.
 	swapTime = 2500 * time.Millisecond
 )
@@ -64,7 +66,7 @@
 		if s, ok := swapping[id]; ok && now < s.Until {
 			continue
 		}
-		if float64(busy[service]) < max(1, maxSwapping*float64(len(v.Targets(service)))) {
+		if float64(busy[service]) < math.Round(max(1, maxSwapping*float64(len(v.Targets(service))))) {
 			busy[service]++
 			out = append(out, w)
 		}
