fix(listener): do not take a connection for idle whose request was just read

Change: a request counts from when its last byte was read; a connection that is being closed gives no more requests to the handler.

--- a/internal/listener/closing.go
+++ b/internal/listener/closing.go
@@ -14,12 +14,14 @@
 	}
 }
 
-// CloseIdle closes the connections on which no request is in progress.
+// CloseIdle closes the connections on which no request is in progress. A request that is read later on one of them is
+// not given to the handler.
 func (s *Server) CloseIdle() {
 	s.mu.Lock()
 	var idle []net.Conn
 	for c := range s.conns {
 		if _, busy := s.active[unwrap(c)]; !busy {
+			s.closing[unwrap(c)] = true
 			idle = append(idle, c)
 		}
 	}
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -58,6 +58,8 @@
 	mu     sync.Mutex
 	active map[net.Conn]context.CancelFunc
 	conns  map[net.Conn]struct{}
+	// closing are connections that were idle when they were closed.
+	closing map[net.Conn]bool
 	// running counts the library's pieces of work on requests.
 	running atomic.Int64
 }
@@ -82,6 +84,7 @@
 	}
 	s.active = map[net.Conn]context.CancelFunc{}
 	s.conns = map[net.Conn]struct{}{}
+	s.closing = map[net.Conn]bool{}
 	s.done = make(chan struct{})
 	ln, err := net.Listen("tcp", s.Addr)
 	if err != nil {
@@ -103,6 +106,7 @@
 	})
 	// The library hands a connection from its accepting goroutine to a poller through epoll alone, which Go's memory
 	// model does not know. The counter orders the two for it.
+	s.engine.OnRequest = s.begin
 	s.engine.OnOpen(s.open)
 	s.engine.OnClose(s.forget)
 	s.engine.OnData(func(c *nbio.Conn, data []byte) {
@@ -136,6 +140,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
+	delete(s.closing, unwrap(c))
+}
+
+// begin notes that a whole request was read from a connection. It runs before the request's own goroutine does, so that
+// a connection is never taken for idle in between.
+func (s *Server) begin(w http.ResponseWriter, _ *http.Request) {
+	if res, ok := w.(*nbhttp.Response); ok && res.Parser != nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.active[unwrap(res.Parser.Conn)] = func() {}
+	}
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
@@ -146,12 +161,16 @@
 		w = &writer{res: res, req: r}
 		s.mu.Lock()
 		s.active[conn] = cancel
+		closing := s.closing[conn]
 		s.mu.Unlock()
 		defer func() {
 			s.mu.Lock()
 			delete(s.active, conn)
 			s.mu.Unlock()
 		}()
+		if closing || isClosed(conn) {
+			return // nobody would get the answer
+		}
 	}
 	s.Handler.ServeHTTP(w, r.WithContext(ctx))
 }
