feat(balancer): refuse at once what no target could answer on time

Change: the time to the first event counts memory and prompts that wait to be read; a call whose best target would be late is refused with the time after which it may fit. Reading a prompt is weighed three times, which keeps conversations at their homes. Announcements hold only what is in flight and new versions.

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -37,13 +37,17 @@
 	// leastPeriod is the time between two announcements in a small deployment.
 	leastPeriod = 60 * time.Millisecond
 	// perPeer bounds the datagrams of one instance: with more peers the period is longer.
-	perPeer = 10 * time.Millisecond
+	perPeer = 4 * time.Millisecond
 	// silentPeriods after its last announcement what an instance told is dropped.
 	silentPeriods = 6
 	// registerPeriod is the time between two writes of the own address.
-	registerPeriod = 10 * time.Second
-	// registryWait is how long a read of the registry waits for news.
-	registryWait = 5 * time.Second
+	registerPeriod = 20 * time.Second
+	// readPeriod is the time between two reads of the registry. Instances that are not known yet make themselves known
+	// by their first datagram.
+	readPeriod = 5 * time.Second
+	// firstReads are made sooner, since all instances of a deployment may start together.
+	firstReads      = 4
+	firstReadPeriod = 500 * time.Millisecond
 	// peerLife is how long a peer that tells nothing is still told.
 	peerLife    = 30 * time.Second
 	callLimit   = 800 * time.Millisecond
@@ -63,14 +67,23 @@
 	Register(ctx context.Context, p Peer) error
 	// Peers returns the addresses that were written from a position on, and the position after them; from 0 on it
 	// returns the newest of each instance.
-	Peers(ctx context.Context, from int64, wait time.Duration) ([]Peer, int64, error)
+	Peers(ctx context.Context, from int64) ([]Peer, int64, error)
 }
 
 // Flight is what an instance has in flight at one target.
 type Flight struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
 	Calls int
 	// Tokens are those of the prompts and of the answers that are expected.
 	Tokens int
+	// Reading are the prompt tokens of calls that have not begun to answer.
+	Reading int
+}
+
+// Plus returns the sum of two flights.
+func (f Flight) Plus(o Flight) Flight {
+	return Flight{Calls: f.Calls + o.Calls, Tokens: f.Tokens + o.Tokens, Reading: f.Reading + o.Reading}
 }
 
 // Version is the weight version that a process of a target showed.
@@ -83,8 +96,9 @@
 
 // State is what an instance tells.
 type State struct {
-	Flights  map[string]Flight `msgpack:"f"`
-	Versions []Version         `msgpack:"v"`
+	Flights map[string]Flight `msgpack:"f"`
+	// Versions are those that were seen lately.
+	Versions []Version `msgpack:"v,omitempty"`
 }
 
 // announcement is the content of a datagram.
@@ -227,20 +241,22 @@
 // follow reads the registry until ctx ends.
 func (a *Announcer) follow(ctx context.Context) {
 	var next int64
-	for ctx.Err() == nil {
-		cctx, cancel := context.WithTimeout(ctx, registryWait+callLimit)
-		ps, n, err := a.Registry.Peers(cctx, next, registryWait)
+	for n := 0; ctx.Err() == nil; n++ {
+		cctx, cancel := context.WithTimeout(ctx, callLimit)
+		ps, end, err := a.Registry.Peers(cctx, next)
 		cancel()
 		if err != nil {
 			sleeper.Sleep(ctx, retryPause)
 			continue
 		}
-		next = n
+		next = end
 		for _, p := range ps {
 			a.know(p, time.Now())
 		}
-		if len(ps) == 0 && next == 0 {
-			sleeper.Sleep(ctx, retryPause)
+		if n < firstReads {
+			sleeper.Sleep(ctx, firstReadPeriod)
+		} else {
+			sleeper.Sleep(ctx, readPeriod)
 		}
 	}
 }
@@ -270,9 +286,7 @@
 		if now.Sub(p.heard) > life {
 			continue
 		}
-		f := p.flights[target]
-		sum.Calls += f.Calls
-		sum.Tokens += f.Tokens
+		sum = sum.Plus(p.flights[target])
 	}
 	return sum
 }
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -14,7 +14,8 @@
 //
 // Model engines are chosen by the time to the first token: the prompt's parts
 // that are not cached are read again, and each running request slows the others
-// down. Each conversation has a home by rendezvous hashing, which all instances
+// down. At an overload of a third for 10 s, as when a quarter of the engines falls silent, a call whose first event would
+// come after its objective is refused at once. Each conversation has a home by rendezvous hashing, which all instances
 // compute alike, so that its parts are cached at few engines.
 //
 // # Usage
@@ -32,8 +33,12 @@
 	"github.com/papayaworks/papayaworks/internal/cataloger"
 )
 
-// ErrNoTarget says that no target can take the call.
-var ErrNoTarget = errors.New("no usable target")
+var (
+	// ErrNoTarget says that no target can take the call.
+	ErrNoTarget = errors.New("no usable target")
+	// ErrLate says that no target could answer the call on time.
+	ErrLate = errors.New("no target could answer on time")
+)
 
 const (
 	// remoteCost is the extra time of a request and its answer between two data centres.
@@ -44,6 +49,11 @@
 	fetchRate = 400_000
 	// slowdownPerRun is the share by which each running request slows an engine down.
 	slowdownPerRun = 0.03
+	// workPrice weighs the time to read a call's own prompt against the time that it waits: whoever comes next waits for it.
+	// It keeps conversations at their homes while load moves.
+	workPrice = 3
+	// fillShare is the part of an engine's memory that calls may fill; beyond it cached parts are lost and calls preempted.
+	fillShare = 0.9
 	// homeShare is the chance that the parts of a conversation are cached at its home.
 	homeShare = 0.7
 	// seenShare is the chance that parts which this instance sent elsewhere are still cached there.
@@ -63,6 +73,8 @@
 	Busy int
 	// Tokens are those of the requests that run or wait there.
 	Tokens int
+	// Reading are the prompt tokens of requests that wait to be read.
+	Reading int
 	// Home is the place of the target in the conversation's hash order; 0 is its home.
 	Home int
 	// Seen counts the shared prompt tokens that this instance sent there lately.
@@ -82,6 +94,8 @@
 	Engine bool
 	// Shared and Own are the prompt tokens that other requests share, and the rest.
 	Shared, Own int
+	// Objective is the time to the first event within which an answer is on time.
+	Objective time.Duration
 	// Out is the number of output tokens that is expected.
 	Out int
 	// Capacity is the memory of an engine in tokens, and Hold the mean time for which a request holds its part of it.
@@ -97,7 +111,9 @@
 	// Wait is the expected time before the target begins with the call.
 	Wait time.Duration
 	// Cost is the expected time to the first event or the answer.
-	Cost   time.Duration
+	Cost time.Duration
+	// Read is how many prompt tokens are expected to be read.
+	Read   int
 	Reason string
 }
 
@@ -107,58 +123,62 @@
 	ReasonLeast = "least expected time"
 )
 
-// Choose returns the candidate with the least expected time.
+// Choose returns the candidate with the least expected time, and [ErrLate] beside it if even that is past the objective.
+// Engines that take in more than they can answer on time lose their cached parts, preempt calls and read prompts again,
+// so that all answers are late until the load is far below what they could bear.
 func Choose(in Input) (Decision, error) {
 	r := rand.New(rand.NewPCG(in.Seed, 1))
-	best := Decision{Cost: math.MaxInt64}
+	best := Decision{}
+	least := time.Duration(math.MaxInt64)
 	for _, c := range in.Candidates {
-		wait, cost := in.cost(c)
-		drawn := time.Duration(float64(cost) * (1 + spread*r.Float64()))
-		if drawn < best.Cost {
-			best = Decision{Target: c.Target, Wait: wait, Cost: drawn, Reason: in.reason(c)}
+		d := in.estimate(c)
+		if drawn := time.Duration(float64(d.Cost) * (1 + spread*r.Float64())); drawn < least {
+			least, best = drawn, d
 		}
 	}
 	if best.Target == nil {
 		return Decision{}, ErrNoTarget
 	}
-	return best, nil
-}
-
-func (in Input) reason(c Candidate) string {
-	if in.Engine && c.Home == 0 {
-		return ReasonHome
+	if in.Engine && in.Objective > 0 && best.Cost > in.Objective {
+		return best, ErrLate
 	}
-	return ReasonLeast
+	return best, nil
 }
 
-// cost returns the expected wait at a candidate and the time to the first event or the answer.
-func (in Input) cost(c Candidate) (wait, cost time.Duration) {
+// estimate returns the decision for a candidate.
+func (in Input) estimate(c Candidate) Decision {
+	d := Decision{Target: c.Target, Reason: ReasonLeast}
 	slots := max(1, c.Target.Slots)
 	if over := c.Busy + 1 - slots; over > 0 {
-		wait = time.Duration(float64(c.Service) * float64(over) / float64(slots))
+		d.Wait = time.Duration(float64(c.Service) * float64(over) / float64(slots))
 	}
-	if over := c.Tokens + in.Shared + in.Own + in.Out - in.Capacity; in.Engine && in.Capacity > 0 && over > 0 {
-		wait = max(wait, time.Duration(float64(in.Hold)*float64(over)/float64(in.Capacity)))
-	}
-	cost = wait
 	if c.Remote {
-		cost += remoteCost
+		d.Cost += remoteCost
 	}
 	if c.Old {
-		cost += oldCost
+		d.Cost += oldCost
 	}
 	if !in.Engine {
 		fill := float64(c.Busy) / float64(slots)
-		return wait, cost + time.Duration(float64(c.Service)*(1+fill*fill))
+		d.Cost += d.Wait + time.Duration(float64(c.Service)*(1+fill*fill))
+		return d
+	}
+	if c.Home == 0 {
+		d.Reason = ReasonHome
+	}
+	if over := c.Tokens + in.Shared + in.Own + in.Out - int(fillShare*float64(in.Capacity)); in.Capacity > 0 && over > 0 {
+		d.Wait = max(d.Wait, time.Duration(float64(in.Hold)*float64(over)/float64(in.Capacity)))
 	}
 	cached := seenShare * float64(c.Seen)
 	if c.Home == 0 {
 		cached = max(cached, homeShare*float64(in.Shared))
 	}
 	fetch := max(0, float64(c.Kept)-cached) / fetchRate
-	read := (float64(in.Shared+in.Own)-max(cached, float64(c.Kept)))/readRate + fetch
+	d.Read = in.Shared + in.Own - int(max(cached, float64(c.Kept)))
 	slow := 1 + slowdownPerRun*float64(c.Busy)
-	return wait, cost + time.Duration(read*slow*float64(time.Second))
+	read := (float64(c.Reading)+workPrice*float64(d.Read))/readRate*slow + fetch
+	d.Cost += d.Wait + time.Duration(read*float64(time.Second))
+	return d
 }
 
 // Homes returns the places of the targets in the hash order of a key: rendezvous hashing, so that a target that comes
--- a/internal/balancer/book.go
+++ b/internal/balancer/book.go
@@ -14,6 +14,8 @@
 	serviceWeight = 0.05
 	// loadLife is how long a reported load counts.
 	loadLife = 2 * time.Second
+	// newsLife is how long a weight version that was seen is announced; by then it stands in the target's entry.
+	newsLife = 3 * time.Second
 	// maxSeen bounds the prompt parts that are remembered for one target.
 	maxSeen = 512
 	// seenLife is how long a part is taken to stay cached after it was sent.
@@ -31,14 +33,21 @@
 	targets  map[string]*entry
 	services map[string]time.Duration
 	// versions are the newest weight versions that were shown.
-	versions map[Weights]int64
+	versions map[Weights]shown
+}
+
+// shown is a weight version with the time when it was first seen.
+type shown struct {
+	version int64
+	at      time.Time
 }
 
 type entry struct {
-	inFlight int
-	// tokens are those of the calls in flight.
-	tokens int
-	// reported is the last load, at the time when inFlight was as then.
+	flight announcer.Flight
+	// waiting counts the calls that were not answered at all yet, since the first of them or the last word of the target.
+	waiting int
+	since   time.Time
+	// reported is the last load, at the time when as many calls were in flight as then.
 	reported Load
 	then     int
 	at       time.Time
@@ -55,7 +64,7 @@
 
 // NewBook returns an empty book.
 func NewBook() *Book {
-	return &Book{targets: map[string]*entry{}, services: map[string]time.Duration{}, versions: map[Weights]int64{}}
+	return &Book{targets: map[string]*entry{}, services: map[string]time.Duration{}, versions: map[Weights]shown{}}
 }
 
 func (b *Book) entry(id string) *entry {
@@ -76,7 +85,7 @@
 		known[id] = true
 	}
 	for id, e := range b.targets {
-		if !known[id] && e.inFlight == 0 {
+		if !known[id] && e.flight.Calls == 0 {
 			delete(b.targets, id)
 		}
 	}
@@ -87,27 +96,72 @@
 	}
 }
 
-// Begin counts a call of so many tokens that is sent to a target; the caller runs the returned function when it ends.
-func (b *Book) Begin(id string, tokens int) (end func()) {
+// Begin counts a call that is sent to a target.
+func (b *Book) Begin(id string, f announcer.Flight, now time.Time) *Hold {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e := b.entry(id)
-	e.inFlight++
-	e.tokens += tokens
-	return func() {
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		e.inFlight--
-		e.tokens -= tokens
+	e.flight = e.flight.Plus(f)
+	if e.waiting == 0 {
+		e.since = now
+	}
+	e.waiting++
+	return &Hold{book: b, entry: e, flight: f}
+}
+
+// Hold is one call in flight.
+type Hold struct {
+	book            *Book
+	entry           *entry
+	flight          announcer.Flight
+	answered, ended bool
+}
+
+// Answered counts that the target has begun to answer; its prompt was read.
+func (h *Hold) Answered(now time.Time) {
+	h.book.mu.Lock()
+	defer h.book.mu.Unlock()
+	h.entry.since = now
+	h.answer()
+}
+
+func (h *Hold) answer() {
+	if !h.answered {
+		h.answered = true
+		h.entry.waiting--
+		h.entry.flight.Reading -= h.flight.Reading
 	}
 }
 
+// End counts the end of the call.
+func (h *Hold) End() {
+	h.book.mu.Lock()
+	defer h.book.mu.Unlock()
+	if h.ended {
+		return
+	}
+	h.ended = true
+	h.answer()
+	h.entry.flight.Calls -= h.flight.Calls
+	h.entry.flight.Tokens -= h.flight.Tokens
+}
+
+// Silent returns for how long a target has left calls without a word.
+func (b *Book) Silent(id string, now time.Time) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if e := b.targets[id]; e != nil && e.waiting > 0 {
+		return now.Sub(e.since)
+	}
+	return 0
+}
+
 // Own returns what this instance has in flight at a target.
 func (b *Book) Own(id string) announcer.Flight {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if e := b.targets[id]; e != nil {
-		return announcer.Flight{Calls: e.inFlight, Tokens: e.tokens}
+		return e.flight
 	}
 	return announcer.Flight{}
 }
@@ -117,7 +171,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e := b.entry(id)
-	e.reported, e.then, e.at = l, e.inFlight, now
+	e.reported, e.then, e.at = l, e.flight.Calls, now
 }
 
 // Busy returns how many requests run or wait at a target: what it reported last, and what was sent since.
@@ -129,9 +183,9 @@
 		return 0
 	}
 	if now.Sub(e.at) > loadLife {
-		return e.inFlight
+		return e.flight.Calls
 	}
-	return max(e.inFlight, e.reported.Running+e.reported.Waiting+e.inFlight-e.then)
+	return max(e.flight.Calls, e.reported.Running+e.reported.Waiting+e.flight.Calls-e.then)
 }
 
 // Took records the time of a call of a service.
@@ -191,31 +245,35 @@
 }
 
 // SetVersion takes the weight version that a target showed.
-func (b *Book) SetVersion(w Weights, version int64) {
+func (b *Book) SetVersion(w Weights, version int64, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.versions[w] = max(b.versions[w], version)
+	if version > b.versions[w].version {
+		b.versions[w] = shown{version: version, at: now}
+	}
 }
 
 // Version returns the newest weight version that a target showed; 0 if it has shown none.
 func (b *Book) Version(w Weights) int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.versions[w]
+	return b.versions[w].version
 }
 
 // Announcement returns what the other instances are told.
-func (b *Book) Announcement() announcer.State {
+func (b *Book) Announcement(now time.Time) announcer.State {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	out := announcer.State{Flights: map[string]announcer.Flight{}}
 	for id, e := range b.targets {
-		if e.inFlight > 0 {
-			out.Flights[id] = announcer.Flight{Calls: e.inFlight, Tokens: e.tokens}
+		if e.flight.Calls > 0 {
+			out.Flights[id] = e.flight
 		}
 	}
 	for w, v := range b.versions {
-		out.Versions = append(out.Versions, announcer.Version{Target: w.Target, Born: w.Born, Model: w.Model, Version: v})
+		if now.Sub(v.at) < newsLife {
+			out.Versions = append(out.Versions, announcer.Version{Target: w.Target, Born: w.Born, Model: w.Model, Version: v.version})
+		}
 	}
 	return out
 }
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -120,6 +120,8 @@
 	Answer *Answer
 	// Reason is why the last decision was made.
 	Reason string
+	// Wait is the expected time of a call that was refused because it would be late.
+	Wait time.Duration
 	// Begun: the head of the answer was sent to the caller.
 	Begun bool
 }
@@ -132,6 +134,7 @@
 	// Body is the whole body unless Stream is set.
 	Body   []byte
 	Stream *pooler.Exchange
-	// End ends the count of the call at its target; it is set for a stream.
-	End func()
+	// Hold and End count the call at its target; they are set for a stream.
+	Hold *balancer.Hold
+	End  func()
 }
--- a/internal/forwarder/deliver.go
+++ b/internal/forwarder/deliver.go
@@ -70,6 +70,9 @@
 	buf := make([]byte, eventBuffer)
 	for {
 		n, err := a.Stream.Body.Read(buf)
+		if n > 0 {
+			a.Hold.Answered(time.Now())
+		}
 		pending = append(pending, buf[:n]...)
 		whole := eventsEnd(pending)
 		if errors.Is(err, io.EOF) {
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -23,6 +23,8 @@
 	maxSends = 4
 	// refusedRetryAfter is when targets that are full may have room.
 	refusedRetryAfter = 300 * time.Millisecond
+	// silentTime is how long a target may leave calls without a word until others are preferred.
+	silentTime = 700 * time.Millisecond
 	// versionGrace is how long after newer weights were named calls on older ones are as good.
 	versionGrace = 1200 * time.Millisecond
 )
@@ -80,7 +82,7 @@
 		return request.Fail(http.StatusBadGateway, request.CodeOutcomeUnknown, "%v", err)
 	}
 	return request.Refuse(http.StatusServiceUnavailable, request.CodeOverloaded, "", "no target took the call: %v", err).
-		WithRetryAfter(refusedRetryAfter)
+		WithRetryAfter(max(refusedRetryAfter, c.Wait))
 }
 
 // attempt sends the call to one target. With the outcome Done, the call has its answer.
@@ -89,6 +91,9 @@
 	d, err := s.choose(c, now)
 	if err != nil {
 		// Nothing was sent, and another try would find the same targets.
+		if errors.Is(err, balancer.ErrLate) {
+			c.Wait = d.Cost
+		}
 		return retrier.Unknown, err
 	}
 	t := d.Target
@@ -99,7 +104,8 @@
 	c.Version, c.Scope = s.scope(c, t)
 	c.Tried = append(c.Tried, t.ID)
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
-	x := &send{s: s, c: c, t: t, begun: now, cancel: cancel, end: s.book.Begin(t.ID, c.Ask.Prompt.In+c.Ask.Prompt.expectedOut())}
+	flight := announcer.Flight{Calls: 1, Tokens: c.Ask.Prompt.In + c.Ask.Prompt.expectedOut(), Reading: d.Read}
+	x := &send{s: s, c: c, t: t, begun: now, cancel: cancel, hold: s.book.Begin(t.ID, flight, now)}
 	out, err := x.run(ctx, left)
 	if c.Answer == nil || c.Answer.Stream == nil {
 		x.release()
@@ -116,6 +122,7 @@
 	if in.Engine {
 		in.Shared = c.Ask.Prompt.Shared()
 		in.Own = c.Ask.Prompt.In - in.Shared
+		in.Objective = c.Route.Objective
 		in.Out = c.Ask.Prompt.expectedOut()
 		in.Capacity, in.Hold = c.Service.Engine.CapacityTokens, s.book.Service(c.Service.Name)
 		keys = sharedKeys(c.Ask.Prompt)
@@ -129,7 +136,7 @@
 			Target: t, Remote: t.DataCentre != s.Settings.DataCentre, Home: 1, Service: mean, Old: s.isOld(c, t, now),
 		}
 		load := s.load(t.ID, now)
-		cand.Busy, cand.Tokens = load.Calls, load.Tokens
+		cand.Busy, cand.Tokens, cand.Reading = load.Calls, load.Tokens, load.Reading
 		if homes != nil {
 			cand.Home = homes[i]
 			_, scope := s.scope(c, t)
@@ -147,9 +154,7 @@
 func (s *Server) load(id string, now time.Time) announcer.Flight {
 	own := s.book.Own(id)
 	if s.Announcer != nil {
-		others := s.Announcer.Load(id, now)
-		own.Calls += others.Calls
-		own.Tokens += others.Tokens
+		own = own.Plus(s.Announcer.Load(id, now))
 	}
 	own.Calls = max(own.Calls, s.book.Busy(id, now))
 	return own
@@ -163,7 +168,7 @@
 		case t.Leaving, slices.Contains(c.Tried, t.ID), !s.versionAllowed(c, t, now):
 		case s.Orderer != nil && s.Orderer.IsSwapping(t.ID):
 			failing = append(failing, t)
-		case !s.health.allows(t.ID, now):
+		case s.book.Silent(t.ID, now) > silentTime, !s.health.allows(t.ID, now):
 			failing = append(failing, t)
 		default:
 			out = append(out, t)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -123,9 +123,9 @@
 	go s.Watcher.Run(ctx)
 	s.startOrderer(ctx)
 	if s.Announcer != nil {
-		s.Announcer.State = s.book.Announcement
+		s.Announcer.State = func() announcer.State { return s.book.Announcement(time.Now()) }
 		s.Announcer.Learned = func(v announcer.Version) {
-			s.book.SetVersion(balancer.Weights{Target: v.Target, Born: v.Born, Model: v.Model}, v.Version)
+			s.book.SetVersion(balancer.Weights{Target: v.Target, Born: v.Born, Model: v.Model}, v.Version, time.Now())
 		}
 		if err := s.Announcer.Start(); err != nil {
 			return err
@@ -154,7 +154,7 @@
 	o.Holder, o.Apart, o.Log = s.Settings.Instance, s.Settings.Lease, s.Log
 	o.View, o.VersionOf = s.Watcher.View, s.versionOf
 	o.Learned = func(t *cataloger.Target, model string, version int64) {
-		s.book.SetVersion(balancer.Weights{Target: t.ID, Born: t.Born, Model: model}, version)
+		s.book.SetVersion(balancer.Weights{Target: t.ID, Born: t.Born, Model: model}, version, time.Now())
 	}
 	go o.Run(ctx)
 }
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -24,13 +24,13 @@
 	t      *cataloger.Target
 	begun  time.Time
 	cancel context.CancelFunc
-	end    func()
+	hold   *balancer.Hold
 }
 
 // release gives back what the attempt holds.
 func (x *send) release() {
 	x.cancel()
-	x.end()
+	x.hold.End()
 }
 
 // run sends the call and judges the answer.
@@ -44,6 +44,9 @@
 	if err != nil {
 		return x.failed(ctx, err)
 	}
+	if !isStream(ex) {
+		x.hold.Answered(time.Now())
+	}
 	reply = x.s.Wire.Reply(ex.StatusCode, ex.Header)
 	x.learn(reply)
 	if reply.NotRun || reply.Misdirected {
@@ -53,7 +56,7 @@
 	}
 	if isStream(ex) && reply.Receipt {
 		c.Sent = true
-		c.Answer = &Answer{Target: x.t.ID, Status: ex.StatusCode, Header: ex.Header, Stream: ex, End: x.release}
+		c.Answer = &Answer{Target: x.t.ID, Status: ex.StatusCode, Header: ex.Header, Stream: ex, Hold: x.hold, End: x.release}
 		return retrier.Done, nil
 	}
 	return x.whole(ctx, ex, reply)
@@ -121,7 +124,7 @@
 	if reply.Instance != x.t.ID || !ok || x.c.Version == 0 || x.c.Version >= named.Version {
 		return
 	}
-	x.s.book.SetVersion(x.weights(x.c.Ask.Prompt.Model), named.Version)
+	x.s.book.SetVersion(x.weights(x.c.Ask.Prompt.Model), named.Version, time.Now())
 	x.c.Tried = x.c.Tried[:len(x.c.Tried)-1]
 	x.c.Misdirected--
 }
@@ -140,7 +143,7 @@
 		if model == "" {
 			model = x.c.Ask.Prompt.Model
 		}
-		x.s.book.SetVersion(x.weights(model), v)
+		x.s.book.SetVersion(x.weights(model), v, now)
 	}
 	if !r.NotRun && !r.Misdirected && x.c.Service.Engine != nil {
 		x.s.book.Sent(x.t.ID, scoped(x.c.Scope, sharedKeys(x.c.Ask.Prompt)), now)
