--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -39,11 +39,11 @@
 )
 
 const (
-	// noticeTime is how long after a stop began the balancer may still send new connections: it asks once a second and
+	// defaultNotice is how long after a stop began the balancer may still send new connections: it asks once a second and
 	// takes an instance out after two misses.
-	noticeTime = 2500 * time.Millisecond
-	// closeTime is how long callers get, after that, to see that their connection will be closed.
-	closeTime = time.Second
+	defaultNotice = 2500 * time.Millisecond
+	// closeDivisor: callers get this part of the notice, after it, to see that their connection will be closed.
+	closeDivisor = 3
 	// finishMargin is what is left of the grace time when the last requests are cut off.
 	finishMargin = 400 * time.Millisecond
 	// bodyHeadroom: larger bodies than the configured limit are read, so that they are refused with an answer.
@@ -63,6 +63,8 @@
 	Peers string
 	// Grace is the time from the request to stop until the process is killed.
 	Grace time.Duration
+	// Notice is how long after a stop began new connections are still served; 0 means the default.
+	Notice time.Duration
 	// KeyLife is how old the last read of the operator's configuration may be for keys to be trusted; 0 if keys are
 	// trusted without it.
 	KeyLife time.Duration
@@ -243,9 +245,13 @@
 	begun := time.Now()
 	s.Log.Info("stopping")
 	s.Watcher.Apply(ctx, func(v *cataloger.View) *cataloger.View { return v.WithDraining() })
-	sleeper.Sleep(ctx, noticeTime)
+	notice := s.Settings.Notice
+	if notice == 0 {
+		notice = defaultNotice
+	}
+	sleeper.Sleep(ctx, notice)
 	s.front.CloseIdle()
-	sleeper.Sleep(ctx, closeTime)
+	sleeper.Sleep(ctx, notice/closeDivisor)
 	s.front.Refuse()
 	left := s.Settings.Grace - finishMargin - time.Since(begun)
 	ctx, cancel := context.WithTimeout(ctx, max(left, 0))
