fix(forwarder): count replaced weights from the first newer version; share retries; SIGHUP

Change: a view remembers when each version was named; no call is sent 1.5 s before the bound; the slack is divided among the known instances; SIGHUP and changes of the file are taken over.

--- a/cmd/papayaworks/forward.go
+++ b/cmd/papayaworks/forward.go
@@ -1,8 +1,13 @@
 package main
 
 import (
+	"bytes"
+	"context"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -29,6 +34,9 @@
 // memoryShare is the part of the memory limit at which the collector works harder.
 const memoryShare = 0.7
 
+// settingsPeriod is the time between two looks at the settings file.
+const settingsPeriod = 5 * time.Second
+
 type forwardCommand struct {
 	Settings string `long:"settings" value-name:"FILE" description:"settings of the process"`
 	Level    string `long:"level" default:"info" value-name:"LEVEL" description:"least level of log lines"`
@@ -65,5 +73,36 @@
 			Self: announcer.Peer{ID: set.Instance.Instance, Address: set.Instance.Peers}, Registry: &platform.Registry{Store: store}, Log: log,
 		}
 	}
+	go c.reload(ctx, s, log)
 	return s.Run(ctx)
 }
+
+// reload reads the settings again when SIGHUP comes or the file has changed.
+func (c *forwardCommand) reload(ctx context.Context, s *forwarder.Server, log logger.Log) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	last, _ := os.ReadFile(c.Settings)
+	t := time.NewTicker(settingsPeriod)
+	defer t.Stop()
+	for {
+		forced := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			forced = true
+		case <-t.C:
+		}
+		text, err := os.ReadFile(c.Settings)
+		if err != nil || !forced && bytes.Equal(text, last) {
+			continue
+		}
+		last = text
+		set, err := platform.ParseSettings(string(text))
+		if err != nil {
+			logger.WithError(log, err).Error("settings were not taken; the earlier ones stay in force")
+			continue
+		}
+		s.Reload(set.Instance)
+	}
+}
--- /dev/null
+++ b/cmd/papayaworks/forward_test.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/papayaworks/papayaworks/platform"
+	"github.com/papayaworks/papayaworks/platform/emulator"
+)
+
+// lines collects the output of a process.
+type lines struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.Write(p)
+}
+
+func (l *lines) contains(s string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return bytes.Contains(l.buf.Bytes(), []byte(s))
+}
+
+// Guards against a process that ends at SIGHUP, that misses changed settings, or that does not end at SIGTERM.
+func TestForwardSignals(t *testing.T) {
+	st := emulator.NewStore()
+	st.Start(t)
+	st.Put("keyed.op", "config", map[string]any{"version": 1, "limits": map[string]any{"max_body_bytes": 1000}})
+	front, ready := freePort(t), freePort(t)
+	file := filepath.Join(t.TempDir(), "local.toml")
+	write := func(grace int) {
+		text := fmt.Sprintf("node_name = \"a\"\nip = \"127.0.0.1\"\nzone = \"z\"\n[listen]\nfront = %q\nready = %q\n[bounds]\ngrace_s = %d\n[platform]\naddress = %q\n",
+			front, ready, grace, st.Address)
+		require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+	}
+	write(8)
+	out := new(lines)
+	cmd := exec.Command("papayaworks", "forward")
+	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+file)
+	cmd.Stdout, cmd.Stderr = out, out
+	require.NoError(t, cmd.Start())
+	defer func() { _ = cmd.Process.Kill() }()
+	isReady := func() bool {
+		res, err := http.Get("http://" + ready + "/ready")
+		if err != nil {
+			return false
+		}
+		defer res.Body.Close()
+		return res.StatusCode == http.StatusOK
+	}
+	require.Eventually(t, isReady, processDeadline, 10*time.Millisecond)
+	write(6)
+	require.NoError(t, cmd.Process.Signal(syscall.SIGHUP))
+	require.Eventually(t, func() bool { return out.contains(`"changed":true`) }, processDeadline, 10*time.Millisecond)
+	require.NoError(t, os.WriteFile(file, []byte("node_name = 7"), 0o600))
+	require.NoError(t, cmd.Process.Signal(syscall.SIGHUP))
+	require.Eventually(t, func() bool { return out.contains("settings were not taken") }, processDeadline, 10*time.Millisecond)
+	require.True(t, isReady())
+	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, cmd.Wait())
+	require.True(t, out.contains(`"msg":"stopped"`))
+}
+
+func freePort(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	return ln.Addr().String()
+}
--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -276,6 +276,13 @@
 	a.Log.WithField("peer", p.ID).WithField("address", p.Address).Info("instance is known")
 }
 
+// Peers returns how many other instances were heard or written lately.
+func (a *Announcer) Peers() int {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	return len(a.peers)
+}
+
 // Load returns what all other instances have in flight at a target.
 func (a *Announcer) Load(target string, now time.Time) Flight {
 	a.mu.RLock()
--- a/internal/cataloger/view.go
+++ b/internal/cataloger/view.go
@@ -7,6 +7,9 @@
 	"time"
 )
 
+// maxNamed bounds the weight versions of a model that are remembered.
+const maxNamed = 64
+
 // Target is one target as it published itself.
 type Target struct {
 	ID         string
@@ -39,12 +42,13 @@
 
 	targets  map[string]*Target
 	services map[string][]*Target
-	named    map[string]Named
+	// named are the versions of each model, oldest first.
+	named map[string][]Named
 }
 
 // NewView returns an empty view.
 func NewView() *View {
-	return &View{targets: map[string]*Target{}, services: map[string][]*Target{}, named: map[string]Named{}}
+	return &View{targets: map[string]*Target{}, services: map[string][]*Target{}, named: map[string][]Named{}}
 }
 
 // WithCatalog returns the view with a configuration; an older one than the present changes nothing.
@@ -66,12 +70,15 @@
 
 // WithNamed returns the view with a weight version; a lower one than the present changes nothing.
 func (v *View) WithNamed(model string, version int64, now time.Time) *View {
-	if v.named[model].Version >= version {
+	if old, ok := v.Named(model); ok && old.Version >= version {
 		return v
 	}
 	n := *v
 	n.named = maps.Clone(v.named)
-	n.named[model] = Named{Version: version, Seen: now}
+	n.named[model] = append(slices.Clone(v.named[model]), Named{Version: version, Seen: now})
+	if len(n.named[model]) > maxNamed {
+		n.named[model] = n.named[model][1:]
+	}
 	return &n
 }
 
@@ -122,8 +129,22 @@
 
 // Named returns the newest weight version of a model that the operator named.
 func (v *View) Named(model string) (Named, bool) {
-	n, ok := v.named[model]
-	return n, ok
+	ns := v.named[model]
+	if len(ns) == 0 {
+		return Named{}, false
+	}
+	return ns[len(ns)-1], true
+}
+
+// Replaced returns for how long a weight version has been replaced: the time since the first newer one was seen. A
+// target that missed several versions is as old as the first of them says.
+func (v *View) Replaced(model string, version int64, now time.Time) time.Duration {
+	for _, n := range v.named[model] {
+		if n.Version > version {
+			return now.Sub(n.Seen)
+		}
+	}
+	return 0
 }
 
 // Models returns the models of which a version was named.
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -19,10 +19,17 @@
 const (
 	// leastLeft is the time below which a call is not sent any more; no target could answer it.
 	leastLeft = 5 * time.Millisecond
+	// retryPart of the bound on retries is used, since windows slide and instances come and go.
+	retryPart = 0.8
+	// leastInstances share the slack of the bound, also while the others are not known yet.
+	leastInstances = 4
 	// maxSends bounds the sends of a call that were proven not to have run.
 	maxSends = 4
 	// refusedRetryAfter is when targets that are full may have room.
 	refusedRetryAfter = 300 * time.Millisecond
+	// versionMargin is how much earlier than the operator's bound no call is sent to older weights: the naming is seen
+	// late, and a call waits at its target before it begins.
+	versionMargin = 1500 * time.Millisecond
 	// silentTime is how long a target may leave calls without a word until others are preferred.
 	silentTime = 700 * time.Millisecond
 	// versionGrace is how long after newer weights were named calls on older ones are as good.
@@ -37,7 +44,7 @@
 
 // Run dispatches the call.
 func (st *dispatchStep) Run(ctx context.Context, c *Call) error {
-	st.s.budgets.request(c.Service.Name, c.Received)
+	st.s.budgets.request(c.Service.Name, st.s.retryWindow(), c.Received)
 	return st.s.dispatch(ctx, c)
 }
 
@@ -65,7 +72,18 @@
 	case c.runs() >= max(1, c.Route.MaxAttempts):
 		return false
 	}
-	return s.budgets.take(c.Service.Name, time.Now())
+	return s.budgets.take(c.Service.Name, s.retryWindow(), time.Now())
+}
+
+// retryWindow returns this instance's part of the bound on retries: the share holds for the sum of all instances, and
+// the slack is divided among those that are known.
+func (s *Server) retryWindow() retrier.Window {
+	set := s.settings()
+	n := leastInstances
+	if s.Announcer != nil {
+		n = max(n, s.Announcer.Peers()+1)
+	}
+	return retrier.Window{Share: retryPart * set.RetryShare, Slack: int(retryPart * float64(set.RetrySlack) / float64(n)), Length: set.RetryWindow}
 }
 
 // runs counts the targets at which the call counts as sent.
@@ -133,7 +151,7 @@
 	mean := s.book.Service(c.Service.Name)
 	for i, t := range targets {
 		cand := balancer.Candidate{
-			Target: t, Remote: t.DataCentre != s.Settings.DataCentre, Home: 1, Service: mean, Old: s.isOld(c, t, now),
+			Target: t, Remote: t.DataCentre != s.settings().DataCentre, Home: 1, Service: mean, Old: s.isOld(c, t, now),
 		}
 		load := s.load(t.ID, now)
 		cand.Busy, cand.Tokens, cand.Reading = load.Calls, load.Tokens, load.Reading
@@ -187,8 +205,13 @@
 
 // isOld reports whether an answer of the target is worth less because newer weights were named.
 func (s *Server) isOld(c *Call, t *cataloger.Target, now time.Time) bool {
-	named, ok := c.View.Named(c.Ask.Prompt.Model)
-	return ok && s.versionOf(t, c.Ask.Prompt.Model) < named.Version && now.Sub(named.Seen) > versionGrace
+	return s.replaced(c, t, now) > versionGrace
+}
+
+// replaced returns for how long the target's weights have been replaced.
+func (s *Server) replaced(c *Call, t *cataloger.Target, now time.Time) time.Duration {
+	model := c.Ask.Prompt.Model
+	return s.Watcher.View().Replaced(model, s.versionOf(t, model), now)
 }
 
 // isNewest reports whether the call runs on the newest weights that were named; only their context is kept.
@@ -202,8 +225,7 @@
 	if c.Service.Engine == nil {
 		return true
 	}
-	named, ok := s.Watcher.View().Named(c.Ask.Prompt.Model)
-	return !ok || s.versionOf(t, c.Ask.Prompt.Model) >= named.Version || now.Sub(named.Seen) < s.Settings.VersionTime
+	return s.replaced(c, t, now) < s.settings().VersionTime-versionMargin
 }
 
 // scope returns the weight version on which a target runs the call, and the scope of its kept context: the version is
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -21,6 +21,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/papayaworks/papayaworks/internal/announcer"
@@ -33,7 +34,6 @@
 	"github.com/papayaworks/papayaworks/internal/orderer"
 	"github.com/papayaworks/papayaworks/internal/pooler"
 	"github.com/papayaworks/papayaworks/internal/request"
-	"github.com/papayaworks/papayaworks/internal/retrier"
 	"github.com/papayaworks/papayaworks/internal/sleeper"
 	"github.com/papayaworks/papayaworks/internal/watcher"
 )
@@ -94,6 +94,9 @@
 	Archiver *archiver.Archiver
 	Log      logger.Log
 
+	// reloaded holds the settings that were read last, if they were read again.
+	reloaded atomic.Pointer[Settings]
+
 	book    *balancer.Book
 	health  *health
 	budgets *budgets
@@ -103,6 +106,22 @@
 	ready   *listener.Server
 }
 
+// settings returns the settings in force.
+func (s *Server) settings() *Settings {
+	if set := s.reloaded.Load(); set != nil {
+		return set
+	}
+	return s.Settings
+}
+
+// Reload takes settings that were read again. Calls in progress go on; addresses stay as they were at the start.
+func (s *Server) Reload(set *Settings) {
+	old := s.settings()
+	changed := *set != *old
+	s.reloaded.Store(set)
+	s.Log.WithField("changed", changed).WithField("addressesChanged", set.Front != old.Front || set.Ready != old.Ready).Info("settings were read again")
+}
+
 // Run serves until ctx ends and then stops gracefully.
 func (s *Server) Run(ctx context.Context) error {
 	bg, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -118,7 +137,7 @@
 func (s *Server) Start(ctx context.Context) error {
 	s.book = balancer.NewBook()
 	s.health = newHealth()
-	s.budgets = newBudgets(retrier.Window{Share: s.Settings.RetryShare, Slack: s.Settings.RetrySlack, Length: s.Settings.RetryWindow})
+	s.budgets = newBudgets()
 	s.pool = pooler.New()
 	s.steps = s.newSteps()
 	s.Watcher.Published = func(v *cataloger.View) { s.published(ctx, v) }
@@ -189,7 +208,7 @@
 		return false, "stopping"
 	case v.Catalog == nil:
 		return false, "no configuration yet"
-	case s.Settings.KeyLife > 0 && s.Watcher.Age() > s.Settings.KeyLife/2:
+	case s.settings().KeyLife > 0 && s.Watcher.Age() > s.settings().KeyLife/2:
 		return false, "keys are too old"
 	}
 	return true, ""
@@ -245,7 +264,7 @@
 	begun := time.Now()
 	s.Log.Info("stopping")
 	s.Watcher.Apply(ctx, func(v *cataloger.View) *cataloger.View { return v.WithDraining() })
-	notice := s.Settings.Notice
+	notice := s.settings().Notice
 	if notice == 0 {
 		notice = defaultNotice
 	}
@@ -253,7 +272,7 @@
 	s.front.CloseIdle()
 	sleeper.Sleep(ctx, notice/closeDivisor)
 	s.front.Refuse()
-	left := s.Settings.Grace - finishMargin - time.Since(begun)
+	left := s.settings().Grace - finishMargin - time.Since(begun)
 	ctx, cancel := context.WithTimeout(ctx, max(left, 0))
 	defer cancel()
 	for s.front.Connections() > 0 && ctx.Err() == nil {
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -361,7 +361,8 @@
 		o.counts[key] = count + 1
 	case Fenced:
 		o.lease = o.lease.WithoutTerm()
-	case NotDone, Conflict:
+	case NotDone, Conflict, Unknown:
+		// Unknown: the order may be carried out much later, and then has no effect if another one was accepted before.
 		o.swapping[t.ID] = Swapping{Version: w.Version, Until: clocker.Elapsed() + retryPause}
 	}
 }
--- a/internal/retrier/window.go
+++ b/internal/retrier/window.go
@@ -15,18 +15,18 @@
 
 // Spending is what was sent in a window; it belongs to one goroutine or lock.
 type Spending struct {
-	Window Window
-
 	requests, retries []time.Time
 }
 
 // Request counts a first attempt.
-func (s *Spending) Request(now time.Time) { s.requests = append(s.drop(s.requests, now), now) }
+func (s *Spending) Request(w Window, now time.Time) {
+	s.requests = append(drop(s.requests, w, now), now)
+}
 
 // Take counts a retry and returns true if it is within the bound.
-func (s *Spending) Take(now time.Time) bool {
-	s.requests, s.retries = s.drop(s.requests, now), s.drop(s.retries, now)
-	if float64(len(s.retries)+1) > s.Window.Share*float64(len(s.requests))+float64(s.Window.Slack) {
+func (s *Spending) Take(w Window, now time.Time) bool {
+	s.requests, s.retries = drop(s.requests, w, now), drop(s.retries, w, now)
+	if float64(len(s.retries)+1) > w.Share*float64(len(s.requests))+float64(w.Slack) {
 		return false
 	}
 	s.retries = append(s.retries, now)
@@ -34,9 +34,9 @@
 }
 
 // drop removes the times that are older than the window.
-func (s *Spending) drop(ts []time.Time, now time.Time) []time.Time {
+func drop(ts []time.Time, w Window, now time.Time) []time.Time {
 	i := 0
-	for i < len(ts) && now.Sub(ts[i]) > s.Window.Length {
+	for i < len(ts) && now.Sub(ts[i]) > w.Length {
 		i++
 	}
 	return ts[i:]
