--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -15,19 +15,22 @@
 //
 // # Usage
 //
-//	a := &announcer.Announcer{Self: peer, Registry: r, State: book.Announcement, Learned: f, Log: log}
+//	a := &announcer.Announcer{Self: peer, Registry: r, State: book.Announcement, Heard: f, Changed: g, Log: log}
 //	go a.Run(ctx)
 //	l := a.Load("target-7", now)
 package announcer
 
 import (
+	"cmp"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/papayaworks/papayaworks/internal/archiver"
 	"github.com/papayaworks/papayaworks/internal/failer"
 	"github.com/papayaworks/papayaworks/internal/logger"
 	"github.com/papayaworks/papayaworks/internal/sleeper"
@@ -38,6 +41,10 @@
 	leastPeriod = 60 * time.Millisecond
 	// perPeer bounds the datagrams of one instance: with more peers the period is longer.
 	perPeer = 4 * time.Millisecond
+	// settleTime after the start the instances that start at the same time are known.
+	settleTime = 1500 * time.Millisecond
+	// stepsPerPeriod: the datagrams of a period are sent in as many steps for each leastPeriod.
+	stepsPerPeriod = 3
 	// silentPeriods after its last announcement what an instance told is dropped.
 	silentPeriods = 6
 	// registerPeriod is the time between two writes of the own address.
@@ -59,6 +66,8 @@
 type Peer struct {
 	ID      string `json:"id"`
 	Address string `json:"address"`
+
+	addr *net.UDPAddr
 }
 
 // Registry is the list of instances in the platform's store.
@@ -99,6 +108,8 @@
 	Flights map[string]Flight `msgpack:"f"`
 	// Versions are those that were seen lately.
 	Versions []Version `msgpack:"v,omitempty"`
+	// Kept are news of stores of kept context.
+	Kept []archiver.News `msgpack:"k,omitempty"`
 }
 
 // announcement is the content of a datagram.
@@ -115,8 +126,10 @@
 	Registry Registry
 	// State returns what this instance tells.
 	State func() State
-	// Learned is told of weight versions that others saw.
-	Learned func(Version)
+	// Heard is told of what others tell.
+	Heard func(State)
+	// Changed is told of the instances when they change, this one included.
+	Changed func(ids []string)
 	Log     logger.Log
 
 	conn *net.UDPConn
@@ -128,7 +141,6 @@
 
 type peer struct {
 	Peer
-	addr    *net.UDPAddr
 	known   time.Time
 	heard   time.Time
 	boot    int64
@@ -156,36 +168,61 @@
 	go a.register(ctx)
 	go a.follow(ctx)
 	var n uint64
-	for sleeper.Sleep(ctx, a.period()) {
+	var members []string
+	begun := time.Now()
+	for ctx.Err() == nil {
 		n++
-		a.send(n)
+		peers := a.alive(time.Now())
+		ids := []string{a.Self.ID}
+		for _, p := range peers {
+			ids = append(ids, p.ID)
+		}
+		if slices.Sort(ids); !slices.Equal(ids, members) && time.Since(begun) > settleTime {
+			members = ids
+			a.Changed(ids)
+		}
+		a.announce(ctx, n, peers)
 	}
 	_ = a.conn.Close()
 }
 
-// period returns the time between two announcements.
-func (a *Announcer) period() time.Duration {
-	a.mu.RLock()
-	defer a.mu.RUnlock()
-	return max(leastPeriod, time.Duration(len(a.peers))*perPeer)
-}
-
-func (a *Announcer) send(n uint64) {
+// announce sends one state to the peers, spread over the period so that a small link is never filled by a burst.
+func (a *Announcer) announce(ctx context.Context, n uint64, peers []Peer) {
 	data, err := msgpack.Marshal(announcement{ID: a.Self.ID, Number: n, Boot: a.boot, State: a.State()})
 	if err != nil {
 		logger.WithError(a.Log, err).Error("could not encode an announcement")
-		return
 	}
-	now := time.Now()
-	a.mu.RLock()
-	defer a.mu.RUnlock()
-	for _, p := range a.peers {
-		if now.Sub(p.known) < peerLife || now.Sub(p.heard) < peerLife {
-			_, _ = a.conn.WriteToUDP(data, p.addr) // a lost announcement is replaced by the next one
+	period := periodOf(len(peers))
+	steps := int(period/leastPeriod) * stepsPerPeriod
+	for i := range steps {
+		for k := i * len(peers) / steps; k < (i+1)*len(peers)/steps && err == nil; k++ {
+			_, _ = a.conn.WriteToUDP(data, peers[k].addr) // a lost announcement is replaced by the next one
+		}
+		if !sleeper.Sleep(ctx, period/time.Duration(steps)) {
+			return
 		}
 	}
 }
 
+// periodOf returns the time between two announcements to the same peer.
+func periodOf(peers int) time.Duration { return max(leastPeriod, time.Duration(peers)*perPeer) }
+
+// alive returns the peers that were heard or written lately.
+func (a *Announcer) alive(now time.Time) []Peer {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var out []Peer
+	for id, p := range a.peers {
+		if now.Sub(p.known) > peerLife && now.Sub(p.heard) > peerLife {
+			delete(a.peers, id)
+			continue
+		}
+		out = append(out, p.Peer)
+	}
+	slices.SortFunc(out, func(x, y Peer) int { return cmp.Compare(x.ID, y.ID) })
+	return out
+}
+
 // receive takes in announcements until the socket is closed.
 func (a *Announcer) receive() {
 	buf := make([]byte, maxDatagram)
@@ -211,16 +248,14 @@
 	defer a.mu.Unlock()
 	p := a.peers[in.ID]
 	if p == nil {
-		p = &peer{Peer: Peer{ID: in.ID, Address: from.String()}, addr: from, known: now}
+		p = &peer{Peer: Peer{ID: in.ID, Address: from.String(), addr: from}, known: now}
 		a.peers[in.ID] = p
 	}
 	if in.Boot < p.boot || in.Boot == p.boot && in.Number <= p.number {
 		return
 	}
 	p.boot, p.number, p.heard, p.flights = in.Boot, in.Number, now, in.State.Flights
-	for _, v := range in.State.Versions {
-		a.Learned(v)
-	}
+	a.Heard(in.State)
 }
 
 // register writes the own address until ctx ends.
@@ -272,7 +307,8 @@
 		old.known = now
 		return
 	}
-	a.peers[p.ID] = &peer{Peer: p, addr: addr, known: now}
+	p.addr = addr
+	a.peers[p.ID] = &peer{Peer: p, known: now}
 	a.Log.WithField("peer", p.ID).WithField("address", p.Address).Info("instance is known")
 }
 
@@ -287,7 +323,7 @@
 func (a *Announcer) Load(target string, now time.Time) Flight {
 	a.mu.RLock()
 	defer a.mu.RUnlock()
-	life := silentPeriods * max(leastPeriod, time.Duration(len(a.peers))*perPeer)
+	life := silentPeriods * periodOf(len(a.peers))
 	var sum Flight
 	for _, p := range a.peers {
 		if now.Sub(p.heard) > life {
--- a/internal/archiver/archiver.go
+++ b/internal/archiver/archiver.go
@@ -9,7 +9,11 @@
 // The store of a part is computed by rendezvous hashing weighted by capacity, so
 // that all instances save and look for a part at the same place without a word.
 //
-// Parts of replaced weights are freed once no target has had these weights for
+// A store bears few readers of its events. Where there are more instances, some
+// follow each store, and the first of them tells the others what is new in its
+// announcements (see [News]).
+//
+// Parts of replaced weights are freed by that instance once no target has had these weights for
 // longer than any fetch lasts.
 //
 // # Usage
@@ -23,6 +27,7 @@
 	"context"
 	"hash/fnv"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,6 +44,12 @@
 	retryPause = 200 * time.Millisecond
 	// saveLife is how long a save is taken to be under way; it is not asked for again before.
 	saveLife = 4 * time.Second
+	// followers is how many instances follow the events of one store; stores bear a dozen readers.
+	followers = 8
+	// newsLife is how long a new part is told, so that a lost announcement does no harm.
+	newsLife = 1200 * time.Millisecond
+	// silentLife is how long what was told of a store holds without a further word.
+	silentLife = 2 * time.Second
 	// maxSaves bounds the saves that are remembered.
 	maxSaves = 20_000
 )
@@ -46,6 +57,23 @@
 // Part names a kept part: the scope that separates it from others, and its ID.
 type Part struct{ Scope, ID string }
 
+// Key returns the number by which a part is known.
+func (p Part) Key() uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(p.Scope))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(p.ID))
+	return mix(h.Sum64())
+}
+
+// mix spreads the entropy of a hash over all its bits.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	return x
+}
+
 // Event is one change at a store.
 type Event struct {
 	Part Part
@@ -74,64 +102,118 @@
 
 // Archiver follows the stores; it may be used by any number of goroutines.
 type Archiver struct {
+	// Self names this instance among those that share the following of stores.
+	Self   string
 	Client Client
 	Log    logger.Log
 
-	mu     sync.RWMutex
-	stores []*store
-	saves  map[Part]time.Time
+	mu        sync.RWMutex
+	instances []string
+	stores    []*store
+	saves     map[uint64]time.Time
 }
 
 // store is what is known of one store.
 type store struct {
 	*cataloger.ContextStore
+	// key places parts at stores, and stores at instances.
+	key uint64
+	// cancel ends the following of its events; it is nil while they are not followed.
 	cancel context.CancelFunc
-	// reachable: the store answered the last read of its events.
+	// first: this instance tells the others.
+	first bool
+	// reachable: the store answered the last read of its events, or was told of lately.
 	reachable bool
+	heard     time.Time
 	epoch     int64
 	next      int64
-	parts     map[Part]bool
+	parts     map[uint64]Part
+	recent    []recentPart
+}
+
+type recentPart struct {
+	key uint64
+	at  time.Time
+}
+
+// News is what the first follower of a store tells the others.
+type News struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
+	Store uint64
+	Epoch int64
+	// Parts became complete lately.
+	Parts []uint64
 }
 
-// SetStores follows the stores of a configuration and no others.
+// SetStores takes the stores of a configuration.
 func (a *Archiver) SetStores(ctx context.Context, stores []*cataloger.Service) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.saves == nil {
-		a.saves = map[Part]time.Time{}
+		a.saves = map[uint64]time.Time{}
 	}
 	var kept []*store
 	for _, s := range stores {
-		kept = append(kept, a.reuse(ctx, s.Store))
+		kept = append(kept, a.reuse(s.Store))
 	}
 	for _, old := range a.stores {
-		if !contains(kept, old) {
+		if old.cancel != nil && !slices.Contains(kept, old) {
 			old.cancel()
 		}
 	}
 	a.stores = kept
+	a.assign(ctx)
 }
 
-// reuse returns the store at the same address, or begins to follow it; a.mu is held.
-func (a *Archiver) reuse(ctx context.Context, cs *cataloger.ContextStore) *store {
+// reuse returns the store at the same address, or a new one; a.mu is held.
+func (a *Archiver) reuse(cs *cataloger.ContextStore) *store {
 	for _, old := range a.stores {
 		if old.Address == cs.Address {
 			return old
 		}
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	s := &store{ContextStore: cs, cancel: cancel, parts: map[Part]bool{}}
-	go a.follow(ctx, s)
-	return s
+	return &store{ContextStore: cs, key: Part{ID: cs.Address}.Key(), parts: map[uint64]Part{}}
+}
+
+// SetInstances takes the instances that share the following of stores, this one included.
+func (a *Archiver) SetInstances(ctx context.Context, ids []string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.instances = ids
+	a.assign(ctx)
+}
+
+// assign begins or ends the following of each store by this instance's place among all; a.mu is held.
+func (a *Archiver) assign(ctx context.Context) {
+	if len(a.instances) == 0 {
+		return // the others are not known yet
+	}
+	for _, s := range a.stores {
+		place := a.place(s)
+		s.first = place == 0
+		switch {
+		case place < followers && s.cancel == nil:
+			sctx, cancel := context.WithCancel(ctx)
+			s.cancel, s.reachable = cancel, false
+			go a.follow(sctx, s)
+		case place >= followers && s.cancel != nil:
+			s.cancel()
+			s.cancel = nil
+		}
+	}
 }
 
-func contains(stores []*store, s *store) bool {
-	for _, x := range stores {
-		if x == s {
-			return true
+// place returns how many instances come before this one in the order of a store; a.mu is held.
+func (a *Archiver) place(s *store) int {
+	own := mix(Part{ID: a.Self}.Key() ^ s.key)
+	n := 0
+	for _, id := range a.instances {
+		if id != a.Self && mix(Part{ID: id}.Key()^s.key) > own {
+			n++
 		}
 	}
-	return false
+	return n
 }
 
 // follow reads the events of a store until ctx ends.
@@ -140,21 +222,27 @@
 		rctx, cancel := context.WithTimeout(ctx, eventWait+eventLimit)
 		ev, err := a.read(rctx, s)
 		cancel()
+		if ctx.Err() != nil {
+			return
+		}
 		if err != nil {
 			a.forget(s, err)
 			sleeper.Sleep(ctx, retryPause)
 			continue
 		}
-		a.apply(s, ev)
+		a.apply(s, ev, time.Now())
 	}
 }
 
 // read returns the events since the last ones, or the whole list if there is nothing to go on from.
 func (a *Archiver) read(ctx context.Context, s *store) (Events, error) {
-	if !s.reachable {
+	a.mu.RLock()
+	reachable, next := s.reachable, s.next
+	a.mu.RUnlock()
+	if !reachable {
 		return a.Client.List(ctx, s.Address)
 	}
-	return a.Client.Events(ctx, s.Address, s.next, eventWait)
+	return a.Client.Events(ctx, s.Address, next, eventWait)
 }
 
 // forget drops what is known of a store that did not answer.
@@ -164,49 +252,112 @@
 	if s.reachable {
 		logger.WithError(a.Log, err).WithField("store", s.Address).Warn("store of kept context is lost")
 	}
-	s.reachable = false
-	s.parts = map[Part]bool{}
+	s.drop()
+}
+
+// drop forgets all parts.
+func (s *store) drop() {
+	s.reachable, s.parts, s.recent = false, map[uint64]Part{}, nil
 }
 
 // apply takes events; after a restart or a gap the list is read anew.
-func (a *Archiver) apply(s *store, ev Events) {
+func (a *Archiver) apply(s *store, ev Events, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	known := s.reachable
 	if known && (ev.Lost || ev.Epoch != s.epoch) {
 		a.Log.WithField("store", s.Address).WithField("restarted", ev.Epoch != s.epoch).Info("store of kept context is read anew")
-		s.reachable, s.parts = false, map[Part]bool{}
+		s.drop()
 		return
 	}
 	if !known {
 		a.Log.WithField("store", s.Address).WithField("parts", len(ev.Events)).Info("store of kept context is followed")
-		s.parts = map[Part]bool{}
+		s.drop()
 	}
-	s.reachable, s.epoch, s.next = true, ev.Epoch, ev.Next
+	s.reachable, s.epoch, s.next, s.heard = true, ev.Epoch, ev.Next, now
 	for _, e := range ev.Events {
-		if e.Whole {
-			s.parts[e.Part] = true
-			delete(a.saves, e.Part)
-		} else {
-			delete(s.parts, e.Part)
+		key := e.Part.Key()
+		if !e.Whole {
+			delete(s.parts, key)
+			continue
+		}
+		s.parts[key] = e.Part
+		delete(a.saves, key)
+		if s.first {
+			s.recent = append(s.recent, recentPart{key, now})
+		}
+	}
+}
+
+// News returns what this instance tells the others of the stores that it follows first.
+func (a *Archiver) News(now time.Time) []News {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.instances) <= followers {
+		return nil // all of them follow every store
+	}
+	var out []News
+	for _, s := range a.stores {
+		if !s.first || !s.reachable || s.cancel == nil {
+			continue
+		}
+		n := News{Store: s.key, Epoch: s.epoch}
+		s.recent = slices.DeleteFunc(s.recent, func(r recentPart) bool { return now.Sub(r.at) > newsLife })
+		for _, r := range s.recent {
+			n.Parts = append(n.Parts, r.key)
+		}
+		out = append(out, n)
+	}
+	return out
+}
+
+// Hear takes what another instance tells; stores that this one follows itself are passed over.
+func (a *Archiver) Hear(news []News, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, n := range news {
+		for _, s := range a.stores {
+			if s.key != n.Store || s.cancel != nil {
+				continue
+			}
+			if !s.reachable || s.epoch != n.Epoch || now.Sub(s.heard) > silentLife {
+				s.drop()
+			}
+			s.reachable, s.epoch, s.heard = true, n.Epoch, now
+			for _, key := range n.Parts {
+				s.parts[key] = Part{}
+				delete(a.saves, key)
+			}
 		}
 	}
 }
 
+// holds reports whether a part can be fetched from the store; a.mu is held.
+func (s *store) holds(key uint64, now time.Time) bool {
+	if !s.usable(now) {
+		return false
+	}
+	_, ok := s.parts[key]
+	return ok
+}
+
+// usable reports whether what is known of the store still holds; a.mu is held.
+func (s *store) usable(now time.Time) bool {
+	return s.reachable && now.Sub(s.heard) < silentLife
+}
+
 // Plan says for each part of a prompt where to fetch it from and where to save it; empty where nowhere.
 type Plan struct {
 	Fetch, Save []string
-	// Kept counts the parts that can be fetched, in order from the first.
-	Kept int
 }
 
 // Lookup returns how many of the parts, in order from the first, can be fetched.
-func (a *Archiver) Lookup(scope string, ids []string) int {
+func (a *Archiver) Lookup(scope string, ids []string, now time.Time) int {
 	a.mu.RLock()
 	defer a.mu.RUnlock()
 	for i, id := range ids {
-		p := Part{scope, id}
-		if s := a.home(p); s == nil || !s.parts[p] {
+		key := Part{scope, id}.Key()
+		if s := a.home(key); s == nil || !s.holds(key, now) {
 			return i
 		}
 	}
@@ -219,81 +370,85 @@
 	defer a.mu.Unlock()
 	p := Plan{Fetch: make([]string, len(ids)), Save: make([]string, len(ids))}
 	for i, id := range ids {
-		part := Part{scope, id}
-		s := a.home(part)
+		key := Part{scope, id}.Key()
+		s := a.home(key)
 		switch {
-		case s == nil || !s.reachable:
-		case s.parts[part]:
+		case s == nil || !s.usable(now):
+		case s.holds(key, now):
 			p.Fetch[i] = s.Address
-			if p.Kept == i {
-				p.Kept++
-			}
-		case now.Sub(a.saves[part]) > saveLife && len(a.saves) < maxSaves:
-			a.saves[part] = now
+		case now.Sub(a.saves[key]) > saveLife:
+			a.save(key, now)
 			p.Save[i] = s.Address
 		}
 	}
 	return p
 }
 
+// save remembers that a part is being saved; a.mu is held.
+func (a *Archiver) save(key uint64, now time.Time) {
+	if len(a.saves) >= maxSaves {
+		for k, at := range a.saves {
+			if now.Sub(at) > saveLife {
+				delete(a.saves, k)
+			}
+		}
+	}
+	a.saves[key] = now
+}
+
 // home returns the store of a part; a.mu is held.
-func (a *Archiver) home(p Part) *store {
+func (a *Archiver) home(key uint64) *store {
 	var best *store
 	top := math.Inf(-1)
 	for _, s := range a.stores {
-		h := fnv.New64a()
-		_, _ = h.Write([]byte(p.Scope))
-		_, _ = h.Write([]byte{0})
-		_, _ = h.Write([]byte(p.ID))
-		_, _ = h.Write([]byte(s.Address))
-		x := h.Sum64()
-		x ^= x >> 33
-		x *= 0xff51afd7ed558ccd
-		x ^= x >> 33
-		u := (float64(x>>11) + 1) / (1 << 53)
-		if score := -float64(s.CapacityTokens) / math.Log(u); score > top {
+		u := (float64(mix(key^s.key)>>11) + 1) / (1 << 53)
+		if score := -float64(s.CapacityTokens) / math.Log(u); best == nil || score > top {
 			top, best = score, s
 		}
 	}
 	return best
 }
 
-// Free drops the parts whose scope is not wanted any more at all reachable stores.
+// Free drops the parts whose scope is not wanted any more at the stores that this instance follows first.
 func (a *Archiver) Free(ctx context.Context, unwanted func(scope string) bool) {
-	type job struct {
-		s     *store
-		epoch int64
-		parts []Part
+	for _, j := range a.unwanted(unwanted) {
+		fctx, cancel := context.WithTimeout(ctx, eventWait+eventLimit)
+		err := a.Client.Free(fctx, j.s.Address, j.epoch, j.parts)
+		cancel()
+		l := a.Log.WithField("store", j.s.Address).WithField("parts", len(j.parts))
+		if err != nil {
+			logger.WithError(l, err).Warn("could not free kept context")
+			continue
+		}
+		l.Info("kept context of replaced weights was freed")
 	}
-	var jobs []job
+}
+
+// job is what is to be freed at one store.
+type job struct {
+	s     *store
+	epoch int64
+	parts []Part
+}
+
+func (a *Archiver) unwanted(unwanted func(scope string) bool) []job {
 	a.mu.Lock()
+	defer a.mu.Unlock()
+	var jobs []job
 	for _, s := range a.stores {
+		if !s.first || s.cancel == nil || !s.reachable {
+			continue
+		}
 		j := job{s: s, epoch: s.epoch}
-		for p := range s.parts {
+		for key, p := range s.parts {
 			if unwanted(p.Scope) {
 				j.parts = append(j.parts, p)
-				delete(s.parts, p)
+				delete(s.parts, key)
 			}
 		}
-		if s.reachable && len(j.parts) > 0 {
+		if len(j.parts) > 0 {
 			jobs = append(jobs, j)
 		}
 	}
-	for p := range a.saves {
-		if unwanted(p.Scope) {
-			delete(a.saves, p)
-		}
-	}
-	a.mu.Unlock()
-	for _, j := range jobs {
-		ctx, cancel := context.WithTimeout(ctx, eventWait+eventLimit)
-		err := a.Client.Free(ctx, j.s.Address, j.epoch, j.parts)
-		cancel()
-		l := a.Log.WithField("store", j.s.Address).WithField("parts", len(j.parts))
-		if err != nil {
-			logger.WithError(l, err).Warn("could not free kept context")
-			continue
-		}
-		l.Info("kept context of replaced weights was freed")
-	}
+	return jobs
 }
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -159,7 +158,7 @@
 			cand.Home = homes[i]
 			_, scope := s.scope(c, t)
 			if s.Archiver != nil {
-				cand.Kept = tokensOf(c.Ask.Prompt, s.Archiver.Lookup(scope, keys))
+				cand.Kept = tokensOf(c.Ask.Prompt, s.Archiver.Lookup(scope, keys, now))
 			}
 			cand.Seen = tokensOf(c.Ask.Prompt, s.book.Seen(t.ID, scoped(scope, keys), now))
 		}
@@ -234,12 +233,12 @@
 	if c.Service.Engine == nil {
 		return 0, ""
 	}
-	v := s.versionOf(t, c.Ask.Prompt.Model)
-	scope := fmt.Sprintf("%s/%d", c.Ask.Prompt.Model, v)
+	account := ""
 	if c.Account != nil && c.Account.Isolated {
-		scope += "/" + c.Account.Name
+		account = c.Account.Name
 	}
-	return v, scope
+	v := s.versionOf(t, c.Ask.Prompt.Model)
+	return v, scopeOf(c.Ask.Prompt.Model, v, account)
 }
 
 // sharedKeys returns the IDs of the prompt's parts but the last.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -140,14 +140,17 @@
 	s.budgets = newBudgets()
 	s.pool = pooler.New()
 	s.steps = s.newSteps()
+	if s.Archiver != nil {
+		s.Archiver.Self = s.Settings.Instance
+	}
 	s.Watcher.Published = func(v *cataloger.View) { s.published(ctx, v) }
 	go s.Watcher.Run(ctx)
 	s.startOrderer(ctx)
+	if s.Archiver != nil {
+		go s.freeReplaced(ctx)
+	}
 	if s.Announcer != nil {
-		s.Announcer.State = func() announcer.State { return s.book.Announcement(time.Now()) }
-		s.Announcer.Learned = func(v announcer.Version) {
-			s.book.SetVersion(balancer.Weights{Target: v.Target, Born: v.Born, Model: v.Model}, v.Version, time.Now())
-		}
+		s.joinOthers(ctx)
 		if err := s.Announcer.Start(); err != nil {
 			return err
 		}
@@ -167,6 +170,33 @@
 	return nil
 }
 
+// joinOthers has this instance tell the others what it knows, and take in what they tell.
+func (s *Server) joinOthers(ctx context.Context) {
+	a := s.Announcer
+	a.State = func() announcer.State {
+		now := time.Now()
+		st := s.book.Announcement(now)
+		if s.Archiver != nil {
+			st.Kept = s.Archiver.News(now)
+		}
+		return st
+	}
+	a.Heard = func(st announcer.State) {
+		now := time.Now()
+		for _, v := range st.Versions {
+			s.book.SetVersion(balancer.Weights{Target: v.Target, Born: v.Born, Model: v.Model}, v.Version, now)
+		}
+		if s.Archiver != nil && len(st.Kept) > 0 {
+			s.Archiver.Hear(st.Kept, now)
+		}
+	}
+	a.Changed = func(ids []string) {
+		if s.Archiver != nil {
+			s.Archiver.SetInstances(ctx, ids)
+		}
+	}
+}
+
 func (s *Server) startOrderer(ctx context.Context) {
 	o := s.Orderer
 	if o == nil {
