feat(forwarder): bound fetches of kept context; let successors order sooner

Change: a fetch is given up when reading would have been faster, on the targets' clock; the holder renews its claim while there is work; where targets check fencing numbers a successor waits only for the end of the term.

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -17,7 +17,7 @@
 //
 //	a := &announcer.Announcer{Self: peer, Registry: r, State: book.Announcement, Heard: f, Changed: g, Log: log}
 //	go a.Run(ctx)
-//	l := a.Load("target-7", now)
+//	l := a.Load("target-7", time.Second, now)
 package announcer
 
 import (
@@ -319,17 +319,21 @@
 	return len(a.peers)
 }
 
-// Load returns what all other instances have in flight at a target.
-func (a *Announcer) Load(target string, now time.Time) Flight {
+// Load returns what all other instances have in flight at a target. Where their announcements come too seldom for the
+// age that is of use, it returns nothing: a load that all instances believe and that is long over would send all of them
+// to the same target.
+func (a *Announcer) Load(target string, maxAge time.Duration, now time.Time) Flight {
 	a.mu.RLock()
 	defer a.mu.RUnlock()
-	life := silentPeriods * periodOf(len(a.peers))
+	period := periodOf(len(a.peers))
 	var sum Flight
+	if period > maxAge {
+		return sum
+	}
 	for _, p := range a.peers {
-		if now.Sub(p.heard) > life {
-			continue
+		if now.Sub(p.heard) <= silentPeriods*period {
+			sum = sum.Plus(p.flights[target])
 		}
-		sum = sum.Plus(p.flights[target])
 	}
 	return sum
 }
--- a/internal/archiver/archiver.go
+++ b/internal/archiver/archiver.go
@@ -32,6 +32,7 @@
 	"time"
 
 	"github.com/papayaworks/papayaworks/internal/cataloger"
+	"github.com/papayaworks/papayaworks/internal/clocker"
 	"github.com/papayaworks/papayaworks/internal/logger"
 	"github.com/papayaworks/papayaworks/internal/sleeper"
 )
@@ -50,6 +51,8 @@
 	newsLife = 1200 * time.Millisecond
 	// silentLife is how long what was told of a store holds without a further word.
 	silentLife = 2 * time.Second
+	// clockLife is how long the targets' clock is taken to go on as it was seen.
+	clockLife = 10 * time.Second
 	// maxSaves bounds the saves that are remembered.
 	maxSaves = 20_000
 )
@@ -89,6 +92,8 @@
 	// Lost: events are missing.
 	Lost   bool
 	Events []Event
+	// Clock is the time on the clock of targets and stores when the answer was made; 0 if it was not told.
+	Clock time.Duration
 }
 
 // Client calls stores of kept context.
@@ -111,6 +116,8 @@
 	instances []string
 	stores    []*store
 	saves     map[uint64]time.Time
+	// offset is the time on the targets' clock at the start of this machine, as it was seen at a time.
+	offset, offsetAt time.Duration
 }
 
 // store is what is known of one store.
@@ -275,6 +282,7 @@
 		s.drop()
 	}
 	s.reachable, s.epoch, s.next, s.heard = true, ev.Epoch, ev.Next, now
+	a.sync(ev.Clock)
 	for _, e := range ev.Events {
 		key := e.Part.Key()
 		if !e.Whole {
@@ -289,6 +297,35 @@
 	}
 }
 
+// Sync takes the time on the targets' clock from an answer that has just arrived.
+func (a *Archiver) Sync(clock time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sync(clock)
+}
+
+// sync keeps the greatest offset of late: the way of an answer only makes it smaller. a.mu is held.
+func (a *Archiver) sync(clock time.Duration) {
+	now := clocker.Elapsed()
+	if clock == 0 {
+		return
+	}
+	if off := clock - now; off > a.offset || now-a.offsetAt > clockLife {
+		a.offset, a.offsetAt = off, now
+	}
+}
+
+// Clock returns the present time on the targets' clock, and false if it is not known.
+func (a *Archiver) Clock() (time.Duration, bool) {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	now := clocker.Elapsed()
+	if a.offsetAt == 0 || now-a.offsetAt > 2*clockLife {
+		return 0, false
+	}
+	return now + a.offset, true
+}
+
 // News returns what this instance tells the others of the stores that it follows first.
 func (a *Archiver) News(now time.Time) []News {
 	a.mu.Lock()
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -181,6 +181,11 @@
 	return d
 }
 
+// ReadTime returns how long an engine takes to read so many prompt tokens.
+func ReadTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / readRate * float64(time.Second))
+}
+
 // Homes returns the places of the targets in the hash order of a key: rendezvous hashing, so that a target that comes
 // or goes moves only its own keys.
 func Homes(key string, targets []*cataloger.Target) []int {
--- a/internal/balancer/book.go
+++ b/internal/balancer/book.go
@@ -12,8 +12,6 @@
 	defaultService = 50 * time.Millisecond
 	// serviceWeight is the weight of a new measurement in the mean.
 	serviceWeight = 0.05
-	// loadLife is how long a reported load counts.
-	loadLife = 2 * time.Second
 	// newsLife is how long a weight version that was seen is announced; by then it stands in the target's entry.
 	newsLife = 3 * time.Second
 	// maxSeen bounds the prompt parts that are remembered for one target.
@@ -174,15 +172,16 @@
 	e.reported, e.then, e.at = l, e.flight.Calls, now
 }
 
-// Busy returns how many requests run or wait at a target: what it reported last, and what was sent since.
-func (b *Book) Busy(id string, now time.Time) int {
+// Busy returns how many requests run or wait at a target: what it reported last, unless that is too old, and what was
+// sent since.
+func (b *Book) Busy(id string, maxAge time.Duration, now time.Time) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e := b.targets[id]
 	if e == nil {
 		return 0
 	}
-	if now.Sub(e.at) > loadLife {
+	if now.Sub(e.at) > maxAge {
 		return e.flight.Calls
 	}
 	return max(e.flight.Calls, e.reported.Running+e.reported.Waiting+e.flight.Calls-e.then)
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -63,6 +63,8 @@
 	Scope string
 	// FetchFrom and SaveTo are addresses of kept context for each part of the prompt; empty where there is none.
 	FetchFrom, SaveTo []string
+	// FetchUntil is when a fetch that has not finished is given up, on the targets' clock.
+	FetchUntil time.Duration
 }
 
 // Reply is what the headers of a target's answer say.
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -29,6 +29,10 @@
 	// versionMargin is how much earlier than the operator's bound no call is sent to older weights: the naming is seen
 	// late, and a call waits at its target before it begins.
 	versionMargin = 1500 * time.Millisecond
+	// engineLoadLife is how old a load of an engine may be, whose calls last for seconds.
+	engineLoadLife = 2 * time.Second
+	// plainLoadLives is how many mean times of a call old a load of a plain service may be.
+	plainLoadLives = 3
 	// silentTime is how long a target may leave calls without a word until others are preferred.
 	silentTime = 700 * time.Millisecond
 	// versionGrace is how long after newer weights were named calls on older ones are as good.
@@ -152,7 +156,7 @@
 		cand := balancer.Candidate{
 			Target: t, Remote: t.DataCentre != s.settings().DataCentre, Home: 1, Service: mean, Old: s.isOld(c, t, now),
 		}
-		load := s.load(t.ID, now)
+		load := s.load(t.ID, loadLife(in.Engine, mean), now)
 		cand.Busy, cand.Tokens, cand.Reading = load.Calls, load.Tokens, load.Reading
 		if homes != nil {
 			cand.Home = homes[i]
@@ -167,13 +171,21 @@
 	return balancer.Choose(in)
 }
 
+// loadLife returns how old a load may be that a decision counts on: calls of plain services are over sooner.
+func loadLife(engine bool, mean time.Duration) time.Duration {
+	if engine {
+		return engineLoadLife
+	}
+	return min(engineLoadLife, plainLoadLives*mean)
+}
+
 // load returns what is in flight at a target: that of this instance, and what the others and the target itself told.
-func (s *Server) load(id string, now time.Time) announcer.Flight {
+func (s *Server) load(id string, maxAge time.Duration, now time.Time) announcer.Flight {
 	own := s.book.Own(id)
 	if s.Announcer != nil {
-		own = own.Plus(s.Announcer.Load(id, now))
+		own = own.Plus(s.Announcer.Load(id, maxAge, now))
 	}
-	own.Calls = max(own.Calls, s.book.Busy(id, now))
+	own.Calls = max(own.Calls, s.book.Busy(id, maxAge, now))
 	return own
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -42,6 +42,11 @@
 	// defaultNotice is how long after a stop began the balancer may still send new connections: it asks once a second and
 	// takes an instance out after two misses.
 	defaultNotice = 2500 * time.Millisecond
+	// readyPart of the life of keys passes without a read of the configuration until an instance is not ready.
+	readyPart = 0.62
+	// drainPart of the time in which a leaving target must be known passes between two reads of the targets; one read may
+	// fail.
+	drainPart = 0.38
 	// closeDivisor: callers get this part of the notice, after it, to see that their connection will be closed.
 	closeDivisor = 3
 	// finishMargin is what is left of the grace time when the last requests are cut off.
@@ -65,6 +70,8 @@
 	Grace time.Duration
 	// Notice is how long after a stop began new connections are still served; 0 means the default.
 	Notice time.Duration
+	// Drain is the time after which a target that has said that it leaves must get no more calls.
+	Drain time.Duration
 	// KeyLife is how old the last read of the operator's configuration may be for keys to be trusted; 0 if keys are
 	// trusted without it.
 	KeyLife time.Duration
@@ -144,6 +151,7 @@
 		s.Archiver.Self = s.Settings.Instance
 	}
 	s.Watcher.Published = func(v *cataloger.View) { s.published(ctx, v) }
+	s.Watcher.Pause = time.Duration(drainPart * float64(s.Settings.Drain))
 	go s.Watcher.Run(ctx)
 	s.startOrderer(ctx)
 	if s.Archiver != nil {
@@ -203,6 +211,10 @@
 		return
 	}
 	o.Holder, o.Apart, o.Log = s.Settings.Instance, s.Settings.Lease, s.Log
+	if s.Settings.Fenced {
+		// Targets refuse the orders of an earlier holder, so a successor need not wait for more than its silence.
+		o.Apart = 0
+	}
 	o.View, o.VersionOf = s.Watcher.View, s.versionOf
 	o.Learned = func(t *cataloger.Target, model string, version int64) {
 		s.book.SetVersion(balancer.Weights{Target: t.ID, Born: t.Born, Model: model}, version, time.Now())
@@ -238,7 +250,7 @@
 		return false, "stopping"
 	case v.Catalog == nil:
 		return false, "no configuration yet"
-	case s.settings().KeyLife > 0 && s.Watcher.Age() > s.settings().KeyLife/2:
+	case s.settings().KeyLife > 0 && s.Watcher.Age() > time.Duration(readyPart*float64(s.settings().KeyLife)):
 		return false, "keys are too old"
 	}
 	return true, ""
--- a/internal/forwarder/kept.go
+++ b/internal/forwarder/kept.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strconv"
 	"strings"
 	"time"
@@ -45,6 +46,7 @@
 func (s *Server) freeReplaced(ctx context.Context) {
 	history := map[string][]oldest{}
 	for sleeper.Sleep(ctx, freePeriod) {
+		s.syncClock(ctx)
 		now := time.Now()
 		for model, v := range s.oldestVersions() {
 			h := history[model]
@@ -60,6 +62,27 @@
 	}
 }
 
+// syncClock asks a target for its clock if none of the stores that this instance follows has told it.
+func (s *Server) syncClock(ctx context.Context) {
+	if _, ok := s.Archiver.Clock(); ok || s.Orderer == nil {
+		return
+	}
+	v := s.Watcher.View()
+	ids := v.IDs()
+	if len(ids) == 0 {
+		return
+	}
+	t, _ := v.Target(ids[rand.IntN(len(ids))])
+	if len(t.Versions) == 0 {
+		return // a plain service has no clock
+	}
+	ctx, cancel := context.WithTimeout(ctx, freePeriod)
+	defer cancel()
+	if r, err := s.Orderer.Targets.Report(ctx, t); err == nil {
+		s.Archiver.Sync(r.Clock)
+	}
+}
+
 // lately drops what is older than the newest entry that is old enough to count.
 func lately(h []oldest, now time.Time) []oldest {
 	for len(h) > 1 && now.Sub(h[1].since) > freeDelay {
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -17,6 +17,10 @@
 	"github.com/papayaworks/papayaworks/internal/retrier"
 )
 
+// fetchAllowance is added to the time that reading the parts would take: the call's way to its target, and the store's
+// own delay.
+const fetchAllowance = 60 * time.Millisecond
+
 // send is one attempt at one target.
 type send struct {
 	s      *Server
@@ -160,11 +164,7 @@
 	if c.Account != nil {
 		o.Account = c.Account.Name
 	}
-	if x.s.Archiver != nil && c.Scope != "" && x.s.isNewest(c) {
-		plan := x.s.Archiver.Plan(c.Scope, sharedKeys(c.Ask.Prompt), time.Now())
-		// The last part is the call's own and is not kept.
-		o.FetchFrom, o.SaveTo = append(plan.Fetch, ""), append(plan.Save, "")
-	}
+	x.planContext(&o)
 	x.s.Wire.Order(h, o)
 	if len(c.Body) > 0 || c.HTTP.Method != http.MethodGet && c.HTTP.Method != http.MethodHead {
 		h.Set("Content-Length", strconv.Itoa(len(c.Body)))
@@ -179,6 +179,22 @@
 	return b.Bytes()
 }
 
+// planContext says where the shared parts of the prompt are fetched from and saved to; the last part is the call's own and
+// is not kept. A fetch is given up when reading the parts would have been faster: links may be slow.
+func (x *send) planContext(o *Order) {
+	c, a := x.c, x.s.Archiver
+	if a == nil || c.Scope == "" || !x.s.isNewest(c) {
+		return
+	}
+	clock, ok := a.Clock()
+	if !ok {
+		return
+	}
+	plan := a.Plan(c.Scope, sharedKeys(c.Ask.Prompt), time.Now())
+	o.FetchFrom, o.SaveTo = append(plan.Fetch, ""), append(plan.Save, "")
+	o.FetchUntil = clock + fetchAllowance + balancer.ReadTime(c.Ask.Prompt.Shared())
+}
+
 // priority returns the rank of a call: the account's takes precedence over the route's.
 func (c *Call) priority() int {
 	if c.Account != nil && c.Account.HasPriority {
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -97,6 +97,8 @@
 	Busy bool
 	// Accepted is the number of orders that it has accepted.
 	Accepted int64
+	// Clock is the time on the targets' clock.
+	Clock time.Duration
 }
 
 // Targets calls targets.
@@ -255,10 +257,9 @@
 	o.mu.Unlock()
 	switch {
 	case !begin:
-	case len(next) == 0:
-		if l.Own {
-			o.ask(ctx, pending)
-		}
+	case len(next) == 0 && l.Own && now < l.Until-term+renewAfter:
+		o.ask(ctx, pending)
+	case len(next) == 0 && !l.Own:
 	case l.Own || l.MayClaim(now, o.Apart):
 		if o.claim(ctx, l, next) {
 			o.order(ctx, next)
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -30,9 +30,11 @@
 const (
 	// operatorWait is how long a read of the operator's source waits for news. It bounds the age of what API keys are
 	// checked against, and how long a connection that has fallen silent goes unnoticed.
-	operatorWait = time.Second
-	// targetPause is the time between two reads of the targets' source; a leaving target must be known within 2 s.
-	targetPause = 600 * time.Millisecond
+	operatorWait = 2 * time.Second
+	// defaultPause is the time between two reads of the targets' source.
+	defaultPause = 600 * time.Millisecond
+	// expirePeriod is the time between two looks for entries that did not come back.
+	expirePeriod = 300 * time.Millisecond
 	// readLimit is how long a read may take beyond its wait.
 	readLimit = 900 * time.Millisecond
 	// retryPause is the time to the next try after a failed read.
@@ -92,6 +94,8 @@
 type Watcher struct {
 	Operator, Targets Source
 	Log               logger.Log
+	// Pause is the time between two reads of the targets' source; 0 means the default.
+	Pause time.Duration
 	// Published is called on the control goroutine with each new view; it may be nil.
 	Published func(*cataloger.View)
 
@@ -145,9 +149,13 @@
 
 // Run follows the sources until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
+	pause := w.Pause
+	if pause == 0 {
+		pause = defaultPause
+	}
 	go w.follow(ctx, "operator", w.Operator, operatorWait, 0)
-	go w.follow(ctx, "targets", w.Targets, 0, targetPause)
-	t := time.NewTicker(targetPause)
+	go w.follow(ctx, "targets", w.Targets, 0, pause)
+	t := time.NewTicker(expirePeriod)
 	defer t.Stop()
 	batches := 0
 	for {
