feat(forwarder): log lines and metrics of calls; leave out targets that refuse

Cause: a failure could not be explained from logs, and a target that refuses was chosen again and again until the retry budget was spent (found once by TestRefusedCallGoesElsewhere: the sixth refusal of ten calls got 503). Change: one line a call with its trials, one a failed attempt, bounded by kind and second and written without blocking; counters and histograms on the metrics port. A target that refused is left out for 200 ms while others may have room.

--- a/cmd/papayaworks/forward.go
+++ b/cmd/papayaworks/forward.go
@@ -34,6 +34,9 @@
 // memoryShare is the part of the memory limit at which the collector works harder.
 const memoryShare = 0.7
 
+// flushTime bounds the writing of the last log lines.
+const flushTime = 200 * time.Millisecond
+
 // settingsPeriod is the time between two looks at the settings file.
 const settingsPeriod = 5 * time.Second
 
@@ -58,12 +61,14 @@
 	if n := set.Instance.MemoryBytes; n > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(n)))
 	}
-	log := logger.New(os.Stdout, set.Instance.Instance, level)
+	out := logger.NewBounded(os.Stdout)
+	defer out.Close(flushTime)
+	log := logger.New(out, set.Instance.Instance, level)
 	store := platform.NewStore(set.Store)
 	ctx, stop := untilInterrupted()
 	defer stop()
 	s := &forwarder.Server{
-		Settings: set.Instance, Wire: platform.Wire{}, Log: log,
+		Settings: set.Instance, Wire: platform.Wire{}, Log: log, LostLines: out.Lost,
 		Watcher:  watcher.New(store.Operator(), store.Targets(), log),
 		Orderer:  &orderer.Orderer{Journal: &platform.Journal{Store: store}, Targets: platform.NewWorkers()},
 		Archiver: &archiver.Archiver{Client: platform.NewKept(), Log: log},
--- a/internal/archiver/archiver.go
+++ b/internal/archiver/archiver.go
@@ -49,6 +49,8 @@
 	followers = 8
 	// newsLife is how long a new part is told, so that a lost announcement does no harm.
 	newsLife = 1200 * time.Millisecond
+	// retoldParts is how many parts of a store an announcement tells again.
+	retoldParts = 60
 	// silentLife is how long what was told of a store holds without a further word.
 	silentLife = 2 * time.Second
 	// clockLife is how long the targets' clock is taken to go on as it was seen.
@@ -136,6 +138,8 @@
 	next      int64
 	parts     map[uint64]Part
 	recent    []recentPart
+	// retold are the parts that are to be told again.
+	retold []uint64
 }
 
 type recentPart struct {
@@ -264,7 +268,7 @@
 
 // drop forgets all parts.
 func (s *store) drop() {
-	s.reachable, s.parts, s.recent = false, map[uint64]Part{}, nil
+	s.reachable, s.parts, s.recent, s.retold = false, map[uint64]Part{}, nil, nil
 }
 
 // apply takes events; after a restart or a gap the list is read anew.
@@ -343,11 +347,26 @@
 		for _, r := range s.recent {
 			n.Parts = append(n.Parts, r.key)
 		}
+		n.Parts = append(n.Parts, s.again()...)
 		out = append(out, n)
 	}
 	return out
 }
 
+// again returns some of the parts that were told before, all of them in turn: an announcement may be lost, and an
+// instance may become the first follower, or start, after parts were complete. a.mu is held.
+func (s *store) again() []uint64 {
+	if len(s.retold) == 0 {
+		for key := range s.parts {
+			s.retold = append(s.retold, key)
+		}
+	}
+	n := min(retoldParts, len(s.retold))
+	out := s.retold[:n]
+	s.retold = s.retold[n:]
+	return slices.DeleteFunc(out, func(key uint64) bool { _, ok := s.parts[key]; return !ok })
+}
+
 // Hear takes what another instance tells; stores that this one follows itself are passed over.
 func (a *Archiver) Hear(news []News, now time.Time) {
 	a.mu.Lock()
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -112,9 +112,9 @@
 	Wait time.Duration
 	// Cost is the expected time to the first event or the answer.
 	Cost time.Duration
-	// Read is how many prompt tokens are expected to be read.
-	Read   int
-	Reason string
+	// Read is how many prompt tokens are expected to be read; Busy is what was in flight there.
+	Read, Busy int
+	Reason     string
 }
 
 // The reasons of decisions.
@@ -147,7 +147,7 @@
 
 // estimate returns the decision for a candidate.
 func (in Input) estimate(c Candidate) Decision {
-	d := Decision{Target: c.Target, Reason: ReasonLeast}
+	d := Decision{Target: c.Target, Reason: ReasonLeast, Busy: c.Busy}
 	slots := max(1, c.Target.Slots)
 	if over := c.Busy + 1 - slots; over > 0 {
 		d.Wait = time.Duration(float64(c.Service) * float64(over) / float64(slots))
--- a/internal/balancer/book.go
+++ b/internal/balancer/book.go
@@ -12,6 +12,8 @@
 	defaultService = 50 * time.Millisecond
 	// serviceWeight is the weight of a new measurement in the mean.
 	serviceWeight = 0.05
+	// refusalLife is how long a target that refused a call is left out, while others may have room.
+	refusalLife = 200 * time.Millisecond
 	// newsLife is how long a weight version that was seen is announced; by then it stands in the target's entry.
 	newsLife = 3 * time.Second
 	// maxSeen bounds the prompt parts that are remembered for one target.
@@ -45,6 +47,8 @@
 	// waiting counts the calls that were not answered at all yet, since the first of them or the last word of the target.
 	waiting int
 	since   time.Time
+	// refused is when the target last refused a call.
+	refused time.Time
 	// reported is the last load, at the time when as many calls were in flight as then.
 	reported Load
 	then     int
@@ -144,6 +148,21 @@
 	h.entry.flight.Tokens -= h.flight.Tokens
 }
 
+// Refused notes that a target refused a call.
+func (b *Book) Refused(id string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.entry(id).refused = now
+}
+
+// Refuses reports whether a target refused a call a moment ago; it would most likely refuse the next one, too.
+func (b *Book) Refuses(id string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.targets[id]
+	return e != nil && now.Sub(e.refused) < refusalLife
+}
+
 // Silent returns for how long a target has left calls without a word.
 func (b *Book) Silent(id string, now time.Time) time.Duration {
 	b.mu.Lock()
--- a/internal/exporter/exporter.go
+++ b/internal/exporter/exporter.go
@@ -148,6 +148,11 @@
 	for _, m := range all {
 		fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", m.name, m.kind, m.labels, m.help)
 	}
+	b.WriteString("\nAn instance that forwards calls on the platform (`papayaworks forward`) serves these on the port that the deploy file names:\n\n" +
+		"| name | kind | labels | meaning |\n|---|---|---|---|\n")
+	for _, m := range forwarding {
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", m.name, m.kind, m.labels, m.help)
+	}
 	b.WriteString("\nWhat to watch:\n\n" +
 		"- `" + Violations + "` above 0: an invariant of docs/design.md section 2 was violated.\n" +
 		"- `" + Version + "` differs between instances for more than 5 s: an instance does not follow the configuration.\n" +
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -113,15 +113,16 @@
 	Version int64
 	Scope   string
 
-	// Tried are the targets that the call was sent to.
-	Tried []string
+	// Tried are the targets that the call was sent to, and Trials what came of it.
+	Tried  []string
+	Trials []Trial
 	// Misdirected counts those that said that the call is not for them.
 	Misdirected int
 	// Sent: bytes of the call may have reached a target that did not say that it has not run it.
 	Sent   bool
 	Answer *Answer
-	// Reason is why the last decision was made.
-	Reason string
+	// First is when the first event or the whole answer was there.
+	First time.Time
 	// Wait is the expected time of a call that was refused because it would be late.
 	Wait time.Duration
 	// Begun: the head of the answer was sent to the caller.
--- a/internal/forwarder/deliver.go
+++ b/internal/forwarder/deliver.go
@@ -28,6 +28,7 @@
 	if c.Answer.Stream != nil {
 		return st.stream(ctx, c)
 	}
+	c.First = time.Now()
 	c.W.Header().Set("Content-Length", strconv.Itoa(len(c.Answer.Body)))
 	c.W.WriteHeader(c.Answer.Status)
 	_, err := c.W.Write(c.Answer.Body)
@@ -97,6 +98,9 @@
 }
 
 func (st *deliverStep) write(c *Call, events []byte) error {
+	if c.First.IsZero() {
+		c.First = time.Now()
+	}
 	if id := lastID(events); id != "" {
 		c.Ask.LastEvent = id
 	}
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -128,6 +128,9 @@
 	flight := announcer.Flight{Calls: 1, Tokens: c.Ask.Prompt.In + c.Ask.Prompt.expectedOut(), Reading: d.Read}
 	x := &send{s: s, c: c, t: t, begun: now, cancel: cancel, hold: s.book.Begin(t.ID, flight, now)}
 	out, err := x.run(ctx, left)
+	s.attempted(c, Trial{
+		Target: t.ID, Reason: d.Reason, ExpectedMs: d.Cost.Milliseconds(), Busy: d.Busy, Version: c.Version, Ms: time.Since(now).Milliseconds(),
+	}, out, err)
 	if c.Answer == nil || c.Answer.Stream == nil {
 		x.release()
 	}
@@ -197,7 +200,7 @@
 		case t.Leaving, slices.Contains(c.Tried, t.ID), !s.versionAllowed(c, t, now):
 		case s.Orderer != nil && s.Orderer.IsSwapping(t.ID):
 			failing = append(failing, t)
-		case s.book.Silent(t.ID, now) > silentTime, !s.health.allows(t.ID, now):
+		case s.book.Refuses(t.ID, now), s.book.Silent(t.ID, now) > silentTime, !s.health.allows(t.ID, now):
 			failing = append(failing, t)
 		default:
 			out = append(out, t)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -28,6 +28,7 @@
 	"github.com/papayaworks/papayaworks/internal/archiver"
 	"github.com/papayaworks/papayaworks/internal/balancer"
 	"github.com/papayaworks/papayaworks/internal/cataloger"
+	"github.com/papayaworks/papayaworks/internal/exporter"
 	"github.com/papayaworks/papayaworks/internal/failer"
 	"github.com/papayaworks/papayaworks/internal/listener"
 	"github.com/papayaworks/papayaworks/internal/logger"
@@ -100,6 +101,8 @@
 	// Archiver may be nil; then no kept context is fetched or saved.
 	Archiver *archiver.Archiver
 	Log      logger.Log
+	// LostLines returns how many log lines were lost; it may be nil.
+	LostLines func() int64
 
 	// reloaded holds the settings that were read last, if they were read again.
 	reloaded atomic.Pointer[Settings]
@@ -111,6 +114,8 @@
 	steps   []request.Stage[*Call]
 	front   *listener.Server
 	ready   *listener.Server
+	metrics *exporter.Forwarding
+	quota   *logger.Quota
 }
 
 // settings returns the settings in force.
@@ -147,6 +152,8 @@
 	s.budgets = newBudgets()
 	s.pool = pooler.New()
 	s.steps = s.newSteps()
+	s.quota = &logger.Quota{PerSecond: linesPerSecond}
+	s.metrics = s.newMetrics()
 	if s.Archiver != nil {
 		s.Archiver.Self = s.Settings.Instance
 	}
@@ -174,6 +181,9 @@
 	if _, err := s.ready.Start(); err != nil {
 		return err
 	}
+	if err := s.serveMetrics(); err != nil {
+		return err
+	}
 	s.Log.WithField("address", s.Settings.Front).Info("serving")
 	return nil
 }
@@ -267,7 +277,7 @@
 		s.fail(c, step, err)
 		return
 	}
-	s.logOutcome(c, "answered", "", nil)
+	s.report(c, outcomeAnswered, "", c.Answer.Status, nil)
 }
 
 // fail answers with an error unless the answer has already begun; then the connection is dropped, so that the caller
@@ -277,8 +287,16 @@
 	if !errors.As(err, &re) {
 		re = request.Fail(http.StatusInternalServerError, request.CodeInternal, "%v", err)
 	}
-	s.logOutcome(c, "failed", step, err)
-	if c.Begun || c.HTTP.Context().Err() != nil {
+	gone := c.HTTP.Context().Err() != nil
+	switch {
+	case gone:
+		s.report(c, outcomeGone, step, 0, err)
+	case re.NotRun:
+		s.report(c, outcomeRefused, step, re.Status, err)
+	default:
+		s.report(c, outcomeFailed, step, re.Status, err)
+	}
+	if c.Begun || gone {
 		listener.Drop(c.W)
 		return
 	}
@@ -289,18 +307,6 @@
 	_ = json.NewEncoder(c.W).Encode(request.Body(re))
 }
 
-func (s *Server) logOutcome(c *Call, outcome, step string, err error) {
-	l := s.Log.WithField("request", c.Ask.ID).WithField("ms", time.Since(c.Received).Milliseconds()).WithField("tried", c.Tried)
-	if c.Route != nil {
-		l = l.WithField("route", c.Route.Name)
-	}
-	if err == nil {
-		l.WithField("status", c.Answer.Status).Debug(outcome)
-		return
-	}
-	logger.WithError(l, err).WithField("step", step).Info(outcome)
-}
-
 // Stop lets go: not ready first, then callers are told to leave, then the last requests end.
 func (s *Server) Stop(ctx context.Context) error {
 	begun := time.Now()
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -118,6 +118,9 @@
 		x.c.Misdirected++
 		x.otherWeights(reply)
 	}
+	if !reply.Misdirected {
+		x.s.book.Refused(x.t.ID, time.Now())
+	}
 	return retrier.NotRun, fmt.Errorf("target %s has not run it: status %d", x.t.ID, status)
 }
 
