--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -17,9 +17,9 @@
 	"github.com/papayaworks/papayaworks/internal/retrier"
 )
 
-// fetchAllowance is added to the time that reading the parts would take: the call's way to its target, and the store's
-// own delay.
-const fetchAllowance = 60 * time.Millisecond
+// fetchPart of a call's objective may pass until a fetch of kept context is given up: it begins only when the call does,
+// and the parts must still be read on time afterwards.
+const fetchPart = 0.5
 
 // send is one attempt at one target.
 type send struct {
@@ -183,7 +183,7 @@
 }
 
 // planContext says where the shared parts of the prompt are fetched from and saved to; the last part is the call's own and
-// is not kept. A fetch is given up when reading the parts would have been faster: links may be slow.
+// is not kept. A fetch is given up in time to read the parts instead: links may be slow.
 func (x *send) planContext(o *Order) {
 	c, a := x.c, x.s.Archiver
 	if a == nil || c.Scope == "" || !x.s.isNewest(c) {
@@ -195,7 +195,7 @@
 	}
 	plan := a.Plan(c.Scope, sharedKeys(c.Ask.Prompt), time.Now())
 	o.FetchFrom, o.SaveTo = append(plan.Fetch, ""), append(plan.Save, "")
-	o.FetchUntil = clock + fetchAllowance + balancer.ReadTime(c.Ask.Prompt.Shared())
+	o.FetchUntil = clock + time.Duration(fetchPart*float64(c.Route.Objective)) + balancer.ReadTime(c.Ask.Prompt.Shared())
 }
 
 // priority returns the rank of a call: the account's takes precedence over the route's.
