--- /dev/null
+++ b/internal/archiver/archiver_test.go
@@ -0,0 +1,140 @@
+package archiver
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/papayaworks/papayaworks/internal/cataloger"
+	"github.com/papayaworks/papayaworks/internal/logger"
+)
+
+// fake answers nothing; tests apply events by themselves.
+type fake struct{ freed [][]Part }
+
+// Events implements Client.
+func (f *fake) Events(ctx context.Context, _ string, _ int64, _ time.Duration) (Events, error) {
+	<-ctx.Done()
+	return Events{}, ctx.Err()
+}
+
+// List implements Client.
+func (f *fake) List(ctx context.Context, _ string) (Events, error) {
+	<-ctx.Done()
+	return Events{}, ctx.Err()
+}
+
+// Free implements Client.
+func (f *fake) Free(_ context.Context, _ string, _ int64, parts []Part) error {
+	f.freed = append(f.freed, parts)
+	return nil
+}
+
+func archive(t *testing.T, self string, instances ...string) (*Archiver, *fake) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	f := &fake{}
+	a := &Archiver{Self: self, Client: f, Log: logger.Discard()}
+	a.SetStores(ctx, []*cataloger.Service{{Name: "s", Store: &cataloger.ContextStore{Address: "s:1", CapacityTokens: 1000}}})
+	a.SetInstances(ctx, instances)
+	return a, f
+}
+
+func whole(id string) Event { return Event{Part: Part{"m/1", id}, Whole: true} }
+
+// Guards against a fetch of a part that is not known to be complete: one that is being written anew after the store
+// started again, that was freed, or of a store that does not answer.
+func TestOnlyWholePartsAreFetched(t *testing.T) {
+	a, _ := archive(t, "a", "a")
+	s := a.stores[0]
+	now := time.Now()
+	fetched := func() bool { return a.Plan("m/1", []string{"x"}, now).Fetch[0] != "" }
+	require.False(t, fetched(), "nothing is known")
+	a.apply(s, Events{Epoch: 1, Next: 1, Events: []Event{whole("x")}}, now)
+	require.True(t, fetched())
+	a.apply(s, Events{Epoch: 1, Next: 2, Events: []Event{{Part: Part{"m/1", "x"}}}}, now)
+	require.False(t, fetched(), "freed")
+	a.apply(s, Events{Epoch: 1, Next: 3, Events: []Event{whole("x")}}, now)
+	a.apply(s, Events{Epoch: 2, Next: 1}, now)
+	require.False(t, fetched(), "the store started again")
+	a.apply(s, Events{Epoch: 2, Next: 1, Events: []Event{whole("x")}}, now)
+	require.True(t, fetched())
+	a.apply(s, Events{Epoch: 2, Next: 9, Lost: true}, now)
+	require.False(t, fetched(), "events are missing")
+	a.apply(s, Events{Epoch: 2, Next: 9, Events: []Event{whole("x")}}, now)
+	a.forget(s, errors.New("no answer"))
+	require.False(t, fetched(), "the store does not answer")
+	a.apply(s, Events{Epoch: 2, Next: 9, Events: []Event{whole("x")}}, now)
+	require.Empty(t, a.Plan("m/1", []string{"x"}, now.Add(silentLife)).Fetch[0], "nothing was heard for too long")
+	require.Empty(t, a.Plan("m/2", []string{"x"}, now).Fetch[0], "other weights")
+}
+
+// Guards against parts that are saved again by each call while the first save is under way.
+func TestSavedOnce(t *testing.T) {
+	a, _ := archive(t, "a", "a")
+	now := time.Now()
+	a.apply(a.stores[0], Events{Epoch: 1}, now)
+	require.Equal(t, "s:1", a.Plan("m/1", []string{"x"}, now).Save[0])
+	require.Empty(t, a.Plan("m/1", []string{"x"}, now.Add(time.Second)).Save[0])
+	a.stores[0].heard = now.Add(2 * saveLife)
+	require.Equal(t, "s:1", a.Plan("m/1", []string{"x"}, now.Add(2*saveLife)).Save[0], "a save that was lost")
+}
+
+// Guards against a store with more readers than it bears, and against instances that never hear of a part, also if an
+// announcement was lost.
+func TestNewsReachAll(t *testing.T) {
+	var ids []string
+	for i := range 20 {
+		ids = append(ids, fmt.Sprint("i-", i))
+	}
+	var all []*Archiver
+	following := 0
+	var first *Archiver
+	now := time.Now()
+	for _, id := range ids {
+		a, _ := archive(t, id, ids...)
+		all = append(all, a)
+		s := a.stores[0]
+		if s.cancel != nil {
+			following++
+			a.apply(s, Events{Epoch: 1, Events: []Event{whole("x")}}, now)
+		}
+		if s.first {
+			require.Nil(t, first, "two instances tell")
+			first = a
+		}
+	}
+	require.Equal(t, followers, following)
+	later := now.Add(newsLife + time.Second) // the first announcements were lost
+	first.stores[0].heard = later
+	news := first.News(later)
+	for _, a := range all {
+		a.Hear(news, later)
+		if a.stores[0].cancel == nil {
+			require.Equal(t, "s:1", a.Plan("m/1", []string{"x"}, later).Fetch[0])
+		}
+	}
+	a := all[0]
+	a.Hear([]News{{Store: a.stores[0].key, Epoch: 2}}, later)
+	if a.stores[0].cancel == nil {
+		require.Empty(t, a.Plan("m/1", []string{"x"}, later).Fetch[0], "the store started again")
+	}
+}
+
+// Guards against kept context that is freed while it is wanted, or by several instances.
+func TestFree(t *testing.T) {
+	a, f := archive(t, "a", "a")
+	a.apply(a.stores[0], Events{Epoch: 1, Events: []Event{whole("x"), {Part: Part{"m/2", "y"}, Whole: true}}}, time.Now())
+	a.Free(context.Background(), func(scope string) bool { return scope == "m/1" })
+	require.Equal(t, [][]Part{{{"m/1", "x"}}}, f.freed)
+	require.Empty(t, a.Plan("m/1", []string{"x"}, time.Now()).Fetch[0])
+	require.NotEmpty(t, a.Plan("m/2", []string{"y"}, time.Now()).Fetch[0])
+	a.stores[0].first = false
+	a.Free(context.Background(), func(string) bool { return true })
+	require.Len(t, f.freed, 1)
+}
