--- a/cmd/papayaworks/commands.go
+++ b/cmd/papayaworks/commands.go
@@ -69,6 +69,7 @@
 	o := output{out: out}
 	add("run", "run an entry instance", runHelp, &runCommand{})
 	add("forward", "run an entry instance on the platform", forwardHelp, &forwardCommand{})
+	add("explain", "tell from logs what happened to a request", explainHelp, &explainCommand{output: o})
 	add("demo", "run a whole deployment with stand-ins in one process", demoHelp, &demoCommand{output: o})
 	add("questionnaire", "write the questionnaire", questionnaireHelp, &questionnaireCommand{output: o})
 	add("generate", "make the configuration from answers", generateHelp, &generateCommand{output: o})
--- /dev/null
+++ b/cmd/papayaworks/explain.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"io"
+	"os"
+
+	"github.com/papayaworks/papayaworks/internal/explainer"
+)
+
+const explainHelp = `Prints what the logs of instances tell about one request, in order: its own
+lines, marked with a star, and what the instances that handled it wrote about
+their dependencies in the seconds before.
+
+Example:
+  papayaworks explain --log a.log --log b.log 9c41d07be2a35f68
+
+Exit status: 0 if a line names the request, 1 if none does or a file could
+not be read, 2 if the command line is wrong.`
+
+type explainCommand struct {
+	output
+
+	Logs []string `long:"log" required:"true" value-name:"FILE" description:"log of an instance; may be given more than once"`
+	JSON bool     `long:"json" description:"write the lines as JSON"`
+	Args struct {
+		ID string `positional-arg-name:"ID" description:"id of the request"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *explainCommand) Execute([]string) error {
+	var readers []io.Reader
+	for _, name := range c.Logs {
+		f, err := os.Open(name)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		readers = append(readers, f)
+	}
+	s, err := explainer.Explain(c.Args.ID, readers...)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return c.json(s.Lines)
+	}
+	_, err = s.WriteTo(c.out)
+	return err
+}
