--- a/cmd/papayaworks/forward_test.go
+++ b/cmd/papayaworks/forward_test.go
@@ -82,6 +82,6 @@
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	defer ln.Close()
+	defer func() { _ = ln.Close() }()
 	return ln.Addr().String()
 }
--- a/internal/archiver/archiver_test.go
+++ b/internal/archiver/archiver_test.go
@@ -45,7 +45,8 @@
 	return a, f
 }
 
-func whole(id string) Event { return Event{Part: Part{"m/1", id}, Whole: true} }
+// wholeX tells that the part x of the first weights is complete.
+var wholeX = Event{Part: Part{"m/1", "x"}, Whole: true}
 
 // Guards against a fetch of a part that is not known to be complete: one that is being written anew after the store
 // started again, that was freed, or of a store that does not answer.
@@ -55,21 +56,21 @@
 	now := time.Now()
 	fetched := func() bool { return a.Plan("m/1", []string{"x"}, now).Fetch[0] != "" }
 	require.False(t, fetched(), "nothing is known")
-	a.apply(s, Events{Epoch: 1, Next: 1, Events: []Event{whole("x")}}, now)
+	a.apply(s, Events{Epoch: 1, Next: 1, Events: []Event{wholeX}}, now)
 	require.True(t, fetched())
 	a.apply(s, Events{Epoch: 1, Next: 2, Events: []Event{{Part: Part{"m/1", "x"}}}}, now)
 	require.False(t, fetched(), "freed")
-	a.apply(s, Events{Epoch: 1, Next: 3, Events: []Event{whole("x")}}, now)
+	a.apply(s, Events{Epoch: 1, Next: 3, Events: []Event{wholeX}}, now)
 	a.apply(s, Events{Epoch: 2, Next: 1}, now)
 	require.False(t, fetched(), "the store started again")
-	a.apply(s, Events{Epoch: 2, Next: 1, Events: []Event{whole("x")}}, now)
+	a.apply(s, Events{Epoch: 2, Next: 1, Events: []Event{wholeX}}, now)
 	require.True(t, fetched())
 	a.apply(s, Events{Epoch: 2, Next: 9, Lost: true}, now)
 	require.False(t, fetched(), "events are missing")
-	a.apply(s, Events{Epoch: 2, Next: 9, Events: []Event{whole("x")}}, now)
+	a.apply(s, Events{Epoch: 2, Next: 9, Events: []Event{wholeX}}, now)
 	a.forget(s, errors.New("no answer"))
 	require.False(t, fetched(), "the store does not answer")
-	a.apply(s, Events{Epoch: 2, Next: 9, Events: []Event{whole("x")}}, now)
+	a.apply(s, Events{Epoch: 2, Next: 9, Events: []Event{wholeX}}, now)
 	require.Empty(t, a.Plan("m/1", []string{"x"}, now.Add(silentLife)).Fetch[0], "nothing was heard for too long")
 	require.Empty(t, a.Plan("m/2", []string{"x"}, now).Fetch[0], "other weights")
 }
@@ -102,7 +103,7 @@
 		s := a.stores[0]
 		if s.cancel != nil {
 			following++
-			a.apply(s, Events{Epoch: 1, Events: []Event{whole("x")}}, now)
+			a.apply(s, Events{Epoch: 1, Events: []Event{wholeX}}, now)
 		}
 		if s.first {
 			require.Nil(t, first, "two instances tell")
@@ -129,7 +130,7 @@
 // Guards against kept context that is freed while it is wanted, or by several instances.
 func TestFree(t *testing.T) {
 	a, f := archive(t, "a", "a")
-	a.apply(a.stores[0], Events{Epoch: 1, Events: []Event{whole("x"), {Part: Part{"m/2", "y"}, Whole: true}}}, time.Now())
+	a.apply(a.stores[0], Events{Epoch: 1, Events: []Event{wholeX, {Part: Part{"m/2", "y"}, Whole: true}}}, time.Now())
 	a.Free(context.Background(), func(scope string) bool { return scope == "m/1" })
 	require.Equal(t, [][]Part{{{"m/1", "x"}}}, f.freed)
 	require.Empty(t, a.Plan("m/1", []string{"x"}, time.Now()).Fetch[0])
--- a/internal/forwarder/logs_test.go
+++ b/internal/forwarder/logs_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -24,7 +25,7 @@
 		files, err := filepath.Glob("../" + pkg + "/*.go")
 		require.NoError(t, err)
 		for _, file := range files {
-			if matched, _ := regexp.MatchString(`_test\.go$`, file); matched {
+			if strings.HasSuffix(file, "_test.go") {
 				continue
 			}
 			text, err := os.ReadFile(file)
--- a/internal/logger/bounded_test.go
+++ b/internal/logger/bounded_test.go
@@ -13,7 +13,7 @@
 // Guards against a log whose stuck reader slows requests down, and against lost lines that nobody counts.
 func TestBoundedWithStuckReader(t *testing.T) {
 	r, w := io.Pipe() // nobody reads
-	defer r.Close()
+	defer func() { _ = r.Close() }()
 	b := NewBounded(w)
 	done := make(chan struct{})
 	go func() {
--- a/internal/orderer/lease_test.go
+++ b/internal/orderer/lease_test.go
@@ -20,7 +20,7 @@
 		leases := make([]Lease, n)
 		read := make([]int, n)
 		var journal []int
-		lastOrder, lastHolder := time.Duration(-time.Hour), -1
+		lastOrder, lastHolder := -time.Hour, -1
 		now := time.Duration(0)
 		for range rapid.IntRange(20, 120).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -143,7 +143,7 @@
 func (ex *Exchange) readHead(method string, belongs func(http.Header) bool) error {
 	req := &http.Request{Method: method}
 	for range maxForeign + 1 {
-		res, err := http.ReadResponse(ex.c.r, req)
+		res, err := http.ReadResponse(ex.c.r, req) //nolint:bodyclose // the body ends with the connection, which Finish or Close ends
 		if err != nil {
 			return err
 		}
