--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/papayaworks/papayaworks/internal/admitter"
 	"github.com/papayaworks/papayaworks/internal/announcer"
 	"github.com/papayaworks/papayaworks/internal/balancer"
 	"github.com/papayaworks/papayaworks/internal/cataloger"
@@ -103,7 +104,7 @@
 		return request.Fail(http.StatusBadGateway, request.CodeOutcomeUnknown, "%v", err)
 	}
 	return request.Refuse(http.StatusServiceUnavailable, request.CodeOverloaded, "", "no target took the call: %v", err).
-		WithRetryAfter(max(refusedRetryAfter, c.Wait))
+		WithRetryAfter(admitter.Jitter(max(refusedRetryAfter, c.Wait), rand.Uint64()))
 }
 
 // attempt sends the call to one target. With the outcome Done, the call has its answer.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -182,7 +182,7 @@
 		return err
 	}
 	if err := s.serveMetrics(); err != nil {
-		return err
+		logger.WithError(s.Log, err).Error("metrics are not served")
 	}
 	s.Log.WithField("address", s.Settings.Front).Info("serving")
 	return nil
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -105,7 +105,6 @@
 	synced  atomic.Int64
 	events  chan event
 	lapsing map[string]time.Time
-	ready   chan struct{}
 }
 
 // event is a message to the control goroutine.
@@ -120,7 +119,7 @@
 func New(operator, targets Source, log logger.Log) *Watcher {
 	w := &Watcher{
 		Operator: operator, Targets: targets, Log: log,
-		events: make(chan event, 16), lapsing: map[string]time.Time{}, ready: make(chan struct{}),
+		events: make(chan event, 16), lapsing: map[string]time.Time{},
 	}
 	w.view.Store(cataloger.NewView())
 	return w
@@ -129,9 +128,6 @@
 // View returns the present view.
 func (w *Watcher) View() *cataloger.View { return w.view.Load() }
 
-// Ready is closed once a configuration and the targets were read.
-func (w *Watcher) Ready() <-chan struct{} { return w.ready }
-
 // Age returns how old the operator's source may be, suspended time included.
 func (w *Watcher) Age() time.Duration {
 	at := w.synced.Load()
@@ -159,18 +155,12 @@
 	go w.follow(ctx, "targets", w.Targets, 0, pause)
 	t := time.NewTicker(expirePeriod)
 	defer t.Stop()
-	batches := 0
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case e := <-w.events:
 			w.handle(e)
-			if e.apply == nil && batches < 2 && e.batch.Whole {
-				if batches++; batches == 2 {
-					close(w.ready)
-				}
-			}
 		case <-t.C:
 			w.expire(time.Now())
 		}
