--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -52,7 +52,7 @@
 	closeDivisor = 3
 	// finishMargin is what is left of the grace time when the last requests are cut off.
 	finishMargin = 400 * time.Millisecond
-	// bodyHeadroom: larger bodies than the configured limit are read, so that they are refused with an answer.
+	// hardBodyBytes is the most that is read of a body; those over the configured limit are refused with an answer.
 	hardBodyBytes   = 16 << 20
 	maxAnswerBytes  = 8 << 20
 	writeBufferSize = 1 << 20
