refactor(mixer): one finalizer of hashes for rings, homes and stores

Cause: keyer, view, gossiper, balancer and archiver each had the finalizer, the last two a shorter one. Change: package mixer; Sum also replaces three loops over FNV. The homes of conversations and the stores of kept parts on the platform are drawn anew by the longer finalizer; those of the product's own interface are the same. Result: tests of mixer, keyer, view, gossiper, balancer, archiver, router and platform pass.

--- a/internal/archiver/archiver.go
+++ b/internal/archiver/archiver.go
@@ -25,7 +25,6 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"math"
 	"slices"
 	"sync"
@@ -34,6 +33,7 @@
 	"github.com/papayaworks/papayaworks/internal/cataloger"
 	"github.com/papayaworks/papayaworks/internal/clocker"
 	"github.com/papayaworks/papayaworks/internal/logger"
+	"github.com/papayaworks/papayaworks/internal/mixer"
 	"github.com/papayaworks/papayaworks/internal/sleeper"
 )
 
@@ -63,21 +63,7 @@
 type Part struct{ Scope, ID string }
 
 // Key returns the number by which a part is known.
-func (p Part) Key() uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(p.Scope))
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(p.ID))
-	return mix(h.Sum64())
-}
-
-// mix spreads the entropy of a hash over all its bits.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	return x
-}
+func (p Part) Key() uint64 { return mixer.Sum(p.Scope, p.ID) }
 
 // Event is one change at a store.
 type Event struct {
@@ -217,10 +203,10 @@
 
 // place returns how many instances come before this one in the order of a store; a.mu is held.
 func (a *Archiver) place(s *store) int {
-	own := mix(Part{ID: a.Self}.Key() ^ s.key)
+	own := mixer.Mix(Part{ID: a.Self}.Key() ^ s.key)
 	n := 0
 	for _, id := range a.instances {
-		if id != a.Self && mix(Part{ID: id}.Key()^s.key) > own {
+		if id != a.Self && mixer.Mix(Part{ID: id}.Key()^s.key) > own {
 			n++
 		}
 	}
@@ -457,7 +443,7 @@
 	var best *store
 	top := math.Inf(-1)
 	for _, s := range a.stores {
-		u := (float64(mix(key^s.key)>>11) + 1) / (1 << 53)
+		u := (float64(mixer.Mix(key^s.key)>>11) + 1) / (1 << 53)
 		if score := -float64(s.CapacityTokens) / math.Log(u); best == nil || score > top {
 			top, best = score, s
 		}
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -25,12 +25,12 @@
 
 import (
 	"errors"
-	"hash/fnv"
 	"math"
 	"math/rand/v2"
 	"time"
 
 	"github.com/papayaworks/papayaworks/internal/cataloger"
+	"github.com/papayaworks/papayaworks/internal/mixer"
 )
 
 var (
@@ -191,7 +191,7 @@
 func Homes(key string, targets []*cataloger.Target) []int {
 	weights := make([]uint64, len(targets))
 	for i, t := range targets {
-		weights[i] = weigh(key, t.ID)
+		weights[i] = mixer.Sum(key, t.ID)
 	}
 	places := make([]int, len(targets))
 	for i, w := range weights {
@@ -203,16 +203,3 @@
 	}
 	return places
 }
-
-func weigh(key, id string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(key))
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(id))
-	x := h.Sum64()
-	// The last bytes change only the low bits of the sum, so it is mixed once more.
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	return x
-}
--- a/internal/gossiper/record.go
+++ b/internal/gossiper/record.go
@@ -1,12 +1,12 @@
 package gossiper
 
 import (
-	"hash/fnv"
 	"math/bits"
 	"net/netip"
 
 	"github.com/papayaworks/papayaworks/internal/charter"
 	"github.com/papayaworks/papayaworks/internal/failer"
+	"github.com/papayaworks/papayaworks/internal/mixer"
 )
 
 // State is what is claimed of a member. Of two claims with the same incarnation the greater state wins.
@@ -83,18 +83,7 @@
 
 // position places an id on the ring.
 func position(id string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(id))
-	return mix(h.Sum64())
-}
-
-// mix spreads the bits of an FNV value; ids that differ in the last character otherwise stay neighbours.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
+	return mixer.Sum(id)
 }
 
 // digest is the member's part of the table hash; members out of the ring have none, since they are forgotten at different times.
@@ -102,5 +91,5 @@
 	if !r.State.Live() {
 		return 0
 	}
-	return mix(position(r.ID) ^ bits.RotateLeft64(mix(r.Incarnation), int(r.State)+1))
+	return mixer.Mix(position(r.ID) ^ bits.RotateLeft64(mixer.Mix(r.Incarnation), int(r.State)+1))
 }
--- a/internal/gossiper/table.go
+++ b/internal/gossiper/table.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/papayaworks/papayaworks/internal/charter"
+	"github.com/papayaworks/papayaworks/internal/mixer"
 )
 
 // member is a record with what this instance knows of it.
@@ -114,9 +115,9 @@
 		first++
 	}
 	t.placed = slices.Concat(t.ring[first:], []*member{nil}, t.ring[:first])
-	t.ringHash = mix(t.selfPos)
+	t.ringHash = mixer.Mix(t.selfPos)
 	for _, m := range t.ring {
-		t.ringHash ^= mix(m.pos)
+		t.ringHash ^= mixer.Mix(m.pos)
 	}
 }
 
--- a/internal/keyer/keyer.go
+++ b/internal/keyer/keyer.go
@@ -23,6 +23,8 @@
 	"encoding/hex"
 	"hash"
 	"slices"
+
+	"github.com/papayaworks/papayaworks/internal/mixer"
 )
 
 const (
@@ -138,12 +140,7 @@
 	for i := range len(id) {
 		w = (w ^ uint64(id[i])) * prime
 	}
-	// Finalizer of a 64-bit mixing function, as FNV alone leaves the high bits of short ids alike.
-	w ^= w >> 33
-	w *= 0xff51afd7ed558ccd
-	w ^= w >> 33
-	w *= 0xc4ceb9fe1a85ec53
-	return w ^ w>>33
+	return mixer.Mix(w)
 }
 
 // Tokens returns the number of tokens in n bytes of rendered prompt, rounded up.
--- a/internal/view/homes.go
+++ b/internal/view/homes.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/papayaworks/papayaworks/internal/keyer"
+	"github.com/papayaworks/papayaworks/internal/mixer"
 	"github.com/papayaworks/papayaworks/pkg/configurer"
 )
 
@@ -74,7 +75,7 @@
 			best[i] = -1
 		}
 		for i, m := range p.members {
-			w := mix(seeds[i] ^ uint64(s)*0x9e3779b97f4a7c15)
+			w := mixer.Mix(seeds[i] ^ uint64(s)*0x9e3779b97f4a7c15)
 			for at := range best {
 				if best[at] < 0 || w > weights[at] {
 					copy(best[at+1:], best[at:homesPerSlot-1])
@@ -87,15 +88,6 @@
 	}
 }
 
-// mix is the finalizer of a 64-bit hash.
-func mix(w uint64) uint64 {
-	w ^= w >> 33
-	w *= 0xff51afd7ed558ccd
-	w ^= w >> 33
-	w *= 0xc4ceb9fe1a85ec53
-	return w ^ w>>33
-}
-
 // homeDataCentres is how many data centres of a region a conversation has homes in, and homesEach how many in each.
 const (
 	homeDataCentres = 3
