refactor(forwarder): look up kept context once a scope; drop dead fields

Cause: each decision built the scope's keys and asked the archiver once a target although targets have one or two weight versions; an answer's headers were read twice; Weights were put together in four places; Answered and Reused of the pooler were never read.

--- a/internal/balancer/book.go
+++ b/internal/balancer/book.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/papayaworks/papayaworks/internal/announcer"
+	"github.com/papayaworks/papayaworks/internal/cataloger"
 )
 
 const (
@@ -64,6 +65,11 @@
 	Model string
 }
 
+// WeightsOf names the weights of a model in the present process of a target.
+func WeightsOf(t *cataloger.Target, model string) Weights {
+	return Weights{Target: t.ID, Born: t.Born, Model: model}
+}
+
 // NewBook returns an empty book.
 func NewBook() *Book {
 	return &Book{targets: map[string]*entry{}, services: map[string]time.Duration{}, versions: map[Weights]shown{}}
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -24,10 +24,25 @@
 	In, Out int
 }
 
-// Shared returns the tokens of all parts but the last.
-func (p Prompt) Shared() int {
+// shared returns the parts that other calls may share: all but the last.
+func (p Prompt) shared() []Part { return p.Parts[:max(0, len(p.Parts)-1)] }
+
+// Shared returns the tokens of the shared parts.
+func (p Prompt) Shared() int { return tokensOf(p.shared()) }
+
+// sharedIDs returns the IDs of the shared parts.
+func (p Prompt) sharedIDs() []string {
+	parts := p.shared()
+	out := make([]string, len(parts))
+	for i, x := range parts {
+		out[i] = x.ID
+	}
+	return out
+}
+
+func tokensOf(parts []Part) int {
 	n := 0
-	for _, x := range p.Parts[:max(0, len(p.Parts)-1)] {
+	for _, x := range parts {
 		n += x.Tokens
 	}
 	return n
@@ -69,7 +84,6 @@
 
 // Reply is what the headers of a target's answer say.
 type Reply struct {
-	ID string
 	// Receipt proves that a target made the answer.
 	Receipt bool
 	// NotRun: the target says that it has not run the request.
@@ -89,6 +103,8 @@
 	Ask(h http.Header) (Ask, error)
 	// Order adds the headers for a target.
 	Order(h http.Header, o Order)
+	// AnswerID returns the ID of the request that an answer belongs to, or nothing if it does not tell.
+	AnswerID(h http.Header) string
 	// Reply reads the headers of a target's answer.
 	Reply(status int, h http.Header) Reply
 	// Refuse adds the headers of a refusal of this system.
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -141,38 +141,46 @@
 // choose asks the policy for a target among those that can take the call.
 func (s *Server) choose(c *Call, now time.Time) (balancer.Decision, error) {
 	targets := s.usable(c, now)
+	mean := s.book.Service(c.Service.Name)
 	in := balancer.Input{Engine: c.Service.Engine != nil, Seed: rand.Uint64()}
-	var homes []int
-	var keys []string
+	for _, t := range targets {
+		load := s.load(t.ID, loadLife(in.Engine, mean), now)
+		in.Candidates = append(in.Candidates, balancer.Candidate{
+			Target: t, Remote: t.DataCentre != s.settings().DataCentre, Home: 1, Service: mean, Old: s.isOld(c, t, now),
+			Busy: load.Calls, Tokens: load.Tokens, Reading: load.Reading,
+		})
+	}
 	if in.Engine {
-		in.Shared = c.Ask.Prompt.Shared()
-		in.Own = c.Ask.Prompt.In - in.Shared
-		in.Objective = c.Route.Objective
-		in.Out = c.Ask.Prompt.expectedOut()
-		in.Capacity, in.Hold = c.Service.Engine.CapacityTokens, s.book.Service(c.Service.Name)
-		keys = sharedKeys(c.Ask.Prompt)
-		if len(keys) > 0 {
-			homes = balancer.Homes(keys[len(keys)-1], targets)
-		}
+		s.addPrompt(&in, c, targets, mean, now)
 	}
-	mean := s.book.Service(c.Service.Name)
+	return balancer.Choose(in)
+}
+
+// addPrompt tells the policy what the prompt needs and where its shared parts are.
+func (s *Server) addPrompt(in *balancer.Input, c *Call, targets []*cataloger.Target, mean time.Duration, now time.Time) {
+	p := c.Ask.Prompt
+	in.Shared, in.Out, in.Objective = p.Shared(), p.expectedOut(), c.Route.Objective
+	in.Own = p.In - in.Shared
+	in.Capacity, in.Hold = c.Service.Engine.CapacityTokens, mean
+	ids := p.sharedIDs()
+	if len(ids) == 0 {
+		return
+	}
+	// Targets have one or two weight versions, each with a scope of its own.
+	kept, keys := map[string]int{}, map[string][]string{}
+	homes := balancer.Homes(ids[len(ids)-1], targets)
 	for i, t := range targets {
-		cand := balancer.Candidate{
-			Target: t, Remote: t.DataCentre != s.settings().DataCentre, Home: 1, Service: mean, Old: s.isOld(c, t, now),
-		}
-		load := s.load(t.ID, loadLife(in.Engine, mean), now)
-		cand.Busy, cand.Tokens, cand.Reading = load.Calls, load.Tokens, load.Reading
-		if homes != nil {
-			cand.Home = homes[i]
-			_, scope := s.scope(c, t)
+		cand := &in.Candidates[i]
+		_, scope := s.scope(c, t)
+		if keys[scope] == nil {
+			keys[scope] = scoped(scope, ids)
 			if s.Archiver != nil {
-				cand.Kept = tokensOf(c.Ask.Prompt, s.Archiver.Lookup(scope, keys, now))
+				kept[scope] = tokensOf(p.Parts[:s.Archiver.Lookup(scope, ids, now)])
 			}
-			cand.Seen = tokensOf(c.Ask.Prompt, s.book.Seen(t.ID, scoped(scope, keys), now))
 		}
-		in.Candidates = append(in.Candidates, cand)
+		cand.Home, cand.Kept = homes[i], kept[scope]
+		cand.Seen = tokensOf(p.Parts[:s.book.Seen(t.ID, keys[scope], now)])
 	}
-	return balancer.Choose(in)
 }
 
 // loadLife returns how old a load may be that a decision counts on: calls of plain services are over sooner.
@@ -215,7 +223,7 @@
 
 // versionOf returns the weight version of a target as far as it is known.
 func (s *Server) versionOf(t *cataloger.Target, model string) int64 {
-	return max(t.Versions[model], s.book.Version(balancer.Weights{Target: t.ID, Born: t.Born, Model: model}))
+	return max(t.Versions[model], s.book.Version(balancer.WeightsOf(t, model)))
 }
 
 // isOld reports whether an answer of the target is worth less because newer weights were named.
@@ -257,16 +265,6 @@
 	return v, scopeOf(c.Ask.Prompt.Model, v, account)
 }
 
-// sharedKeys returns the IDs of the prompt's parts but the last.
-func sharedKeys(p Prompt) []string {
-	n := max(0, len(p.Parts)-1)
-	out := make([]string, n)
-	for i, x := range p.Parts[:n] {
-		out[i] = x.ID
-	}
-	return out
-}
-
 func scoped(scope string, keys []string) []string {
 	out := make([]string, len(keys))
 	for i, k := range keys {
@@ -274,11 +272,3 @@
 	}
 	return out
 }
-
-func tokensOf(p Prompt, parts int) int {
-	n := 0
-	for _, x := range p.Parts[:parts] {
-		n += x.Tokens
-	}
-	return n
-}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -227,7 +227,7 @@
 	}
 	o.View, o.VersionOf = s.Watcher.View, s.versionOf
 	o.Learned = func(t *cataloger.Target, model string, version int64) {
-		s.book.SetVersion(balancer.Weights{Target: t.ID, Born: t.Born, Model: model}, version, time.Now())
+		s.book.SetVersion(balancer.WeightsOf(t, model), version, time.Now())
 	}
 	go o.Run(ctx)
 }
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -40,10 +40,9 @@
 // run sends the call and judges the answer.
 func (x *send) run(ctx context.Context, left time.Duration) (retrier.Outcome, error) {
 	c := x.c
-	var reply Reply
 	ex, err := x.s.pool.Do(ctx, x.t.Address, c.HTTP.Method, x.encode(left), func(h http.Header) bool {
-		reply = x.s.Wire.Reply(0, h)
-		return reply.ID == c.Ask.ID || reply.ID == ""
+		id := x.s.Wire.AnswerID(h)
+		return id == c.Ask.ID || id == ""
 	})
 	if err != nil {
 		return x.failed(ctx, err)
@@ -51,7 +50,7 @@
 	if !isStream(ex) {
 		x.hold.Answered(time.Now())
 	}
-	reply = x.s.Wire.Reply(ex.StatusCode, ex.Header)
+	reply := x.s.Wire.Reply(ex.StatusCode, ex.Header)
 	x.learn(reply)
 	if reply.NotRun || reply.Misdirected {
 		_, _ = io.Copy(io.Discard, io.LimitReader(ex.Body, maxAnswerBytes))
@@ -117,8 +116,7 @@
 	if reply.Misdirected {
 		x.c.Misdirected++
 		x.otherWeights(reply)
-	}
-	if !reply.Misdirected {
+	} else {
 		x.s.book.Refused(x.t.ID, time.Now())
 	}
 	return retrier.NotRun, fmt.Errorf("target %s has not run it: status %d", x.t.ID, status)
@@ -131,15 +129,11 @@
 	if reply.Instance != x.t.ID || !ok || x.c.Version == 0 || x.c.Version >= named.Version {
 		return
 	}
-	x.s.book.SetVersion(x.weights(x.c.Ask.Prompt.Model), named.Version, time.Now())
+	x.s.book.SetVersion(balancer.WeightsOf(x.t, x.c.Ask.Prompt.Model), named.Version, time.Now())
 	x.c.Tried = x.c.Tried[:len(x.c.Tried)-1]
 	x.c.Misdirected--
 }
 
-func (x *send) weights(model string) balancer.Weights {
-	return balancer.Weights{Target: x.t.ID, Born: x.t.Born, Model: model}
-}
-
 // learn takes what an answer tells about its target.
 func (x *send) learn(r Reply) {
 	now := time.Now()
@@ -150,10 +144,10 @@
 		if model == "" {
 			model = x.c.Ask.Prompt.Model
 		}
-		x.s.book.SetVersion(x.weights(model), v, now)
+		x.s.book.SetVersion(balancer.WeightsOf(x.t, model), v, now)
 	}
 	if !r.NotRun && !r.Misdirected && x.c.Service.Engine != nil {
-		x.s.book.Sent(x.t.ID, scoped(x.c.Scope, sharedKeys(x.c.Ask.Prompt)), now)
+		x.s.book.Sent(x.t.ID, scoped(x.c.Scope, x.c.Ask.Prompt.sharedIDs()), now)
 	}
 }
 
@@ -193,7 +187,7 @@
 	if !ok {
 		return
 	}
-	plan := a.Plan(c.Scope, sharedKeys(c.Ask.Prompt), time.Now())
+	plan := a.Plan(c.Scope, c.Ask.Prompt.sharedIDs(), time.Now())
 	o.FetchFrom, o.SaveTo = append(plan.Fetch, ""), append(plan.Save, "")
 	o.FetchUntil = clock + time.Duration(fetchPart*float64(c.Route.Objective)) + balancer.ReadTime(c.Ask.Prompt.Shared())
 }
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -56,8 +56,6 @@
 	Err error
 	// Sent: bytes of the request may have reached the target.
 	Sent bool
-	// Answered: a part of the answer has arrived.
-	Answered bool
 }
 
 // Error implements error.
@@ -108,8 +106,6 @@
 // Exchange is the answer to one request.
 type Exchange struct {
 	*http.Response
-	// Reused: the connection had been used before.
-	Reused bool
 
 	pool *Pool
 	addr string
@@ -121,11 +117,11 @@
 // Do sends a request, whose head and body are complete, and returns when the head of its answer has arrived. belongs
 // tells whether an answer is that of this request. The exchange ends with ctx.
 func (p *Pool) Do(ctx context.Context, addr, method string, request []byte, belongs func(http.Header) bool) (*Exchange, error) {
-	c, reused, err := p.get(ctx, addr)
+	c, err := p.get(ctx, addr)
 	if err != nil {
 		return nil, &Error{Err: failer.Wrap(err, "connect to target", addr, "connect")}
 	}
-	ex := &Exchange{Reused: reused, pool: p, addr: addr, c: c}
+	ex := &Exchange{pool: p, addr: addr, c: c}
 	ex.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if n, err := c.Write(request); err != nil {
 		// Even if the request was cut off, the target may have begun with it.
@@ -134,7 +130,7 @@
 	}
 	if err := ex.readHead(method, belongs); err != nil {
 		ex.abandon()
-		return nil, &Error{Err: failer.Wrap(err, "read from target", addr, "answer"), Sent: true, Answered: ex.Response != nil}
+		return nil, &Error{Err: failer.Wrap(err, "read from target", addr, "answer"), Sent: true}
 	}
 	return ex, nil
 }
@@ -204,7 +200,7 @@
 }
 
 // get returns a connection on which nothing is outstanding.
-func (p *Pool) get(ctx context.Context, addr string) (*conn, bool, error) {
+func (p *Pool) get(ctx context.Context, addr string) (*conn, error) {
 	now := time.Now()
 	for {
 		c := p.pop(addr)
@@ -212,15 +208,15 @@
 			break
 		}
 		if now.Before(c.until) && quiet(c.Conn) {
-			return c, true, nil
+			return c, nil
 		}
 		_ = c.Close()
 	}
 	nc, err := p.Dial(ctx, "tcp", addr)
 	if err != nil {
-		return nil, false, err
+		return nil, err
 	}
-	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, readBuffer)}, false, nil
+	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, readBuffer)}, nil
 }
 
 func (p *Pool) pop(addr string) *conn {
