refactor(orderer): a swapping target is a name and a time

Cause: its version was kept and never read, and three places compared its end. Change: Swapping is a map with one question, Busy. Result: go test ./internal/orderer passes with the same assertions.

--- a/internal/orderer/lease_test.go
+++ b/internal/orderer/lease_test.go
@@ -73,7 +73,7 @@
 			v = v.WithTarget(&cataloger.Target{ID: id, Service: "s", Versions: map[string]int64{"m": 1}})
 		}
 		versionOf := func(t *cataloger.Target, _ string) int64 { return have[t.ID] }
-		swapping := map[string]Swapping{}
+		swapping := Swapping{}
 		now := time.Duration(0)
 		for range 20 * n {
 			pending := Pending(v, versionOf)
@@ -81,10 +81,10 @@
 				return
 			}
 			for _, w := range Next(v, pending, swapping, now) {
-				if s, ok := swapping[w.Target.ID]; ok && now < s.Until {
+				if swapping.Busy(w.Target.ID, now) {
 					t.Fatalf("target %s is ordered twice", w.Target.ID)
 				}
-				swapping[w.Target.ID] = Swapping{Version: w.Version, Until: now + swapTime}
+				swapping[w.Target.ID] = now + swapTime
 			}
 			if limit := max(1, int(maxSwapping*float64(n)+0.5)); len(swapping) > limit {
 				t.Fatalf("%d of %d targets swap at a time", len(swapping), n)
@@ -94,7 +94,7 @@
 				if rapid.Bool().Draw(t, "done") {
 					have[id] = 2
 					delete(swapping, id)
-				} else if now >= swapping[id].Until {
+				} else if now >= swapping[id] {
 					delete(swapping, id)
 				}
 			}
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -147,7 +147,7 @@
 
 	mu       sync.Mutex
 	lease    Lease
-	swapping map[string]Swapping
+	swapping Swapping
 	nonces   map[string]time.Duration
 	since    time.Duration
 	counts   map[string]int64
@@ -158,14 +158,13 @@
 func (o *Orderer) IsSwapping(id string) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	s, ok := o.swapping[id]
-	return ok && clocker.Elapsed() < s.Until
+	return o.swapping.Busy(id, clocker.Elapsed())
 }
 
 // Run follows the journal and gives orders until ctx ends.
 func (o *Orderer) Run(ctx context.Context) {
 	o.mu.Lock()
-	o.swapping, o.nonces = map[string]Swapping{}, map[string]time.Duration{}
+	o.swapping, o.nonces = Swapping{}, map[string]time.Duration{}
 	o.counts, o.nextAsk = map[string]int64{}, map[string]time.Duration{}
 	o.mu.Unlock()
 	go o.follow(ctx)
@@ -213,8 +212,8 @@
 		others++ // forgotten claims may have been anybody's
 	}
 	for i, c := range rs.Claims {
-		for id, v := range c.Targets {
-			o.swapping[id] = Swapping{Version: v, Until: now + swapTime}
+		for id := range c.Targets {
+			o.swapping[id] = now + swapTime
 		}
 		if sent, ok := o.nonces[c.Nonce]; ok {
 			delete(o.nonces, c.Nonce)
@@ -274,7 +273,7 @@
 	}
 	for _, w := range pending {
 		if w.Target.ID == id {
-			return clocker.Elapsed() > o.swapping[id].Until
+			return clocker.Elapsed() > o.swapping[id]
 		}
 	}
 	return true
@@ -300,7 +299,7 @@
 		delete(o.nonces, c.Nonce)
 		o.lease = o.lease.WithGrant(at, sent)
 		for _, w := range next {
-			o.swapping[w.Target.ID] = Swapping{Version: w.Version, Until: clocker.Elapsed() + swapTime}
+			o.swapping[w.Target.ID] = clocker.Elapsed() + swapTime
 		}
 		o.Log.WithField("fence", o.lease.Fence).WithField("targets", len(next)).Info("order lease was taken")
 		return true
@@ -364,7 +363,7 @@
 		o.lease = o.lease.WithoutTerm()
 	case NotDone, Conflict, Unknown:
 		// Unknown: the order may be carried out much later, and then has no effect if another one was accepted before.
-		o.swapping[t.ID] = Swapping{Version: w.Version, Until: clocker.Elapsed() + retryPause}
+		o.swapping[t.ID] = clocker.Elapsed() + retryPause
 	}
 }
 
--- a/internal/orderer/plan.go
+++ b/internal/orderer/plan.go
@@ -24,11 +24,14 @@
 	Version int64
 }
 
-// Swapping is a target that was ordered to take new weights.
-type Swapping struct {
-	Version int64
-	// Until is when the target is no longer taken to be busy with it.
-	Until time.Duration
+// Swapping are the targets that were ordered to take new weights, with the time until which each is taken to be busy with
+// it.
+type Swapping map[string]time.Duration
+
+// Busy reports whether a target is taken to be swapping.
+func (s Swapping) Busy(id string, now time.Duration) bool {
+	until, ok := s[id]
+	return ok && now < until
 }
 
 // Pending returns the targets whose weights are older than those that were named.
@@ -51,10 +54,10 @@
 
 // Next returns the work to begin with now: as much as leaves enough targets of each service, and no target that is
 // swapping already.
-func Next(v *cataloger.View, pending []Work, swapping map[string]Swapping, now time.Duration) []Work {
+func Next(v *cataloger.View, pending []Work, swapping Swapping, now time.Duration) []Work {
 	busy := map[string]int{}
-	for id, s := range swapping {
-		if t, ok := v.Target(id); ok && now < s.Until {
+	for id := range swapping {
+		if t, ok := v.Target(id); ok && swapping.Busy(id, now) {
 			busy[t.Service]++
 		}
 	}
@@ -63,7 +66,7 @@
 	var out []Work
 	for _, w := range pending {
 		id, service := w.Target.ID, w.Target.Service
-		if s, ok := swapping[id]; ok && now < s.Until {
+		if swapping.Busy(id, now) {
 			continue
 		}
 		if float64(busy[service]) < math.Round(max(1, maxSwapping*float64(len(v.Targets(service))))) {
