--- a/internal/archiver/archiver.go
+++ b/internal/archiver/archiver.go
@@ -25,13 +25,11 @@
 
 import (
 	"context"
-	"math"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/papayaworks/papayaworks/internal/cataloger"
-	"github.com/papayaworks/papayaworks/internal/clocker"
 	"github.com/papayaworks/papayaworks/internal/logger"
 	"github.com/papayaworks/papayaworks/internal/mixer"
 	"github.com/papayaworks/papayaworks/internal/sleeper"
@@ -108,41 +106,6 @@
 	offset, offsetAt time.Duration
 }
 
-// store is what is known of one store.
-type store struct {
-	*cataloger.ContextStore
-	// key places parts at stores, and stores at instances.
-	key uint64
-	// cancel ends the following of its events; it is nil while they are not followed.
-	cancel context.CancelFunc
-	// first: this instance tells the others.
-	first bool
-	// reachable: the store answered the last read of its events, or was told of lately.
-	reachable bool
-	heard     time.Time
-	epoch     int64
-	next      int64
-	parts     map[uint64]Part
-	recent    []recentPart
-	// retold are the parts that are to be told again.
-	retold []uint64
-}
-
-type recentPart struct {
-	key uint64
-	at  time.Time
-}
-
-// News is what the first follower of a store tells the others.
-type News struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
-
-	Store uint64
-	Epoch int64
-	// Parts became complete lately.
-	Parts []uint64
-}
-
 // SetStores takes the stores of a configuration.
 func (a *Archiver) SetStores(ctx context.Context, stores []*cataloger.Service) {
 	a.mu.Lock()
@@ -252,11 +215,6 @@
 	s.drop()
 }
 
-// drop forgets all parts.
-func (s *store) drop() {
-	s.reachable, s.parts, s.recent, s.retold = false, map[uint64]Part{}, nil, nil
-}
-
 // apply takes events; after a restart or a gap the list is read anew.
 func (a *Archiver) apply(s *store, ev Events, now time.Time) {
 	a.mu.Lock()
@@ -286,211 +244,3 @@
 		}
 	}
 }
-
-// Sync takes the time on the targets' clock from an answer that has just arrived.
-func (a *Archiver) Sync(clock time.Duration) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.sync(clock)
-}
-
-// sync keeps the greatest offset of late: the way of an answer only makes it smaller. a.mu is held.
-func (a *Archiver) sync(clock time.Duration) {
-	now := clocker.Elapsed()
-	if clock == 0 {
-		return
-	}
-	if off := clock - now; off > a.offset || now-a.offsetAt > clockLife {
-		a.offset, a.offsetAt = off, now
-	}
-}
-
-// Clock returns the present time on the targets' clock, and false if it is not known.
-func (a *Archiver) Clock() (time.Duration, bool) {
-	a.mu.RLock()
-	defer a.mu.RUnlock()
-	now := clocker.Elapsed()
-	if a.offsetAt == 0 || now-a.offsetAt > 2*clockLife {
-		return 0, false
-	}
-	return now + a.offset, true
-}
-
-// News returns what this instance tells the others of the stores that it follows first.
-func (a *Archiver) News(now time.Time) []News {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if len(a.instances) <= followers {
-		return nil // all of them follow every store
-	}
-	var out []News
-	for _, s := range a.stores {
-		if !s.first || !s.reachable || s.cancel == nil {
-			continue
-		}
-		n := News{Store: s.key, Epoch: s.epoch}
-		s.recent = slices.DeleteFunc(s.recent, func(r recentPart) bool { return now.Sub(r.at) > newsLife })
-		for _, r := range s.recent {
-			n.Parts = append(n.Parts, r.key)
-		}
-		n.Parts = append(n.Parts, s.again()...)
-		out = append(out, n)
-	}
-	return out
-}
-
-// again returns some of the parts that were told before, all of them in turn: an announcement may be lost, and an
-// instance may become the first follower, or start, after parts were complete. a.mu is held.
-func (s *store) again() []uint64 {
-	if len(s.retold) == 0 {
-		for key := range s.parts {
-			s.retold = append(s.retold, key)
-		}
-	}
-	n := min(retoldParts, len(s.retold))
-	out := s.retold[:n]
-	s.retold = s.retold[n:]
-	return slices.DeleteFunc(out, func(key uint64) bool { _, ok := s.parts[key]; return !ok })
-}
-
-// Hear takes what another instance tells; stores that this one follows itself are passed over.
-func (a *Archiver) Hear(news []News, now time.Time) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for _, n := range news {
-		for _, s := range a.stores {
-			if s.key != n.Store || s.cancel != nil {
-				continue
-			}
-			if !s.reachable || s.epoch != n.Epoch || now.Sub(s.heard) > silentLife {
-				s.drop()
-			}
-			s.reachable, s.epoch, s.heard = true, n.Epoch, now
-			for _, key := range n.Parts {
-				s.parts[key] = Part{}
-				delete(a.saves, key)
-			}
-		}
-	}
-}
-
-// holds reports whether a part can be fetched from the store; a.mu is held.
-func (s *store) holds(key uint64, now time.Time) bool {
-	if !s.usable(now) {
-		return false
-	}
-	_, ok := s.parts[key]
-	return ok
-}
-
-// usable reports whether what is known of the store still holds; a.mu is held.
-func (s *store) usable(now time.Time) bool {
-	return s.reachable && now.Sub(s.heard) < silentLife
-}
-
-// Plan says for each part of a prompt where to fetch it from and where to save it; empty where nowhere.
-type Plan struct {
-	Fetch, Save []string
-}
-
-// Lookup returns how many of the parts, in order from the first, can be fetched.
-func (a *Archiver) Lookup(scope string, ids []string, now time.Time) int {
-	a.mu.RLock()
-	defer a.mu.RUnlock()
-	for i, id := range ids {
-		key := Part{scope, id}.Key()
-		if s := a.home(key); s == nil || !s.holds(key, now) {
-			return i
-		}
-	}
-	return len(ids)
-}
-
-// Plan returns where the parts of a prompt are fetched from and saved to.
-func (a *Archiver) Plan(scope string, ids []string, now time.Time) Plan {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	p := Plan{Fetch: make([]string, len(ids)), Save: make([]string, len(ids))}
-	for i, id := range ids {
-		key := Part{scope, id}.Key()
-		s := a.home(key)
-		switch {
-		case s == nil || !s.usable(now):
-		case s.holds(key, now):
-			p.Fetch[i] = s.Address
-		case now.Sub(a.saves[key]) > saveLife:
-			a.save(key, now)
-			p.Save[i] = s.Address
-		}
-	}
-	return p
-}
-
-// save remembers that a part is being saved; a.mu is held.
-func (a *Archiver) save(key uint64, now time.Time) {
-	if len(a.saves) >= maxSaves {
-		for k, at := range a.saves {
-			if now.Sub(at) > saveLife {
-				delete(a.saves, k)
-			}
-		}
-	}
-	a.saves[key] = now
-}
-
-// home returns the store of a part; a.mu is held.
-func (a *Archiver) home(key uint64) *store {
-	var best *store
-	top := math.Inf(-1)
-	for _, s := range a.stores {
-		u := (float64(mixer.Mix(key^s.key)>>11) + 1) / (1 << 53)
-		if score := -float64(s.CapacityTokens) / math.Log(u); best == nil || score > top {
-			top, best = score, s
-		}
-	}
-	return best
-}
-
-// Free drops the parts whose scope is not wanted any more at the stores that this instance follows first.
-func (a *Archiver) Free(ctx context.Context, unwanted func(scope string) bool) {
-	for _, j := range a.unwanted(unwanted) {
-		fctx, cancel := context.WithTimeout(ctx, eventWait+eventLimit)
-		err := a.Client.Free(fctx, j.s.Address, j.epoch, j.parts)
-		cancel()
-		l := a.Log.WithField("store", j.s.Address).WithField("parts", len(j.parts))
-		if err != nil {
-			logger.WithError(l, err).Warn("could not free kept context")
-			continue
-		}
-		l.Info("kept context of replaced weights was freed")
-	}
-}
-
-// job is what is to be freed at one store.
-type job struct {
-	s     *store
-	epoch int64
-	parts []Part
-}
-
-func (a *Archiver) unwanted(unwanted func(scope string) bool) []job {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	var jobs []job
-	for _, s := range a.stores {
-		if !s.first || s.cancel == nil || !s.reachable {
-			continue
-		}
-		j := job{s: s, epoch: s.epoch}
-		for key, p := range s.parts {
-			if unwanted(p.Scope) {
-				j.parts = append(j.parts, p)
-				delete(s.parts, key)
-			}
-		}
-		if len(j.parts) > 0 {
-			jobs = append(jobs, j)
-		}
-	}
-	return jobs
-}
--- /dev/null
+++ b/internal/archiver/store.go
@@ -0,0 +1,52 @@
+package archiver
+
+import (
+	"context"
+	"time"
+
+	"github.com/papayaworks/papayaworks/internal/cataloger"
+)
+
+// store is what is known of one store.
+type store struct {
+	*cataloger.ContextStore
+	// key places parts at stores, and stores at instances.
+	key uint64
+	// cancel ends the following of its events; it is nil while they are not followed.
+	cancel context.CancelFunc
+	// first: this instance tells the others.
+	first bool
+	// reachable: the store answered the last read of its events, or was told of lately.
+	reachable bool
+	heard     time.Time
+	epoch     int64
+	next      int64
+	parts     map[uint64]Part
+	recent    []recentPart
+	// retold are the parts that are to be told again.
+	retold []uint64
+}
+
+type recentPart struct {
+	key uint64
+	at  time.Time
+}
+
+// drop forgets all parts.
+func (s *store) drop() {
+	s.reachable, s.parts, s.recent, s.retold = false, map[uint64]Part{}, nil, nil
+}
+
+// holds reports whether a part can be fetched from the store; a.mu is held.
+func (s *store) holds(key uint64, now time.Time) bool {
+	if !s.usable(now) {
+		return false
+	}
+	_, ok := s.parts[key]
+	return ok
+}
+
+// usable reports whether what is known of the store still holds; a.mu is held.
+func (s *store) usable(now time.Time) bool {
+	return s.reachable && now.Sub(s.heard) < silentLife
+}
