--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -160,7 +160,7 @@
 		case <-ctx.Done():
 			return
 		case e := <-w.events:
-			w.handle(e)
+			w.handle(e, time.Now())
 		case <-t.C:
 			w.expire(time.Now())
 		}
@@ -212,13 +212,12 @@
 }
 
 // handle applies an event to the view and publishes it.
-func (w *Watcher) handle(e event) {
+func (w *Watcher) handle(e event, now time.Time) {
 	old := w.view.Load()
 	v := old
 	if e.apply != nil {
 		v = e.apply(v)
 	}
-	now := time.Now()
 	seen := map[string]bool{}
 	for _, c := range e.batch.Changes {
 		v = w.with(v, c, e.afterLoss, now, seen)
