perf(announcer,archiver,orderer): knowledge shared at 82 instances

Cause: on the grown site an announcement could grow past the receive buffer of 8 KB after new weights (versions told by everybody, 1.2 s of new parts) and was lost as a whole, silently; the one follower that told all others of a store sent more than a 10 Mbit/s link carries; each claim of the order lease woke a long read at every instance. Ruled out: the rotation of parts told again and the choice of members (tried before, no difference).

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -26,6 +26,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -58,10 +59,11 @@
 	// memberLife is how long an instance counts as a member after it was heard; others take over its part of common work.
 	memberLife = 1500 * time.Millisecond
 	// peerLife is how long a peer that tells nothing is still told.
-	peerLife    = 30 * time.Second
-	callLimit   = 800 * time.Millisecond
-	retryPause  = 500 * time.Millisecond
-	maxDatagram = 8 << 10
+	peerLife   = 30 * time.Second
+	callLimit  = 800 * time.Millisecond
+	retryPause = 500 * time.Millisecond
+	// maxDatagram is the longest that UDP allows.
+	maxDatagram = 64 << 10
 )
 
 // Peer is one instance and where it hears announcements.
@@ -108,10 +110,12 @@
 // State is what an instance tells.
 type State struct {
 	Flights map[string]Flight `msgpack:"f"`
-	// Versions are those that were seen lately.
+	// Versions are those that targets reported lately to this instance.
 	Versions []Version `msgpack:"v,omitempty"`
 	// Kept are news of stores of kept context.
 	Kept []archiver.News `msgpack:"k,omitempty"`
+	// Swapping are the targets that this instance has ordered to take new weights, with the time that each is left out.
+	Swapping map[string]time.Duration `msgpack:"s,omitempty"`
 }
 
 // announcement is the content of a datagram.
@@ -126,16 +130,20 @@
 type Announcer struct {
 	Self     Peer
 	Registry Registry
-	// State returns what this instance tells.
+	// State returns what this instance tells; each call may return other news.
 	State func() State
+	// Tells reports whether a peer is told the news of a store of kept context; if it is nil, all are told.
+	Tells func(store uint64, peer string) bool
 	// Heard is told of what others tell.
 	Heard func(State)
 	// Changed is told of the instances when they change, this one included.
 	Changed func(ids []string)
 	Log     logger.Log
 
-	conn *net.UDPConn
-	boot int64
+	conn   *net.UDPConn
+	boot   int64
+	number atomic.Uint64
+	prompt chan struct{}
 
 	mu    sync.RWMutex
 	peers map[string]*peer
@@ -161,46 +169,99 @@
 	}
 	a.boot = time.Now().UnixNano()
 	a.peers = map[string]*peer{}
+	a.prompt = make(chan struct{}, 1)
 	return nil
 }
 
+// Prompt has the next announcement made at once.
+func (a *Announcer) Prompt() {
+	select {
+	case a.prompt <- struct{}{}:
+	default: // one is about to be made
+	}
+}
+
 // Run announces until ctx ends.
 func (a *Announcer) Run(ctx context.Context) {
 	go a.receive()
 	go a.register(ctx)
 	go a.follow(ctx)
-	var n uint64
 	var members []string
 	begun := time.Now()
+	prompted := false
 	for ctx.Err() == nil {
-		n++
 		now := time.Now()
 		peers := a.known(now)
 		if ids := a.members(now); len(ids) > 0 && !slices.Equal(ids, members) && now.Sub(begun) > settleTime {
 			members = ids
 			a.Changed(ids)
 		}
-		a.announce(ctx, n, peers)
+		prompted = a.announce(ctx, peers, prompted)
 	}
 	_ = a.conn.Close()
 }
 
-// announce sends one state to the peers, spread over the period so that a small link is never filled by a burst.
-func (a *Announcer) announce(ctx context.Context, n uint64, peers []Peer) {
-	data, err := msgpack.Marshal(announcement{ID: a.Self.ID, Number: n, Boot: a.boot, State: a.State()})
-	if err != nil {
-		logger.WithError(a.Log, err).Error("could not encode an announcement")
-	}
+// announce sends one state to the peers, spread over the period so that a small link is never filled by a burst, or all at
+// once. It ends early and returns true if the next announcement shall be made at once.
+func (a *Announcer) announce(ctx context.Context, peers []Peer, atOnce bool) bool {
 	period := periodOf(len(peers))
 	steps := int(period/leastPeriod) * stepsPerPeriod
+	data := a.encode(peers)
+	if atOnce {
+		for i, p := range peers {
+			a.send(p, data[i])
+		}
+	}
 	for i := range steps {
-		for k := i * len(peers) / steps; k < (i+1)*len(peers)/steps && err == nil; k++ {
-			_, _ = a.conn.WriteToUDP(data, peers[k].addr) // a lost announcement is replaced by the next one
+		for k := i * len(peers) / steps; k < (i+1)*len(peers)/steps && !atOnce; k++ {
+			a.send(peers[k], data[k])
 		}
-		if !sleeper.Sleep(ctx, period/time.Duration(steps)) {
-			return
+		t := time.NewTimer(period / time.Duration(steps))
+		select {
+		case <-a.prompt:
+			t.Stop()
+			return true
+		case <-ctx.Done():
+			t.Stop()
+			return false
+		case <-t.C:
 		}
 	}
+	return false
+}
+
+func (a *Announcer) send(p Peer, data []byte) {
+	if len(data) > 0 {
+		_, _ = a.conn.WriteToUDP(data, p.addr) // a lost announcement is replaced by the next one
+	}
+}
+
+// encode returns the datagram for each peer; they differ in the news of stores.
+func (a *Announcer) encode(peers []Peer) [][]byte {
+	st := a.State()
+	an := announcement{ID: a.Self.ID, Number: a.number.Add(1), Boot: a.boot, State: st}
+	made := map[string][]byte{}
+	out := make([][]byte, len(peers))
+	for i, p := range peers {
+		told := make([]byte, len(st.Kept))
+		an.State.Kept = nil
+		for k, n := range st.Kept {
+			if a.Tells == nil || a.Tells(n.Store, p.ID) {
+				told[k] = 1
+				an.State.Kept = append(an.State.Kept, n)
+			}
+		}
+		data, ok := made[string(told)]
+		if !ok {
+			var err error
+			if data, err = msgpack.Marshal(an); err != nil {
+				logger.WithError(a.Log, err).Error("could not encode an announcement")
+			}
+			made[string(told)] = data
+		}
+		out[i] = data
+	}
+	return out
 }
 
 // periodOf returns the time between two announcements to the same peer.
@@ -251,7 +312,7 @@
 		}
 		var in announcement
 		if err := msgpack.Unmarshal(buf[:n], &in); err != nil {
-			a.Log.WithField("peer", from.String()).Debug("announcement cannot be decoded")
+			logger.WithError(a.Log, err).WithField("peer", from.String()).Warn("announcement cannot be decoded")
 			continue
 		}
 		a.take(in, from, time.Now())
--- a/internal/announcer/announcer_test.go
+++ b/internal/announcer/announcer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"sync"
 	"testing"
@@ -10,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/papayaworks/papayaworks/internal/archiver"
 	"github.com/papayaworks/papayaworks/internal/logger"
 )
 
@@ -65,6 +67,34 @@
 	require.Zero(t, all[0].Load("t", time.Millisecond, time.Now()), "older than what is of use")
 }
 
+// Guards against an announcement that is cut off, and so lost with all that it tells, when much has become new at once, and
+// against news that go to instances that others tell.
+func TestLongAnnouncement(t *testing.T) {
+	c, err := net.ListenPacket("udp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := c.LocalAddr().String()
+	require.NoError(t, c.Close())
+	heard := make(chan State, 16)
+	a := &Announcer{Self: Peer{ID: "a", Address: addr}, Log: logger.Discard(), Heard: func(s State) { heard <- s }}
+	require.NoError(t, a.Start())
+	defer func() { _ = a.conn.Close() }()
+	go a.receive()
+	parts := make([]uint64, 1500)
+	for i := range parts {
+		parts[i] = math.MaxUint64 - uint64(i)
+	}
+	b := &Announcer{
+		Self: Peer{ID: "b"}, Log: logger.Discard(),
+		State: func() State { return State{Kept: []archiver.News{{Store: 1, Parts: parts}, {Store: 2, Parts: parts}}} },
+		Tells: func(store uint64, peer string) bool { return store == 2 && peer == "a" },
+	}
+	data := b.encode([]Peer{{ID: "a"}, {ID: "c"}})
+	require.Less(t, len(data[1]), 100, "it has nothing to tell this one")
+	_, err = a.conn.WriteToUDP(data[0], a.conn.LocalAddr().(*net.UDPAddr))
+	require.NoError(t, err)
+	require.Equal(t, []archiver.News{{Store: 2, Parts: parts}}, (<-heard).Kept)
+}
+
 // Guards against an instance that died but is still counted on for its part of common work, and against one that is cut
 // off and takes over the part of all others.
 func TestMembers(t *testing.T) {
--- a/internal/archiver/archiver.go
+++ b/internal/archiver/archiver.go
@@ -10,10 +10,10 @@
 // that all instances save and look for a part at the same place without a word.
 //
 // A store bears few readers of its events. Where there are more instances, some
-// follow each store, and the first of them tells the others what is new in its
-// announcements (see [News]).
+// follow each store, and each of them tells a part of the others what is new in
+// its announcements (see [News]). Telling all of them would fill the link of a small instance.
 //
-// Parts of replaced weights are freed by that instance once no target has had these weights for
+// Parts of replaced weights are freed by the first of these instances once no target has had these weights for
 // longer than any fetch lasts.
 //
 // # Usage
@@ -45,10 +45,12 @@
 	saveLife = 4 * time.Second
 	// followers is how many instances follow the events of one store; stores bear a dozen readers.
 	followers = 8
-	// newsLife is how long a new part is told, so that a lost announcement does no harm.
-	newsLife = 1200 * time.Millisecond
+	// tellers is how many followers tell each other instance, so that one that dies or a lost announcement does no harm.
+	tellers = 2
+	// maxNews bounds the new parts of a store in an announcement; the others follow in the next one.
+	maxNews = 400
 	// retoldParts is how many parts of a store an announcement tells again.
-	retoldParts = 60
+	retoldParts = 100
 	// silentLife is how long what was told of a store holds without a further word.
 	silentLife = 2 * time.Second
 	// clockLife is how long the targets' clock is taken to go on as it was seen.
@@ -150,8 +152,8 @@
 		return // the others are not known yet
 	}
 	for _, s := range a.stores {
-		place := a.place(s)
-		s.first = place == 0
+		s.place = mixer.Place(s.key, a.Self, a.instances)
+		place := s.place
 		switch {
 		case place < followers && s.cancel == nil:
 			sctx, cancel := context.WithCancel(ctx)
@@ -164,18 +166,6 @@
 	}
 }
 
-// place returns how many instances come before this one in the order of a store; a.mu is held.
-func (a *Archiver) place(s *store) int {
-	own := mixer.Mix(Part{ID: a.Self}.Key() ^ s.key)
-	n := 0
-	for _, id := range a.instances {
-		if id != a.Self && mixer.Mix(Part{ID: id}.Key()^s.key) > own {
-			n++
-		}
-	}
-	return n
-}
-
 // follow reads the events of a store until ctx ends.
 func (a *Archiver) follow(ctx context.Context, s *store) {
 	for ctx.Err() == nil {
@@ -239,8 +229,8 @@
 		}
 		s.parts[key] = e.Part
 		delete(a.saves, key)
-		if s.first {
-			s.recent = append(s.recent, recentPart{key, now})
+		if known && len(a.instances) > followers {
+			s.recent = append(s.recent, key)
 		}
 	}
 }
--- a/internal/archiver/archiver_test.go
+++ b/internal/archiver/archiver_test.go
@@ -86,45 +86,80 @@
 	require.Equal(t, "s:1", a.Plan("m/1", []string{"x"}, now.Add(2*saveLife)).Save[0], "a save that was lost")
 }
 
-// Guards against a store with more readers than it bears, and against instances that never hear of a part, also if an
-// announcement was lost.
+// Guards against a store with more readers than it bears, against instances that never hear of a part, also if an
+// announcement was lost or a follower died, and against a follower that has to tell all of them.
 func TestNewsReachAll(t *testing.T) {
 	var ids []string
-	for i := range 20 {
+	for i := range 82 {
 		ids = append(ids, fmt.Sprint("i-", i))
 	}
 	var all []*Archiver
-	following := 0
-	var first *Archiver
+	var followed []*Archiver
 	now := time.Now()
 	for _, id := range ids {
 		a, _ := archive(t, id, ids...)
 		all = append(all, a)
-		s := a.stores[0]
-		if s.cancel != nil {
-			following++
-			a.apply(s, Events{Epoch: 1, Events: []Event{wholeX}}, now)
+		if s := a.stores[0]; s.cancel != nil {
+			followed = append(followed, a)
+			a.apply(s, Events{Epoch: 1, Next: 1}, now)
+			a.apply(s, Events{Epoch: 1, Next: 2, Events: []Event{wholeX}}, now)
 		}
-		if s.first {
-			require.Nil(t, first, "two instances tell")
-			first = a
+	}
+	require.Len(t, followed, followers)
+	store := all[0].stores[0].key
+	news := map[*Archiver][]News{}
+	for _, f := range followed {
+		_ = f.News() // is lost
+		news[f] = f.News()
+		told := 0
+		for _, id := range ids {
+			if f.Tells(store, id) {
+				told++
+			}
 		}
+		require.Less(t, told, len(ids)/2, "one follower tells most of the others")
 	}
-	require.Equal(t, followers, following)
-	later := now.Add(newsLife + time.Second) // the first announcements were lost
-	first.stores[0].heard = later
-	news := first.News(later)
 	for _, a := range all {
-		a.Hear(news, later)
-		if a.stores[0].cancel == nil {
-			require.Equal(t, "s:1", a.Plan("m/1", []string{"x"}, later).Fetch[0])
+		if a.stores[0].cancel != nil {
+			continue
+		}
+		by := 0
+		for _, f := range followed {
+			if f.Tells(store, a.Self) {
+				by++
+				a.Hear(news[f], now)
+			}
 		}
+		require.Equal(t, tellers, by)
+		require.Equal(t, "s:1", a.Plan("m/1", []string{"x"}, now).Fetch[0])
 	}
-	a := all[0]
-	a.Hear([]News{{Store: a.stores[0].key, Epoch: 2}}, later)
-	if a.stores[0].cancel == nil {
-		require.Empty(t, a.Plan("m/1", []string{"x"}, later).Fetch[0], "the store started again")
+}
+
+// Guards against parts that were lost with a restart and are taken for whole again, since one of two followers has not seen
+// the restart yet.
+func TestNewsOfEarlierEpoch(t *testing.T) {
+	var ids []string
+	for i := range 40 {
+		ids = append(ids, fmt.Sprint("i-", i))
+	}
+	now := time.Now()
+	for _, id := range ids {
+		a, _ := archive(t, id, ids...)
+		s := a.stores[0]
+		if s.cancel != nil {
+			continue
+		}
+		old := News{Store: s.key, Epoch: 7, Parts: []uint64{wholeX.Part.Key()}}
+		fetched := func() bool { return a.Plan("m/1", []string{"x"}, now).Fetch[0] != "" }
+		a.Hear([]News{old}, now)
+		require.True(t, fetched())
+		a.Hear([]News{{Store: s.key, Epoch: 5}}, now)
+		require.False(t, fetched())
+		a.Hear([]News{old}, now)
+		require.False(t, fetched())
+		return
 	}
+	t.Fatal("all instances follow the store")
 }
 
 // Guards against kept context that is freed while it is wanted, or by several instances.
@@ -135,7 +170,7 @@
 	require.Equal(t, [][]Part{{{"m/1", "x"}}}, f.freed)
 	require.Empty(t, a.Plan("m/1", []string{"x"}, time.Now()).Fetch[0])
 	require.NotEmpty(t, a.Plan("m/2", []string{"y"}, time.Now()).Fetch[0])
-	a.stores[0].first = false
+	a.stores[0].place = 1
 	a.Free(context.Background(), func(string) bool { return true })
 	require.Len(t, f.freed, 1)
 }
--- a/internal/archiver/free.go
+++ b/internal/archiver/free.go
@@ -33,7 +33,7 @@
 	defer a.mu.Unlock()
 	var jobs []job
 	for _, s := range a.stores {
-		if !s.first || s.cancel == nil || !s.reachable {
+		if s.place != 0 || s.cancel == nil || !s.reachable {
 			continue
 		}
 		j := job{s: s, epoch: s.epoch}
--- a/internal/archiver/news.go
+++ b/internal/archiver/news.go
@@ -3,20 +3,22 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/papayaworks/papayaworks/internal/mixer"
 )
 
-// News is what the first follower of a store tells the others.
+// News is what a follower of a store tells some of the others.
 type News struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
 
 	Store uint64
 	Epoch int64
-	// Parts became complete lately.
+	// Parts became complete lately, or were told before.
 	Parts []uint64
 }
 
-// News returns what this instance tells the others of the stores that it follows first.
-func (a *Archiver) News(now time.Time) []News {
+// News returns what this instance tells others of the stores that it follows, each time other parts.
+func (a *Archiver) News() []News {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if len(a.instances) <= followers {
@@ -24,22 +26,33 @@
 	}
 	var out []News
 	for _, s := range a.stores {
-		if !s.first || !s.reachable || s.cancel == nil {
+		if !s.reachable || s.cancel == nil {
 			continue
 		}
 		n := News{Store: s.key, Epoch: s.epoch}
-		s.recent = slices.DeleteFunc(s.recent, func(r recentPart) bool { return now.Sub(r.at) > newsLife })
-		for _, r := range s.recent {
-			n.Parts = append(n.Parts, r.key)
-		}
-		n.Parts = append(n.Parts, s.again()...)
+		k := min(maxNews, len(s.recent))
+		n.Parts = append(slices.Clone(s.recent[:k]), s.again()...)
+		s.recent = s.recent[k:]
 		out = append(out, n)
 	}
 	return out
 }
 
+// Tells reports whether this instance is one of those that tell another one of a store.
+func (a *Archiver) Tells(store uint64, other string) bool {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	for _, s := range a.stores {
+		if s.key == store && s.cancel != nil {
+			first := int(mixer.Mix(mixer.Sum(other)^store) % followers)
+			return (s.place-first+followers)%followers < tellers
+		}
+	}
+	return false
+}
+
 // again returns some of the parts that were told before, all of them in turn: an announcement may be lost, and an
-// instance may become the first follower, or start, after parts were complete. a.mu is held.
+// instance may start, or begin to follow, after parts were complete. a.mu is held.
 func (s *store) again() []uint64 {
 	if len(s.retold) == 0 {
 		for key := range s.parts {
@@ -58,11 +71,13 @@
 	defer a.mu.Unlock()
 	for _, n := range news {
 		for _, s := range a.stores {
-			if s.key != n.Store || s.cancel != nil {
+			if s.key != n.Store || s.cancel != nil || n.Epoch == s.before {
 				continue
 			}
-			if !s.reachable || s.epoch != n.Epoch || now.Sub(s.heard) > silentLife {
+			if !s.reachable || s.epoch != n.Epoch {
+				before := s.epoch
 				s.drop()
+				s.before = before
 			}
 			s.reachable, s.epoch, s.heard = true, n.Epoch, now
 			for _, key := range n.Parts {
--- a/internal/archiver/store.go
+++ b/internal/archiver/store.go
@@ -14,24 +14,22 @@
 	key uint64
 	// cancel ends the following of its events; it is nil while they are not followed.
 	cancel context.CancelFunc
-	// first: this instance tells the others.
-	first bool
+	// place is this instance's among those that follow the store; the first one frees parts.
+	place int
 	// reachable: the store answered the last read of its events, or was told of lately.
 	reachable bool
 	heard     time.Time
 	epoch     int64
-	next      int64
-	parts     map[uint64]Part
-	recent    []recentPart
+	// before is the last epoch before this one that was told; who tells it again has not seen the restart yet.
+	before int64
+	next   int64
+	parts  map[uint64]Part
+	// recent are the parts that became complete since the last announcement.
+	recent []uint64
 	// retold are the parts that are to be told again.
 	retold []uint64
 }
 
-type recentPart struct {
-	key uint64
-	at  time.Time
-}
-
 // drop forgets all parts.
 func (s *store) drop() {
 	s.reachable, s.parts, s.recent, s.retold = false, map[uint64]Part{}, nil, nil
--- a/internal/balancer/book.go
+++ b/internal/balancer/book.go
@@ -15,7 +15,7 @@
 	serviceWeight = 0.05
 	// refusalLife is how long a target that refused a call is left out, while others may have room.
 	refusalLife = 200 * time.Millisecond
-	// newsLife is how long a weight version that was seen is announced; by then it stands in the target's entry.
+	// newsLife is how long a weight version that was reported is announced; by then it stands in the target's entry.
 	newsLife = 3 * time.Second
 	// maxSeen bounds the prompt parts that are remembered for one target.
 	maxSeen = 512
@@ -37,10 +37,10 @@
 	versions map[Weights]shown
 }
 
-// shown is a weight version with the time when it was first seen.
+// shown is a weight version, and when it was reported to this instance first.
 type shown struct {
-	version int64
-	at      time.Time
+	version  int64
+	reported time.Time
 }
 
 type entry struct {
@@ -269,11 +269,21 @@
 }
 
 // SetVersion takes the weight version that a target showed.
-func (b *Book) SetVersion(w Weights, version int64, now time.Time) {
+func (b *Book) SetVersion(w Weights, version int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if version > b.versions[w].version {
-		b.versions[w] = shown{version: version, at: now}
+		b.versions[w] = shown{version: version}
+	}
+}
+
+// Reported takes the weight version that a target reported to this instance, which gives it orders; the others are told. If
+// all told what they see, the announcements of a roll-out would fill the links of small instances.
+func (b *Book) Reported(w Weights, version int64, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if have := b.versions[w]; version > have.version || version == have.version && have.reported.IsZero() {
+		b.versions[w] = shown{version: version, reported: now}
 	}
 }
 
@@ -295,7 +305,7 @@
 		}
 	}
 	for w, v := range b.versions {
-		if now.Sub(v.at) < newsLife {
+		if now.Sub(v.reported) < newsLife {
 			out.Versions = append(out.Versions, announcer.Version{Target: w.Target, Born: w.Born, Model: w.Model, Version: v.version})
 		}
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -195,14 +195,23 @@
 		now := time.Now()
 		st := s.book.Announcement(now)
 		if s.Archiver != nil {
-			st.Kept = s.Archiver.News(now)
+			st.Kept = s.Archiver.News()
+		}
+		if s.Orderer != nil {
+			st.Swapping = s.Orderer.News()
 		}
 		return st
 	}
+	if s.Archiver != nil {
+		a.Tells = s.Archiver.Tells
+	}
 	a.Heard = func(st announcer.State) {
 		now := time.Now()
 		for _, v := range st.Versions {
-			s.book.SetVersion(balancer.Weights{Target: v.Target, Born: v.Born, Model: v.Model}, v.Version, now)
+			s.book.SetVersion(balancer.Weights{Target: v.Target, Born: v.Born, Model: v.Model}, v.Version)
+		}
+		if s.Orderer != nil {
+			s.Orderer.Hear(st.Swapping)
 		}
 		if s.Archiver != nil && len(st.Kept) > 0 {
 			s.Archiver.Hear(st.Kept, now)
@@ -212,6 +221,9 @@
 		if s.Archiver != nil {
 			s.Archiver.SetInstances(ctx, ids)
 		}
+		if s.Orderer != nil {
+			s.Orderer.SetInstances(ids)
+		}
 	}
 }
 
@@ -227,7 +239,11 @@
 	}
 	o.View, o.VersionOf = s.Watcher.View, s.versionOf
 	o.Learned = func(t *cataloger.Target, model string, version int64) {
-		s.book.SetVersion(balancer.WeightsOf(t, model), version, time.Now())
+		s.book.Reported(balancer.WeightsOf(t, model), version, time.Now())
+	}
+	if s.Announcer != nil {
+		o.SetInstances(nil)
+		o.Claimed = s.Announcer.Prompt
 	}
 	go o.Run(ctx)
 }
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -129,7 +129,7 @@
 	if reply.Instance != x.t.ID || !ok || x.c.Version == 0 || x.c.Version >= named.Version {
 		return
 	}
-	x.s.book.SetVersion(balancer.WeightsOf(x.t, x.c.Ask.Prompt.Model), named.Version, time.Now())
+	x.s.book.SetVersion(balancer.WeightsOf(x.t, x.c.Ask.Prompt.Model), named.Version)
 	x.c.Tried = x.c.Tried[:len(x.c.Tried)-1]
 	x.c.Misdirected--
 }
@@ -144,7 +144,7 @@
 		if model == "" {
 			model = x.c.Ask.Prompt.Model
 		}
-		x.s.book.SetVersion(balancer.WeightsOf(x.t, model), v, now)
+		x.s.book.SetVersion(balancer.WeightsOf(x.t, model), v)
 	}
 	if !r.NotRun && !r.Misdirected && x.c.Service.Engine != nil {
 		x.s.book.Sent(x.t.ID, scoped(x.c.Scope, x.c.Ask.Prompt.sharedIDs()), now)
--- a/internal/mixer/mixer.go
+++ b/internal/mixer/mixer.go
@@ -32,3 +32,16 @@
 	}
 	return Mix(h.Sum64())
 }
+
+// Place returns how many of the names come before one in the order of a key. All who know the same names agree on it, and
+// a name that comes or goes moves each of the others by at most one place.
+func Place(key uint64, self string, names []string) int {
+	own := Mix(Sum(self) ^ key)
+	n := 0
+	for _, name := range names {
+		if name != self && Mix(Sum(name)^key) > own {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/orderer/lease.go
+++ b/internal/orderer/lease.go
@@ -6,8 +6,6 @@
 	// term is how long a claim allows its holder to give orders, from before the claim was sent. It is short since a
 	// successor has to wait for its end.
 	term = 700 * time.Millisecond
-	// renewAfter is how long after a claim its holder makes the next one, while there is work.
-	renewAfter = 350 * time.Millisecond
 	// orderTimeout bounds how long after its sending an order may reach a target.
 	orderTimeout = 250 * time.Millisecond
 	// takeoverMargin is added to the wait of a successor, for timers that fire late.
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -7,8 +7,11 @@
 // successor claims only after a time that no order of the holder can outlast
 // (see [Lease]). Without work nobody claims anything.
 //
-// A claim names the targets that are about to be ordered, so that all instances
-// can leave them out while they take their weights. Orders name the count of
+// Of many instances only a few follow the journal; the others do so when there is
+// work and none of those before them gives orders (see [Turn]).
+//
+// A claim names the targets that are about to be ordered, and the holder announces
+// them, so that all instances can leave them out while they take their weights. Orders name the count of
 // orders that the target must have accepted before, so that one that is carried
 // out late has no effect after a newer one.
 //
@@ -38,12 +41,9 @@
 	// callLimit bounds calls to the store beyond their wait.
 	callLimit = 800 * time.Millisecond
 	// workPeriod is the time between two looks at what is to be done.
-	workPeriod = 60 * time.Millisecond
-	// firstClaimSpread spreads the first claims of instances that see new weights at the same time; the last holder does
-	// not wait.
-	firstClaimSpread = 250 * time.Millisecond
-	retryPause       = 300 * time.Millisecond
-	reportTimeout    = 300 * time.Millisecond
+	workPeriod    = 60 * time.Millisecond
+	retryPause    = 300 * time.Millisecond
+	reportTimeout = 300 * time.Millisecond
 	// reportPause is the time between two reports of a target that is swapping.
 	reportPause = 80 * time.Millisecond
 )
@@ -143,13 +143,15 @@
 	VersionOf func(*cataloger.Target, string) int64
 	// Learned is told of weight versions that targets reported.
 	Learned func(t *cataloger.Target, model string, version int64)
+	// Claimed is called after each claim that was granted, before the orders; it may be nil.
+	Claimed func()
 	Log     logger.Log
 
 	mu       sync.Mutex
 	lease    Lease
 	swapping Swapping
 	nonces   map[string]time.Duration
-	since    time.Duration
+	turn     Turn
 	counts   map[string]int64
 	nextAsk  map[string]time.Duration
 }
@@ -161,11 +163,54 @@
 	return o.swapping.Busy(id, clocker.Elapsed())
 }
 
+// SetInstances takes the instances that may give orders, this one included; before, it is taken to be the only one.
+func (o *Orderer) SetInstances(ids []string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.turn = o.turn.WithPlace(TurnOf(o.Holder, ids))
+}
+
+// News returns the targets that this instance has ordered to take new weights, with the time that each is left out.
+func (o *Orderer) News() map[string]time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.lease.Own {
+		return nil
+	}
+	now := clocker.Elapsed()
+	out := map[string]time.Duration{}
+	for id, until := range o.swapping {
+		if until > now {
+			out[id] = until - now
+		}
+	}
+	return out
+}
+
+// Hear takes the targets that another instance has ordered.
+func (o *Orderer) Hear(targets map[string]time.Duration) {
+	if len(targets) == 0 {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := clocker.Elapsed()
+	o.turn = o.turn.WithProgress(now)
+	if o.swapping == nil {
+		o.swapping = Swapping{}
+	}
+	for id, left := range targets {
+		o.swapping[id] = max(o.swapping[id], now+min(left, swapTime))
+	}
+}
+
 // Run follows the journal and gives orders until ctx ends.
 func (o *Orderer) Run(ctx context.Context) {
 	o.mu.Lock()
-	o.swapping, o.nonces = Swapping{}, map[string]time.Duration{}
-	o.counts, o.nextAsk = map[string]int64{}, map[string]time.Duration{}
+	if o.swapping == nil {
+		o.swapping = Swapping{}
+	}
+	o.nonces, o.counts, o.nextAsk = map[string]time.Duration{}, map[string]int64{}, map[string]time.Duration{}
 	o.mu.Unlock()
 	go o.follow(ctx)
 	for sleeper.Sleep(ctx, workPeriod) {
@@ -177,8 +222,13 @@
 func (o *Orderer) follow(ctx context.Context) {
 	var next int64
 	for ctx.Err() == nil {
+		follows, known := o.follows()
+		if !follows {
+			sleeper.Sleep(ctx, workPeriod)
+			continue
+		}
 		wait := journalWait
-		if !o.known() {
+		if !known {
 			wait = 0
 		}
 		rctx, cancel := context.WithTimeout(ctx, wait+callLimit)
@@ -196,10 +246,11 @@
 	}
 }
 
-func (o *Orderer) known() bool {
+// follows reports whether this instance reads the journal now, and whether it has read it before.
+func (o *Orderer) follows() (now, before bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.lease.Known
+	return o.turn.Follows(clocker.Elapsed()), o.lease.Known
 }
 
 // take applies claims that were read.
@@ -226,6 +277,9 @@
 		}
 	}
 	o.lease = o.lease.WithClaims(others, rs.Next, now)
+	if others > 0 {
+		o.turn = o.turn.WithProgress(now)
+	}
 }
 
 // work looks at what is to be done, claims the lease for it and gives the orders.
@@ -239,27 +293,20 @@
 			delete(o.swapping, id)
 		}
 	}
+	o.turn = o.turn.WithPending(len(pending), now)
 	if len(pending) == 0 || v.Draining {
-		o.since = 0
 		o.mu.Unlock()
 		return
 	}
-	if o.since == 0 {
-		o.since = now
-		if !o.lease.Own {
-			o.since += time.Duration(rand.Int64N(int64(firstClaimSpread)))
-		}
-	}
-	begin := o.since <= now
-	l := o.lease
+	l, t := o.lease, o.turn
 	next := Next(v, pending, o.swapping, now)
 	o.mu.Unlock()
 	switch {
-	case !begin:
-	case len(next) == 0 && l.Own && now < l.Until-term+renewAfter:
-		o.ask(ctx, pending)
-	case len(next) == 0 && !l.Own:
-	case l.Own || l.MayClaim(now, o.Apart):
+	case len(next) == 0:
+		if l.Own {
+			o.ask(ctx, pending)
+		}
+	case l.Own, t.Come(now) && l.MayClaim(now, o.Apart):
 		if o.claim(ctx, l, next) {
 			o.order(ctx, next)
 		}
@@ -292,16 +339,27 @@
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
 	at, out := o.Journal.Append(ctx, c, l.End)
+	if o.granted(c, at, out, sent) {
+		if o.Claimed != nil {
+			o.Claimed()
+		}
+		return true
+	}
+	return false
+}
+
+// granted takes the outcome of a claim that was sent at a time.
+func (o *Orderer) granted(c Claim, at int64, out Outcome, sent time.Duration) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	switch out {
 	case Accepted:
 		delete(o.nonces, c.Nonce)
 		o.lease = o.lease.WithGrant(at, sent)
-		for _, w := range next {
-			o.swapping[w.Target.ID] = clocker.Elapsed() + swapTime
+		for id := range c.Targets {
+			o.swapping[id] = clocker.Elapsed() + swapTime
 		}
-		o.Log.WithField("fence", o.lease.Fence).WithField("targets", len(next)).Info("order lease was taken")
+		o.Log.WithField("fence", o.lease.Fence).WithField("targets", len(c.Targets)).Info("order lease was taken")
 		return true
 	case Conflict:
 		delete(o.nonces, c.Nonce)
