perf(announcer): long reads are told at once

Cause: on the grown sites an announcement takes 0.3 to 0.6 s to come round, and the prompt of a long letter keeps an engine busy for longer. Up to five instances sent short calls to the same engine meanwhile, which they saw as idle (busy 0 to 5, expected 10 to 90 ms, taken 700 to 1600). The registry is written and read less often, since datagrams make peers known.

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -48,13 +48,14 @@
 	stepsPerPeriod = 3
 	// silentPeriods after its last announcement what an instance told is dropped.
 	silentPeriods = 6
-	// registerPeriod is the time between two writes of the own address.
-	registerPeriod = 20 * time.Second
+	// registerPeriod is the time between two writes of the own address. The registry forgets none; writes make it known
+	// again to peers that were out of reach for longer than peerLife.
+	registerPeriod = 60 * time.Second
 	// readPeriod is the time between two reads of the registry. Instances that are not known yet make themselves known
 	// by their first datagram.
-	readPeriod = 15 * time.Second
+	readPeriod = 45 * time.Second
 	// firstReads are made sooner, since all instances of a deployment may start together.
-	firstReads      = 4
+	firstReads      = 3
 	firstReadPeriod = 500 * time.Millisecond
 	// memberLife is how long an instance counts as a member after it was heard; others take over its part of common work.
 	memberLife = 1500 * time.Millisecond
@@ -114,6 +115,8 @@
 	Versions []Version `msgpack:"v,omitempty"`
 	// Kept are news of stores of kept context.
 	Kept []archiver.News `msgpack:"k,omitempty"`
+	// Begun are long reads that began since the last full announcement; if it is set, nothing else is told.
+	Begun map[string]Flight `msgpack:"b,omitempty"`
 	// Swapping are the targets that this instance has ordered to take new weights, with the time that each is left out.
 	Swapping map[string]time.Duration `msgpack:"s,omitempty"`
 }
@@ -156,6 +159,15 @@
 	boot    int64
 	number  uint64
 	flights map[string]Flight
+	// begun are those that were told since.
+	begun []begun
+}
+
+// begun is a call that was told by itself; the next full announcement holds it, if it has not ended.
+type begun struct {
+	number uint64
+	target string
+	flight Flight
 }
 
 // Start binds the own address.
@@ -181,6 +193,20 @@
 	}
 }
 
+// Begin tells the others at once of a call that keeps its target busy for longer than an announcement takes to come round:
+// what they send to it meanwhile would wait behind it.
+func (a *Announcer) Begin(target string, f Flight) {
+	an := announcement{ID: a.Self.ID, Number: a.number.Add(1), Boot: a.boot, State: State{Begun: map[string]Flight{target: f}}}
+	data, err := msgpack.Marshal(an)
+	if err != nil {
+		logger.WithError(a.Log, err).Error("could not encode an announcement")
+		return
+	}
+	for _, p := range a.known(time.Now()) {
+		a.send(p, data)
+	}
+}
+
 // Run announces until ctx ends.
 func (a *Announcer) Run(ctx context.Context) {
 	go a.receive()
@@ -333,7 +359,18 @@
 	if in.Boot < p.boot || in.Boot == p.boot && in.Number <= p.number {
 		return
 	}
+	if in.Boot > p.boot {
+		p.begun = nil
+	}
+	if len(in.State.Begun) > 0 {
+		p.boot = in.Boot
+		for target, f := range in.State.Begun {
+			p.begun = append(p.begun, begun{number: in.Number, target: target, flight: f})
+		}
+		return
+	}
 	p.boot, p.number, p.heard, p.flights = in.Boot, in.Number, now, in.State.Flights
+	p.begun = slices.DeleteFunc(p.begun, func(b begun) bool { return b.number < in.Number })
 	a.Heard(in.State)
 }
 
@@ -412,6 +449,11 @@
 	for _, p := range a.peers {
 		if now.Sub(p.heard) <= silentPeriods*period {
 			sum = sum.Plus(p.flights[target])
+			for _, b := range p.begun {
+				if b.target == target {
+					sum = sum.Plus(b.flight)
+				}
+			}
 		}
 	}
 	return sum
--- a/internal/announcer/announcer_test.go
+++ b/internal/announcer/announcer_test.go
@@ -127,3 +127,28 @@
 	take(3, 1, 2)
 	require.Equal(t, 2, a.Load("t", time.Second, now).Calls)
 }
+
+// Guards against long reads that others learn of only with the next announcement, that are counted twice when it comes, or
+// that stay when it came first or the instance has started again.
+func TestBegun(t *testing.T) {
+	now := time.Now()
+	a := &Announcer{Self: Peer{ID: "self"}, peers: map[string]*peer{}, Heard: func(State) {}}
+	take := func(boot int64, number uint64, st State) {
+		a.take(announcement{ID: "x", Boot: boot, Number: number, State: st}, &net.UDPAddr{}, now)
+	}
+	reading := func() int { return a.Load("t", time.Second, now).Reading }
+	long := map[string]Flight{"t": {Calls: 1, Reading: 9000}}
+	take(1, 1, State{})
+	take(1, 3, State{Begun: long})
+	require.Equal(t, 9000, reading())
+	take(1, 2, State{}) // was made before the call began, and overtaken
+	require.Equal(t, 9000, reading())
+	take(1, 4, State{Flights: long})
+	require.Equal(t, 9000, reading())
+	take(1, 3, State{Begun: long}) // was overtaken
+	require.Equal(t, 9000, reading())
+	take(1, 5, State{Begun: long})
+	require.Equal(t, 18000, reading())
+	take(2, 1, State{})
+	require.Zero(t, reading())
+}
