--- a/cmd/papayaworks/check.go
+++ b/cmd/papayaworks/check.go
@@ -2,15 +2,18 @@
 
 import (
 	"github.com/papayaworks/papayaworks/pkg/configurer"
+	"github.com/papayaworks/papayaworks/platform"
 )
 
 const checkHelp = `Checks the configuration in FILE ("-" is standard input) and reports every
 fault at once: file and line, key, value and what is allowed. With
---settings the file is an instance's settings file.
+--settings the file is an instance's settings file, with --node a settings
+file of the platform, and with --deploy the platform's deploy file.
 
 Examples:
   papayaworks check config.toml
   papayaworks check --settings instance.toml
+  papayaworks check --deploy deploy/system.toml
 
 Exit status: 0 without faults, 1 with faults, 2 if the command line is
 wrong.`
@@ -18,6 +21,8 @@
 type checkCommand struct {
 	output
 	Settings bool `long:"settings" description:"the file is an instance's settings file"`
+	Node     bool `long:"node" description:"the file is a settings file of the platform"`
+	Deploy   bool `long:"deploy" description:"the file is the platform's deploy file"`
 	JSON     bool `long:"json" description:"print the faults as JSON"`
 	Args     struct {
 		File string `positional-arg-name:"FILE" required:"true"`
@@ -30,9 +35,14 @@
 	if err != nil {
 		return err
 	}
-	if c.Settings {
+	switch {
+	case c.Settings:
 		_, err = configurer.ParseSettings(c.Args.File, text)
-	} else {
+	case c.Node:
+		err = platform.CheckSettings(c.Args.File, text)
+	case c.Deploy:
+		err = platform.CheckDeploy(c.Args.File, text)
+	default:
 		err = parsePublishable(c.Args.File, text)
 	}
 	if c.JSON {
--- a/pkg/configurer/check.go
+++ b/pkg/configurer/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"reflect"
 	"slices"
 	"strings"
@@ -10,8 +11,10 @@
 // checker compares decoded TOML with the structure that it is for, so that one reading reports every unknown key
 // and every wrong type; the TOML library stops at the first wrong type and takes keys of another case.
 type checker struct {
-	file   string
-	faults Faults
+	// lenient passes over unknown keys.
+	lenient bool
+	file    string
+	faults  Faults
 }
 
 func (c *checker) add(key string, value any, allowed string) {
@@ -49,7 +52,9 @@
 	for _, name := range names {
 		f, ok := fields[name]
 		if !ok {
-			c.add(path+name, in[name], "unknown key; known here are "+strings.Join(known, ", "))
+			if !c.lenient {
+				c.add(path+name, in[name], "unknown key; known here are "+strings.Join(known, ", "))
+			}
 			continue
 		}
 		if v, ok := c.value(path+name, in[name], f.Type); ok {
@@ -59,6 +64,17 @@
 	return out
 }
 
+// entries returns the part of a table with any keys whose values fit the type t.
+func (c *checker) entries(path string, in map[string]any, t reflect.Type) map[string]any {
+	out := map[string]any{}
+	for _, name := range slices.Sorted(maps.Keys(in)) {
+		if v, ok := c.value(path+name, in[name], t); ok {
+			out[name] = v
+		}
+	}
+	return out
+}
+
 // value returns the part of v that fits the type t, and whether there is any.
 func (c *checker) value(path string, v any, t reflect.Type) (any, bool) {
 	ok := false
@@ -67,6 +83,10 @@
 		if m, is := v.(map[string]any); is {
 			return c.table(path+".", m, t), true
 		}
+	case reflect.Map:
+		if m, is := v.(map[string]any); is {
+			return c.entries(path+".", m, t.Elem()), true
+		}
 	case reflect.Slice:
 		return c.list(path, v, t)
 	case reflect.String:
--- a/pkg/configurer/decode.go
+++ b/pkg/configurer/decode.go
@@ -55,7 +55,7 @@
 // ParseSettings decodes, completes and validates an instance's settings; file only names them in faults.
 func ParseSettings(file, text string) (*Settings, error) {
 	s := new(Settings)
-	fs := decode(file, text, s)
+	fs := decode(file, text, s, false)
 	if !fs.syntax() {
 		s.SetDefaults()
 		fs = fs.merge(locate(s.Validate(file), text))
@@ -69,7 +69,7 @@
 // Parse decodes, completes and validates a configuration; file only names it in faults.
 func Parse(file, text string) (*Config, error) {
 	c := new(Config)
-	fs := decode(file, text, c)
+	fs := decode(file, text, c, false)
 	if !fs.syntax() {
 		c.SetDefaults()
 		fs = fs.merge(locate(c.Validate(file), text))
@@ -82,7 +82,20 @@
 
 // Decode decodes TOML text into v, a pointer to a structure, and reports every unknown key and every wrong type.
 func Decode(file, text string, v any) error {
-	if fs := decode(file, text, v); len(fs) > 0 {
+	if fs := decode(file, text, v, false); len(fs) > 0 {
+		return fs
+	}
+	return nil
+}
+
+// DecodeKnown decodes a text that others write into v, a pointer to a structure: unknown keys are passed over, and check
+// adds the faults of what has the right type. It reports all faults at once.
+func DecodeKnown(file, text string, v any, check func() Faults) error {
+	fs := decode(file, text, v, true)
+	if !fs.syntax() {
+		fs = fs.merge(locate(check(), text))
+	}
+	if len(fs) > 0 {
 		return fs
 	}
 	return nil
@@ -112,12 +125,12 @@
 }
 
 // decode decodes what has the right type; the rest of the text is reported.
-func decode(file, text string, v any) Faults {
+func decode(file, text string, v any, lenient bool) Faults {
 	raw, source := map[string]any{}, text
 	if _, err := toml.Decode(text, &raw); err != nil {
 		return syntaxFault(file, err)
 	}
-	c := &checker{file: file}
+	c := &checker{file: file, lenient: lenient}
 	clean := c.table("", raw, reflect.TypeOf(v).Elem())
 	if len(c.faults) > 0 {
 		b, err := toml.Marshal(clean)
