perf(announcer): all larger calls are told at once

Cause: as for long reads: what 82 instances have sent is known to the others 0.3 to 0.6 s later, and meanwhile the calls of several of them fill the memory of one engine; it preempts runs, loses cached parts and reads them again. Change: calls of 1,500 tokens or more, not only long reads, are told by a datagram of their own. An instance is told of at most 800 a second, however many others there are.

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -30,6 +30,7 @@
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
+	"golang.org/x/time/rate"
 
 	"github.com/papayaworks/papayaworks/internal/archiver"
 	"github.com/papayaworks/papayaworks/internal/failer"
@@ -46,6 +47,10 @@
 	settleTime = 1500 * time.Millisecond
 	// stepsPerPeriod: the datagrams of a period are sent in as many steps for each leastPeriod.
 	stepsPerPeriod = 3
+	// begunPerSecond bounds the calls that an instance is told of one by one, however many others there are.
+	begunPerSecond = 800
+	// begunBurst calls may be told without a pause.
+	begunBurst = 8
 	// silentPeriods after its last announcement what an instance told is dropped.
 	silentPeriods = 6
 	// registerPeriod is the time between two writes of the own address. The registry forgets none; writes make it known
@@ -115,7 +120,7 @@
 	Versions []Version `msgpack:"v,omitempty"`
 	// Kept are news of stores of kept context.
 	Kept []archiver.News `msgpack:"k,omitempty"`
-	// Begun are long reads that began since the last full announcement; if it is set, nothing else is told.
+	// Begun are calls that began since the last full announcement; if it is set, nothing else is told.
 	Begun map[string]Flight `msgpack:"b,omitempty"`
 	// Swapping are the targets that this instance has ordered to take new weights, with the time that each is left out.
 	Swapping map[string]time.Duration `msgpack:"s,omitempty"`
@@ -147,6 +152,8 @@
 	boot   int64
 	number atomic.Uint64
 	prompt chan struct{}
+	// begun bounds the calls that are told one by one.
+	begun *rate.Limiter
 
 	mu    sync.RWMutex
 	peers map[string]*peer
@@ -182,6 +189,7 @@
 	a.boot = time.Now().UnixNano()
 	a.peers = map[string]*peer{}
 	a.prompt = make(chan struct{}, 1)
+	a.begun = rate.NewLimiter(begunPerSecond, begunBurst)
 	return nil
 }
 
@@ -193,16 +201,20 @@
 	}
 }
 
-// Begin tells the others at once of a call that keeps its target busy for longer than an announcement takes to come round:
-// what they send to it meanwhile would wait behind it.
+// Begin tells the others at once of a call that loads its target before an announcement comes round: what they send to it
+// meanwhile would wait behind it. Beyond a rate, the next announcement has to do.
 func (a *Announcer) Begin(target string, f Flight) {
+	peers := a.known(time.Now())
+	if a.begun.SetLimit(begunPerSecond / rate.Limit(max(1, len(peers)))); len(peers) == 0 || !a.begun.Allow() {
+		return
+	}
 	an := announcement{ID: a.Self.ID, Number: a.number.Add(1), Boot: a.boot, State: State{Begun: map[string]Flight{target: f}}}
 	data, err := msgpack.Marshal(an)
 	if err != nil {
 		logger.WithError(a.Log, err).Error("could not encode an announcement")
 		return
 	}
-	for _, p := range a.known(time.Now()) {
+	for _, p := range peers {
 		a.send(p, data)
 	}
 }
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -24,8 +24,9 @@
 	retryPart = 0.8
 	// leastInstances share the slack of the bound, also while the others are not known yet.
 	leastInstances = 4
-	// longRead is how many prompt tokens keep a target busy for so long that the others are told at once.
-	longRead = 2500
+	// longCall is how many tokens fill so much of a target's memory, and take so long to be read, that the others are told
+	// at once.
+	longCall = 1500
 	// connectionPart of the connections that a target bears is used, since instances come and go.
 	connectionPart = 0.9
 	// leastConnections lets an instance use a target at all.
@@ -154,7 +155,7 @@
 	c.Tried = append(c.Tried, t.ID)
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	flight := announcer.Flight{Calls: 1, Tokens: c.Ask.Prompt.In + c.Ask.Prompt.expectedOut(), Reading: d.Read}
-	if s.Announcer != nil && d.Read >= longRead {
+	if s.Announcer != nil && flight.Tokens >= longCall {
 		s.Announcer.Begin(t.ID, flight)
 	}
 	x := &send{s: s, c: c, t: t, begun: now, cancel: cancel, hold: s.book.Begin(t.ID, flight, now)}
