--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -15,7 +15,8 @@
 // Model engines are chosen by the time to the first token: the prompt's parts
 // that are not cached are read again, and each running request slows the others
 // down. At an overload of a third for 10 s, as when a quarter of the engines falls silent, a call whose first event would
-// come after its objective is refused at once. Each conversation has a home by rendezvous hashing, which all instances
+// come after its objective is refused at once. Where many instances send to the same engines, each is told of the larger
+// calls of the others one by one: with announcements alone, calls of several instances meet at one engine. Each conversation has a home by rendezvous hashing, which all instances
 // compute alike, so that its parts are cached at few engines.
 //
 // # Usage
--- a/internal/balancer/replay_test.go
+++ b/internal/balancer/replay_test.go
@@ -27,6 +27,15 @@
 	running      int
 	waiting      []*job
 	silent       bool
+	// seen is the load that the instances know.
+	seen Candidate
+}
+
+// look has the instances learn the load of all engines.
+func (f *fleet) look() {
+	for _, e := range f.engines {
+		e.seen = Candidate{Target: e.target, Busy: e.running + len(e.waiting), Tokens: e.used + e.queued, Home: 1, Service: replayHold}
+	}
 }
 
 type job struct {
@@ -79,8 +88,9 @@
 }
 
 // replay plays a load in calls a second, with some engines silent for a time, and returns the share of offered calls
-// that were on time in each second, and that of the calls that were taken in.
-func replay(refuse bool, rate float64, silent int, from, until, length time.Duration) (offered, taken []float64) {
+// that were on time in each second, and that of the calls that were taken in. What is in flight becomes known after a lag,
+// to all instances together; each call comes from another instance.
+func replay(refuse bool, rate float64, silent int, from, until, length, lag time.Duration) (offered, taken []float64) {
 	f := &fleet{}
 	for i := range 12 {
 		f.engines = append(f.engines, &engine{target: &cataloger.Target{ID: fmt.Sprint(i), Slots: 64}})
@@ -100,8 +110,19 @@
 	}
 	heap.Push(&f.events, event{from, setSilent(true)})
 	heap.Push(&f.events, event{until, setSilent(false)})
+	var learn func()
+	learn = func() {
+		f.look()
+		f.after(lag, learn)
+	}
+	if f.look(); lag > 0 {
+		learn()
+	}
 	var arrive func()
 	arrive = func() {
+		if lag == 0 {
+			f.look()
+		}
 		f.after(time.Duration(r.ExpFloat64()/rate*float64(time.Second)), arrive)
 		in0 := Input{Engine: true, Own: replayTokens, Capacity: replayCapacity, Hold: replayHold, Seed: r.Uint64()}
 		if refuse {
@@ -111,7 +132,7 @@
 			if e.silent && f.now > from+700*time.Millisecond {
 				continue // calls without a word have told that it is silent
 			}
-			in0.Candidates = append(in0.Candidates, Candidate{Target: e.target, Busy: e.running + len(e.waiting), Tokens: e.used + e.queued, Home: 1, Service: replayHold})
+			in0.Candidates = append(in0.Candidates, e.seen)
 		}
 		all[f.now/time.Second]++
 		d, err := Choose(in0)
@@ -162,7 +183,7 @@
 func TestReplaySilentEngines(t *testing.T) {
 	const rate, silent = 78, 3
 	play := func(refuse bool) (offered, taken []float64) {
-		return replay(refuse, rate, silent, 2*time.Second, 12*time.Second, 30*time.Second)
+		return replay(refuse, rate, silent, 2*time.Second, 12*time.Second, 30*time.Second, 0)
 	}
 	offered, taken := play(true)
 	without, _ := play(false)
@@ -175,10 +196,24 @@
 
 // Guards against refusals while there is room: a burst of 1.7 times the load for 3 s on a fleet that is half full.
 func TestReplayBurstWithRoom(t *testing.T) {
-	offered, _ := replay(true, 40*1.7, 0, 0, 0, 10*time.Second)
+	offered, _ := replay(true, 40*1.7, 0, 0, 0, 10*time.Second, 0)
 	require.Greater(t, mean(offered[1:9]), 0.99)
 }
 
+// Guards against calls of many instances that meet at one engine, since each learns what the others have sent only when it
+// fills the engine already: a fleet that is two thirds full, and announcements that take 0.5 s to come round, against calls
+// that are told one by one and known after a way of 2 ms.
+func TestReplayManyInstances(t *testing.T) {
+	play := func(lag time.Duration) float64 {
+		offered, _ := replay(true, 60, 0, 0, 0, 20*time.Second, lag)
+		return mean(offered[1:19])
+	}
+	atOnce, announced := play(2*time.Millisecond), play(500*time.Millisecond)
+	t.Logf("on time: %.2f told at once, %.2f with announcements only", atOnce, announced)
+	require.Greater(t, atOnce, 0.95)
+	require.Greater(t, atOnce, announced)
+}
+
 // Guards against decisions that ignore memory, reading that is still to be done, the home of a conversation, distance,
 // or that all instances make alike.
 func TestChoose(t *testing.T) {
