--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -47,10 +47,10 @@
 	settleTime = 1500 * time.Millisecond
 	// stepsPerPeriod: the datagrams of a period are sent in as many steps for each leastPeriod.
 	stepsPerPeriod = 3
-	// begunPerSecond bounds the calls that an instance is told of one by one, however many others there are.
-	begunPerSecond = 800
-	// begunBurst calls may be told without a pause.
-	begunBurst = 8
+	// singlesPerSecond bounds the calls that an instance is told of one by one, however many others there are.
+	singlesPerSecond = 800
+	// singlesBurst calls may be told without a pause.
+	singlesBurst = 8
 	// silentPeriods after its last announcement what an instance told is dropped.
 	silentPeriods = 6
 	// registerPeriod is the time between two writes of the own address. The registry forgets none; writes make it known
@@ -152,8 +152,8 @@
 	boot   int64
 	number atomic.Uint64
 	prompt chan struct{}
-	// begun bounds the calls that are told one by one.
-	begun *rate.Limiter
+	// singles bounds the calls that are told one by one.
+	singles *rate.Limiter
 
 	mu    sync.RWMutex
 	peers map[string]*peer
@@ -189,7 +189,7 @@
 	a.boot = time.Now().UnixNano()
 	a.peers = map[string]*peer{}
 	a.prompt = make(chan struct{}, 1)
-	a.begun = rate.NewLimiter(begunPerSecond, begunBurst)
+	a.singles = rate.NewLimiter(singlesPerSecond, singlesBurst)
 	return nil
 }
 
@@ -205,7 +205,7 @@
 // meanwhile would wait behind it. Beyond a rate, the next announcement has to do.
 func (a *Announcer) Begin(target string, f Flight) {
 	peers := a.known(time.Now())
-	if a.begun.SetLimit(begunPerSecond / rate.Limit(max(1, len(peers)))); len(peers) == 0 || !a.begun.Allow() {
+	if a.singles.SetLimit(singlesPerSecond / rate.Limit(max(1, len(peers)))); len(peers) == 0 || !a.singles.Allow() {
 		return
 	}
 	an := announcement{ID: a.Self.ID, Number: a.number.Add(1), Boot: a.boot, State: State{Begun: map[string]Flight{target: f}}}
