--- a/internal/archiver/archiver.go
+++ b/internal/archiver/archiver.go
@@ -153,13 +153,12 @@
 	}
 	for _, s := range a.stores {
 		s.place = mixer.Place(s.key, a.Self, a.instances)
-		place := s.place
 		switch {
-		case place < followers && s.cancel == nil:
+		case s.place < followers && s.cancel == nil:
 			sctx, cancel := context.WithCancel(ctx)
 			s.cancel, s.reachable = cancel, false
 			go a.follow(sctx, s)
-		case place >= followers && s.cancel != nil:
+		case s.place >= followers && s.cancel != nil:
 			s.cancel()
 			s.cancel = nil
 		}
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -78,7 +78,7 @@
 	}
 }
 
-// again reports whether a failed call is sent once more.
+// again reports whether a call whose last attempt ended with an outcome and an error is sent once more.
 func (s *Server) again(c *Call, out retrier.Outcome, err error) bool {
 	switch {
 	case out == retrier.Unknown, time.Until(c.Deadline) < leastLeft:
--- a/internal/pooler/pooler_test.go
+++ b/internal/pooler/pooler_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -66,14 +67,23 @@
 	for range cap(errs) {
 		go func() { errs <- do(ctx) }()
 	}
+	ended := func() error {
+		select {
+		case err := <-errs:
+			return err
+		case <-time.After(5 * time.Second):
+			t.Fatal("a call beyond the limit waits")
+			return nil
+		}
+	}
 	for range cap(errs) - peer.Limit {
-		err := <-errs
+		err := ended()
 		require.ErrorIs(t, err, ErrLimit)
 		require.False(t, Sent(err))
 	}
 	cancel()
 	for range peer.Limit {
-		require.Error(t, <-errs)
+		require.Error(t, ended())
 	}
 	close(s.answer)
 	for range 2 * peer.Limit {
