perf(announcer): fewer calls are told one by one

Calls of 1,500 tokens or more were up to 615 a second, each a datagram to 81 instances, three times as many as all other announcements. Change: calls of 6,000 tokens or more, at most 250 a second to one instance.

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -48,7 +48,7 @@
 	// stepsPerPeriod: the datagrams of a period are sent in as many steps for each leastPeriod.
 	stepsPerPeriod = 3
 	// singlesPerSecond bounds the calls that an instance is told of one by one, however many others there are.
-	singlesPerSecond = 800
+	singlesPerSecond = 250
 	// singlesBurst calls may be told without a pause.
 	singlesBurst = 8
 	// silentPeriods after its last announcement what an instance told is dropped.
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -26,7 +26,7 @@
 	leastInstances = 4
 	// longCall is how many tokens fill so much of a target's memory, and take so long to be read, that the others are told
 	// at once.
-	longCall = 1500
+	longCall = 6000
 	// connectionPart of the connections that a target bears is used, since instances come and go.
 	connectionPart = 0.9
 	// leastConnections lets an instance use a target at all.
