refactor(announcer,archiver,balancer): less work for each call

Cause: telling a call sorted all peers under the write lock; the choice of a target took four locks of the book for each candidate; freeing kept context decided about a scope again for each of its parts. Change: only the periodic announcement forgets and sorts peers; Standing returns what the book knows of a target at once; a scope is decided once.

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -23,6 +23,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"net"
 	"slices"
 	"sync"
@@ -204,7 +205,7 @@
 // Begin tells the others at once of a call that loads its target before an announcement comes round: what they send to it
 // meanwhile would wait behind it. Beyond a rate, the next announcement has to do.
 func (a *Announcer) Begin(target string, f Flight) {
-	peers := a.known(time.Now())
+	peers := a.listed()
 	if a.singles.SetLimit(singlesPerSecond / rate.Limit(max(1, len(peers)))); len(peers) == 0 || !a.singles.Allow() {
 		return
 	}
@@ -324,19 +325,24 @@
 	return ids
 }
 
-// known returns the peers that were heard or written lately; they are told what this instance knows.
+// known forgets the peers that were neither heard nor written lately and returns the others in the order of their IDs.
 func (a *Announcer) known(now time.Time) []Peer {
 	a.mu.Lock()
-	defer a.mu.Unlock()
-	var out []Peer
-	for id, p := range a.peers {
-		if now.Sub(p.known) > peerLife && now.Sub(p.heard) > peerLife {
-			delete(a.peers, id)
-			continue
-		}
+	maps.DeleteFunc(a.peers, func(_ string, p *peer) bool { return now.Sub(p.known) > peerLife && now.Sub(p.heard) > peerLife })
+	a.mu.Unlock()
+	out := a.listed()
+	slices.SortFunc(out, func(x, y Peer) int { return cmp.Compare(x.ID, y.ID) })
+	return out
+}
+
+// listed returns the peers that are told what this instance knows, in any order.
+func (a *Announcer) listed() []Peer {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	out := make([]Peer, 0, len(a.peers))
+	for _, p := range a.peers {
 		out = append(out, p.Peer)
 	}
-	slices.SortFunc(out, func(x, y Peer) int { return cmp.Compare(x.ID, y.ID) })
 	return out
 }
 
--- a/internal/archiver/free.go
+++ b/internal/archiver/free.go
@@ -32,13 +32,19 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	var jobs []job
+	verdicts := map[string]bool{} // of the scopes, which are few
 	for _, s := range a.stores {
 		if s.place != 0 || s.cancel == nil || !s.reachable {
 			continue
 		}
 		j := job{s: s, epoch: s.epoch}
 		for key, p := range s.parts {
-			if unwanted(p.Scope) {
+			verdict, ok := verdicts[p.Scope]
+			if !ok {
+				verdict = unwanted(p.Scope)
+				verdicts[p.Scope] = verdict
+			}
+			if verdict {
 				j.parts = append(j.parts, p)
 				delete(s.parts, key)
 			}
--- a/internal/archiver/news.go
+++ b/internal/archiver/news.go
@@ -75,9 +75,8 @@
 				continue
 			}
 			if !s.reachable || s.epoch != n.Epoch {
-				before := s.epoch
+				s.before = s.epoch
 				s.drop()
-				s.before = before
 			}
 			s.reachable, s.epoch, s.heard = true, n.Epoch, now
 			for _, key := range n.Parts {
--- a/internal/balancer/book.go
+++ b/internal/balancer/book.go
@@ -173,14 +173,6 @@
 	b.entry(id).refused = now
 }
 
-// Refuses reports whether a target refused a call a moment ago; it would most likely refuse the next one, too.
-func (b *Book) Refuses(id string, now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	e := b.targets[id]
-	return e != nil && now.Sub(e.refused) < refusalLife
-}
-
 // Unreached notes that a connection to a target failed.
 func (b *Book) Unreached(id string, now time.Time) {
 	b.mu.Lock()
@@ -197,22 +189,33 @@
 	b.entry(id).unreached = 0
 }
 
-// Unreachable reports whether connections to a target failed and it is not yet time for another one.
-func (b *Book) Unreachable(id string, now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	e := b.targets[id]
-	return e != nil && e.unreached > 0 && now.Before(e.until)
+// Standing is what this instance has seen of a target.
+type Standing struct {
+	// Own is what it has in flight there.
+	Own announcer.Flight
+	// Refuses: the target refused a call a moment ago; it would most likely refuse the next one, too.
+	Refuses bool
+	// Unreachable: connections failed, and it is not yet time for another one.
+	Unreachable bool
+	// Silent is for how long it has left calls without a word.
+	Silent time.Duration
 }
 
-// Silent returns for how long a target has left calls without a word.
-func (b *Book) Silent(id string, now time.Time) time.Duration {
+// Standing returns what this instance has seen of a target.
+func (b *Book) Standing(id string, now time.Time) Standing {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if e := b.targets[id]; e != nil && e.waiting > 0 {
-		return now.Sub(e.since)
+	e := b.targets[id]
+	if e == nil {
+		return Standing{}
+	}
+	s := Standing{
+		Own: e.flight, Refuses: now.Sub(e.refused) < refusalLife, Unreachable: e.unreached > 0 && now.Before(e.until),
+	}
+	if e.waiting > 0 {
+		s.Silent = now.Sub(e.since)
 	}
-	return 0
+	return s
 }
 
 // Own returns what this instance has in flight at a target.
--- a/internal/balancer/replay_test.go
+++ b/internal/balancer/replay_test.go
@@ -292,18 +292,18 @@
 func TestUnreachable(t *testing.T) {
 	b, now := NewBook(), time.Unix(0, 0)
 	b.Unreached("t", now)
-	require.True(t, b.Unreachable("t", now.Add(firstUnreached-1)))
+	require.True(t, b.Standing("t", now.Add(firstUnreached-1)).Unreachable)
 	now = now.Add(firstUnreached)
-	require.False(t, b.Unreachable("t", now))
+	require.False(t, b.Standing("t", now).Unreachable)
 	b.Begin("t", announcer.Flight{Calls: 1}, now)
-	require.True(t, b.Unreachable("t", now), "one call tries it")
+	require.True(t, b.Standing("t", now).Unreachable, "one call tries it")
 	b.Unreached("t", now)
-	require.True(t, b.Unreachable("t", now.Add(2*firstUnreached-1)))
+	require.True(t, b.Standing("t", now.Add(2*firstUnreached-1)).Unreachable)
 	for range 20 {
 		b.Unreached("t", now)
 	}
-	require.False(t, b.Unreachable("t", now.Add(lastUnreached)))
+	require.False(t, b.Standing("t", now.Add(lastUnreached)).Unreachable)
 	b.Reached("t")
-	require.False(t, b.Unreachable("t", now))
-	require.False(t, b.Unreachable("other", now))
+	require.False(t, b.Standing("t", now).Unreachable)
+	require.False(t, b.Standing("other", now).Unreachable)
 }
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -237,12 +237,13 @@
 	var out, failing []*cataloger.Target
 	limit := s.connections(c.Service)
 	for _, t := range s.Watcher.View().Targets(c.Service.Name) {
+		standing := s.book.Standing(t.ID, now)
 		switch {
 		case t.Leaving, slices.Contains(c.Tried, t.ID), !s.versionAllowed(c, t, now):
-		case limit > 0 && s.book.Own(t.ID).Calls >= limit:
+		case limit > 0 && standing.Own.Calls >= limit:
 		case s.Orderer != nil && s.Orderer.IsSwapping(t.ID):
 			failing = append(failing, t)
-		case s.book.Refuses(t.ID, now), s.book.Unreachable(t.ID, now), s.book.Silent(t.ID, now) > silentTime, !s.health.allows(t.ID, now):
+		case standing.Refuses, standing.Unreachable, standing.Silent > silentTime, !s.health.allows(t.ID, now):
 			failing = append(failing, t)
 		default:
 			out = append(out, t)
