refactor: one copy of twins

Cause: the instance was wired in the command and again in the tests; two checks of files, three ways to parse with a check, two Run methods and two tables of metrics were the same; the client of kept context changed the transport of another one; the orderer made its map in two places. Change: platform.Settings.Server, check[T], configurer's parse, listener.Serve, writeTable, newWorkers(keepAlive), leaveOut. Result: no change of behaviour.

--- a/cmd/papayaworks/forward.go
+++ b/cmd/papayaworks/forward.go
@@ -11,12 +11,8 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/papayaworks/papayaworks/internal/announcer"
-	"github.com/papayaworks/papayaworks/internal/archiver"
 	"github.com/papayaworks/papayaworks/internal/forwarder"
 	"github.com/papayaworks/papayaworks/internal/logger"
-	"github.com/papayaworks/papayaworks/internal/orderer"
-	"github.com/papayaworks/papayaworks/internal/watcher"
 	"github.com/papayaworks/papayaworks/platform"
 )
 
@@ -64,20 +60,10 @@
 	out := logger.NewBounded(os.Stdout)
 	defer out.Close(flushTime)
 	log := logger.New(out, set.Instance.Instance, level)
-	store := platform.NewStore(set.Store)
 	ctx, stop := untilInterrupted()
 	defer stop()
-	s := &forwarder.Server{
-		Settings: set.Instance, Wire: platform.Wire{}, Log: log, LostLines: out.Lost,
-		Watcher:  watcher.New(store.Operator(), store.Targets(), log),
-		Orderer:  &orderer.Orderer{Journal: &platform.Journal{Store: store}, Targets: platform.NewWorkers()},
-		Archiver: &archiver.Archiver{Client: platform.NewKept(), Log: log},
-	}
-	if set.Instance.Peers != "" {
-		s.Announcer = &announcer.Announcer{
-			Self: announcer.Peer{ID: set.Instance.Instance, Address: set.Instance.Peers}, Registry: &platform.Registry{Store: store}, Log: log,
-		}
-	}
+	s := set.Server(log)
+	s.LostLines = out.Lost
 	go c.reload(ctx, s, log)
 	return s.Run(ctx)
 }
--- a/internal/exporter/exporter.go
+++ b/internal/exporter/exporter.go
@@ -139,20 +139,21 @@
 	{UsedTargets, "gauge", "", "targets that may get new work"},
 }
 
+func writeTable(b *strings.Builder, ms []metric) {
+	b.WriteString("| name | kind | labels | meaning |\n|---|---|---|---|\n")
+	for _, m := range ms {
+		fmt.Fprintf(b, "| `%s` | %s | %s | %s |\n", m.name, m.kind, m.labels, m.help)
+	}
+}
+
 // Page returns docs/metrics.md.
 func Page() string {
 	var b strings.Builder
 	b.WriteString("# Metrics\n\nEach instance serves its metrics at `GET /metrics` in the Prometheus text format. The names and labels are stable.\n" +
-		"This page is generated: `go test ./internal/exporter -run TestMetricsPage -update` rewrites it.\n\n" +
-		"| name | kind | labels | meaning |\n|---|---|---|---|\n")
-	for _, m := range all {
-		fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", m.name, m.kind, m.labels, m.help)
-	}
-	b.WriteString("\nAn instance that forwards calls on the platform (`papayaworks forward`) serves these on the port that the deploy file names:\n\n" +
-		"| name | kind | labels | meaning |\n|---|---|---|---|\n")
-	for _, m := range forwarding {
-		fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", m.name, m.kind, m.labels, m.help)
-	}
+		"This page is generated: `go test ./internal/exporter -run TestMetricsPage -update` rewrites it.\n\n")
+	writeTable(&b, all)
+	b.WriteString("\nAn instance that forwards calls on the platform (`papayaworks forward`) serves these on the port that the deploy file names:\n\n")
+	writeTable(&b, forwarding)
 	b.WriteString("\nWhat to watch:\n\n" +
 		"- `" + Violations + "` above 0: an invariant of docs/design.md section 2 was violated.\n" +
 		"- `" + Version + "` differs between instances for more than 5 s: an instance does not follow the configuration.\n" +
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -138,15 +138,7 @@
 }
 
 // Run serves until ctx ends and then stops gracefully.
-func (s *Server) Run(ctx context.Context) error {
-	bg, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	defer cancel()
-	if err := s.Start(bg); err != nil {
-		return err
-	}
-	<-ctx.Done()
-	return s.Stop(bg)
-}
+func (s *Server) Run(ctx context.Context) error { return listener.Serve(ctx, s) }
 
 // Start begins to serve; background work ends with ctx.
 func (s *Server) Start(ctx context.Context) error {
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -196,20 +196,22 @@
 	defer o.mu.Unlock()
 	now := clocker.Elapsed()
 	o.turn = o.turn.WithProgress(now)
+	for id, left := range targets {
+		o.leaveOut(id, max(o.swapping[id], now+min(left, swapTime)))
+	}
+}
+
+// leaveOut has a target left out until a time; o.mu is held.
+func (o *Orderer) leaveOut(id string, until time.Duration) {
 	if o.swapping == nil {
 		o.swapping = Swapping{}
 	}
-	for id, left := range targets {
-		o.swapping[id] = max(o.swapping[id], now+min(left, swapTime))
-	}
+	o.swapping[id] = until
 }
 
 // Run follows the journal and gives orders until ctx ends.
 func (o *Orderer) Run(ctx context.Context) {
 	o.mu.Lock()
-	if o.swapping == nil {
-		o.swapping = Swapping{}
-	}
 	o.nonces, o.counts, o.nextAsk = map[string]time.Duration{}, map[string]int64{}, map[string]time.Duration{}
 	o.mu.Unlock()
 	go o.follow(ctx)
@@ -264,7 +266,7 @@
 	}
 	for i, c := range rs.Claims {
 		for id := range c.Targets {
-			o.swapping[id] = now + swapTime
+			o.leaveOut(id, now+swapTime)
 		}
 		if sent, ok := o.nonces[c.Nonce]; ok {
 			delete(o.nonces, c.Nonce)
@@ -357,7 +359,7 @@
 		delete(o.nonces, c.Nonce)
 		o.lease = o.lease.WithGrant(at, sent)
 		for id := range c.Targets {
-			o.swapping[id] = clocker.Elapsed() + swapTime
+			o.leaveOut(id, clocker.Elapsed()+swapTime)
 		}
 		o.Log.WithField("fence", o.lease.Fence).WithField("targets", len(c.Targets)).Info("order lease was taken")
 		return true
@@ -421,7 +423,7 @@
 		o.lease = o.lease.WithoutTerm()
 	case NotDone, Conflict, Unknown:
 		// Unknown: the order may be carried out much later, and then has no effect if another one was accepted before.
-		o.swapping[t.ID] = clocker.Elapsed() + retryPause
+		o.leaveOut(t.ID, clocker.Elapsed()+retryPause)
 	}
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -167,15 +167,7 @@
 }
 
 // Run serves until ctx ends and then stops gracefully.
-func (s *Server) Run(ctx context.Context) error {
-	bg, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	defer cancel()
-	if err := s.Start(bg); err != nil {
-		return err
-	}
-	<-ctx.Done()
-	return s.Stop(bg)
-}
+func (s *Server) Run(ctx context.Context) error { return listener.Serve(ctx, s) }
 
 // Stop lets go: readiness off, no new connections, then waits for the requests in progress.
 func (s *Server) Stop(ctx context.Context) error {
--- a/pkg/configurer/decode.go
+++ b/pkg/configurer/decode.go
@@ -55,13 +55,8 @@
 // ParseSettings decodes, completes and validates an instance's settings; file only names them in faults.
 func ParseSettings(file, text string) (*Settings, error) {
 	s := new(Settings)
-	fs := decode(file, text, s, false)
-	if !fs.syntax() {
-		s.SetDefaults()
-		fs = fs.merge(locate(s.Validate(file), text))
-	}
-	if len(fs) > 0 {
-		return nil, fs
+	if err := parse(file, text, s, false, func() Faults { s.SetDefaults(); return s.Validate(file) }); err != nil {
+		return nil, err
 	}
 	return s, nil
 }
@@ -69,29 +64,21 @@
 // Parse decodes, completes and validates a configuration; file only names it in faults.
 func Parse(file, text string) (*Config, error) {
 	c := new(Config)
-	fs := decode(file, text, c, false)
-	if !fs.syntax() {
-		c.SetDefaults()
-		fs = fs.merge(locate(c.Validate(file), text))
-	}
-	if len(fs) > 0 {
-		return nil, fs
+	if err := parse(file, text, c, false, func() Faults { c.SetDefaults(); return c.Validate(file) }); err != nil {
+		return nil, err
 	}
 	return c, nil
 }
 
-// Decode decodes TOML text into v, a pointer to a structure, and reports every unknown key and every wrong type.
-func Decode(file, text string, v any) error {
-	if fs := decode(file, text, v, false); len(fs) > 0 {
-		return fs
-	}
-	return nil
-}
-
 // DecodeKnown decodes a text that others write into v, a pointer to a structure: unknown keys are passed over, and check
 // adds the faults of what has the right type. It reports all faults at once.
 func DecodeKnown(file, text string, v any, check func() Faults) error {
-	fs := decode(file, text, v, true)
+	return parse(file, text, v, true, check)
+}
+
+// parse decodes a text into v and has what has the right type checked.
+func parse(file, text string, v any, lenient bool, check func() Faults) error {
+	fs := decode(file, text, v, lenient)
 	if !fs.syntax() {
 		fs = fs.merge(locate(check(), text))
 	}
@@ -101,6 +88,14 @@
 	return nil
 }
 
+// Decode decodes TOML text into v, a pointer to a structure, and reports every unknown key and every wrong type.
+func Decode(file, text string, v any) error {
+	if fs := decode(file, text, v, false); len(fs) > 0 {
+		return fs
+	}
+	return nil
+}
+
 // Locate fills in the lines of faults in a TOML text.
 func Locate(fs Faults, text string) Faults { return locate(fs, text) }
 
