--- a/cmd/papayaworks/forward_test.go
+++ b/cmd/papayaworks/forward_test.go
@@ -80,7 +80,7 @@
 
 func freePort(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", emulator.OwnIP()+":0")
 	require.NoError(t, err)
 	defer func() { _ = ln.Close() }()
 	return ln.Addr().String()
