feat(forwarder): log for how long an attempt's weights were superseded

A line about a request names the weight version of each attempt, but not for how long the instance took it to be superseded. So logs could not tell a request that was sent too late from one that was sent in time and began late. Each attempt now has supersededMs.

--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -154,6 +154,7 @@
 		return retrier.Unknown, errors.New("remaining time is too short to send the call")
 	}
 	c.WeightVersion, c.Scope = s.versionAndScope(c, t)
+	superseded := s.supersededFor(c, t, now)
 	c.TriedTargets = append(c.TriedTargets, t.ID)
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	load := announcer.InFlight{Requests: 1, Tokens: c.Headers.Prompt.InputTokens + c.Headers.Prompt.expectedOutputTokens(), PrefillTokens: d.PrefillTokens}
@@ -163,7 +164,8 @@
 	x := &targetRequest{s: s, c: c, t: t, startedAt: now, cancel: cancel, inFlight: s.loads.Start(t.ID, load, now)}
 	out, err := x.send(ctx, remaining)
 	s.recordAttempt(c, Attempt{
-		Target: t.ID, Reason: d.Reason, ExpectedMs: d.Cost.Milliseconds(), Outstanding: d.Outstanding, WeightVersion: c.WeightVersion, DurationMs: time.Since(now).Milliseconds(),
+		Target: t.ID, Reason: d.Reason, ExpectedMs: d.Cost.Milliseconds(), Outstanding: d.Outstanding, WeightVersion: c.WeightVersion,
+		SupersededMs: superseded.Milliseconds(), DurationMs: time.Since(now).Milliseconds(),
 	}, out, err)
 	if c.Response == nil || c.Response.Stream == nil {
 		x.release()
--- a/internal/forwarder/report.go
+++ b/internal/forwarder/report.go
@@ -39,7 +39,9 @@
 	ExpectedMs    int64 `json:"expectedMs"`
 	Outstanding   int   `json:"busy"`
 	WeightVersion int64 `json:"version,omitempty"`
-	DurationMs    int64 `json:"ms"`
+	// SupersededMs is how long this instance took the weight version to be superseded when the attempt started.
+	SupersededMs int64 `json:"supersededMs,omitempty"`
+	DurationMs   int64 `json:"ms"`
 }
 
 // report counts the outcome of a call and logs it, unless the line is suppressed.
