fix(cataloger): count the age of superseded weights from their successor's publication

Cause: an instance counted how long a version has been superseded from when it read the newer one, on a clock that stops while the machine is suspended. One that started later, or read late because the metadata store did not answer, permitted the old version for the whole grace period once more.

Change: a desired version has a publish time, the earliest that is possible, on the clock that includes suspended time. Instances announce the publish times of recent versions, and each keeps the earliest, so a new instance may use the grace period that is left. This does not depend on who starts when: an age is never lower than the true one except by the latency of one read.

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -129,6 +129,14 @@
 	Version       int64  `msgpack:"v"`
 }
 
+// PublishedVersion is a weight version that the operator published, with the time since then; a negative age means that it is
+// unknown.
+type PublishedVersion struct {
+	Model   string        `msgpack:"m"`
+	Version int64         `msgpack:"v"`
+	Age     time.Duration `msgpack:"a"`
+}
+
 // State is the content of an announcement.
 type State struct {
 	InFlightByTarget map[string]InFlight `msgpack:"f"`
@@ -142,6 +150,8 @@
 	// Swapping holds the targets that this instance has commanded to load new weights, with the remaining time for
 	// which each is excluded from selection.
 	Swapping map[string]time.Duration `msgpack:"s,omitempty"`
+	// Published holds the recently published weight versions.
+	Published []PublishedVersion `msgpack:"p,omitempty"`
 }
 
 // announcement is the payload of a datagram. Announcements are ordered by the start of the sender's process, then by
--- a/internal/cataloger/view.go
+++ b/internal/cataloger/view.go
@@ -1,7 +1,9 @@
 package cataloger
 
 import (
+	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -9,6 +11,13 @@
 // maxDesiredVersions bounds the history of desired weight versions of each model.
 const maxDesiredVersions = 64
 
+// UnknownTime is the publish time of a version that was published before this process first read the metadata store.
+const UnknownTime = time.Duration(math.MinInt64)
+
+// publishTimeResolution is the least difference between two publish times that matters. Smaller ones follow from the varying
+// latency of the messages between instances, and each would create a new view.
+const publishTimeResolution = 20 * time.Millisecond
+
 // Target is the registration record that a target publishes.
 type Target struct {
 	ID         string
@@ -28,8 +37,9 @@
 // DesiredVersion is a weight version that the operator requested for a model.
 type DesiredVersion struct {
 	Version int64
-	// ObservedAt is when this process read the version from the metadata store.
-	ObservedAt time.Time
+	// PublishedAt is the earliest time at which the version may have been published, on the clock of package clocker, or
+	// [UnknownTime].
+	PublishedAt time.Duration
 }
 
 // View is an immutable snapshot of the control state.
@@ -69,18 +79,40 @@
 	return &n
 }
 
-// WithDesiredVersion returns the view with a desired weight version. It returns v itself unless the version is higher
-// than the current one.
-func (v *View) WithDesiredVersion(model string, version int64, now time.Time) *View {
+// WithDesiredVersion returns the view with a desired weight version and its publish time. It returns v itself unless the
+// version is higher than the current one.
+func (v *View) WithDesiredVersion(model string, version int64, publishedAt time.Duration) *View {
 	if old, ok := v.DesiredVersion(model); ok && old.Version >= version {
 		return v
 	}
+	return v.withDesired(model, append(slices.Clone(v.desired[model]), DesiredVersion{Version: version, PublishedAt: publishedAt}))
+}
+
+// WithPublishTime returns the view with what another process knows of the publish time of a weight version, also of one that
+// this process did not read because newer versions followed. It returns v itself if that is no news or the version is higher
+// than the desired one.
+func (v *View) WithPublishTime(model string, version int64, publishedAt time.Duration) *View {
+	ds := v.desired[model]
+	i, found := slices.BinarySearchFunc(ds, version, func(d DesiredVersion, version int64) int { return cmp.Compare(d.Version, version) })
+	switch {
+	case i == len(ds):
+		return v
+	case !found:
+		ds = slices.Insert(slices.Clone(ds), i, DesiredVersion{Version: version, PublishedAt: publishedAt})
+	case publishedAt != UnknownTime && (ds[i].PublishedAt == UnknownTime || ds[i].PublishedAt-publishedAt >= publishTimeResolution):
+		ds = slices.Clone(ds)
+		ds[i].PublishedAt = publishedAt
+	default:
+		return v
+	}
+	return v.withDesired(model, ds)
+}
+
+// withDesired returns the view with the desired versions of a model, the oldest of which are dropped if there are too many.
+func (v *View) withDesired(model string, ds []DesiredVersion) *View {
 	n := *v
 	n.desired = maps.Clone(v.desired)
-	n.desired[model] = append(slices.Clone(v.desired[model]), DesiredVersion{Version: version, ObservedAt: now})
-	if len(n.desired[model]) > maxDesiredVersions {
-		n.desired[model] = n.desired[model][1:]
-	}
+	n.desired[model] = ds[max(0, len(ds)-maxDesiredVersions):]
 	return &n
 }
 
@@ -170,15 +202,26 @@
 	return ns[len(ns)-1], true
 }
 
+// DesiredVersions returns the desired versions of a model, the oldest first. The caller must not modify the slice.
+func (v *View) DesiredVersions(model string) []DesiredVersion { return v.desired[model] }
+
 // SupersededFor returns how long a weight version has been superseded: the time since the first newer version was
-// observed, also if several newer versions followed. It returns 0 for the newest version.
-func (v *View) SupersededFor(model string, version int64, now time.Time) time.Duration {
-	for _, n := range v.desired[model] {
-		if n.Version > version {
-			return now.Sub(n.ObservedAt)
+// published, also if several newer versions followed. It returns the maximum duration if that time is unknown, and 0 for the
+// newest version.
+func (v *View) SupersededFor(model string, version int64, now time.Duration) time.Duration {
+	superseded, since := false, time.Duration(math.MaxInt64)
+	for _, d := range v.desired[model] {
+		if d.Version > version {
+			superseded, since = true, min(since, d.PublishedAt)
 		}
 	}
-	return 0
+	switch {
+	case !superseded:
+		return 0
+	case since == UnknownTime:
+		return math.MaxInt64
+	}
+	return now - since
 }
 
 // DesiredModels returns the sorted names of the models that have a desired version.
--- a/internal/cataloger/view_test.go
+++ b/internal/cataloger/view_test.go
@@ -1,6 +1,7 @@
 package cataloger
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -10,13 +11,11 @@
 	_ "github.com/papayaworks/papayaworks/internal/seeder" // fixed seed
 )
 
-var epoch = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
-
 // Guards against counting the time since the last newer version instead of the first: a target that misses several
 // updates would keep receiving requests for as long as new versions are published.
 func TestSupersededFor(t *testing.T) {
-	v := NewView().WithDesiredVersion("m", 2, epoch).WithDesiredVersion("m", 3, epoch.Add(3*time.Second)).WithDesiredVersion("m", 5, epoch.Add(6*time.Second))
-	now := epoch.Add(10 * time.Second)
+	v := NewView().WithDesiredVersion("m", 2, 0).WithDesiredVersion("m", 3, 3*time.Second).WithDesiredVersion("m", 5, 6*time.Second)
+	now := 10 * time.Second
 	tests := map[string]struct {
 		version int64
 		want    time.Duration
@@ -33,6 +32,47 @@
 	require.Zero(t, v.SupersededFor("other", 1, now))
 }
 
+// Guards against an age of superseded weights that counts from the start of the process, from a newer version than the first
+// one, or from a later time than another process observed.
+func TestPublishTime(t *testing.T) {
+	type known struct {
+		version int64
+		at      time.Duration
+	}
+	const now, unknown = 10 * time.Second, time.Duration(math.MaxInt64)
+	tests := map[string]struct {
+		read, learned []known
+		version       int64
+		want          time.Duration
+	}{
+		"published before the start":                   {[]known{{4, UnknownTime}}, nil, 1, unknown},
+		"published before the start, another followed": {[]known{{4, UnknownTime}, {5, 9 * time.Second}}, nil, 1, unknown},
+		"newest of these":                              {[]known{{4, UnknownTime}}, nil, 4, 0},
+		"between these":                                {[]known{{4, UnknownTime}, {5, 9 * time.Second}}, nil, 4, time.Second},
+		"learned":                                      {[]known{{4, UnknownTime}}, []known{{4, 7 * time.Second}}, 1, 3 * time.Second},
+		"learned, with an earlier one":                 {[]known{{4, UnknownTime}}, []known{{4, 7 * time.Second}, {2, 2 * time.Second}}, 1, 8 * time.Second},
+		"learned, an earlier one is unknown":           {[]known{{4, UnknownTime}}, []known{{4, 7 * time.Second}, {3, UnknownTime}}, 1, unknown},
+		"read late":                                    {[]known{{4, 9 * time.Second}}, []known{{4, 5 * time.Second}}, 1, 5 * time.Second},
+		"learned from a process that read late":        {[]known{{4, 5 * time.Second}}, []known{{4, 9 * time.Second}}, 1, 5 * time.Second},
+		"unknown to another process":                   {[]known{{4, 5 * time.Second}}, []known{{4, UnknownTime}}, 1, 5 * time.Second},
+		"learned, not yet read":                        {[]known{{4, 5 * time.Second}}, []known{{6, 6 * time.Second}}, 4, 0},
+		"nothing read":                                 {nil, []known{{6, 6 * time.Second}}, 4, 0},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			v := NewView()
+			for _, k := range tc.read {
+				v = v.WithDesiredVersion("m", k.version, k.at)
+			}
+			for _, k := range tc.learned {
+				v = v.WithPublishTime("m", k.version, k.at)
+				require.Same(t, v, v.WithPublishTime("m", k.version, k.at), "the same knowledge is no news")
+			}
+			require.Equal(t, tc.want, v.SupersededFor("m", tc.version, now))
+		})
+	}
+}
+
 // Guards against out-of-order changes that revert a view to an older configuration, weight version or process of a
 // target.
 func TestRandomViewIsMonotonic(t *testing.T) {
@@ -45,7 +85,7 @@
 			case 0:
 				v, config = v.WithCatalog(New(n, nil, nil, nil, Limits{})), max(config, n)
 			case 1:
-				v, weights = v.WithDesiredVersion("m", n, epoch), max(weights, n)
+				v, weights = v.WithDesiredVersion("m", n, time.Duration(n)), max(weights, n)
 			case 2:
 				v, started = v.WithTarget(&Target{ID: "t", StartedUnixMs: n}), max(started, n)
 			}
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -12,6 +12,7 @@
 	"github.com/papayaworks/papayaworks/internal/announcer"
 	"github.com/papayaworks/papayaworks/internal/balancer"
 	"github.com/papayaworks/papayaworks/internal/cataloger"
+	"github.com/papayaworks/papayaworks/internal/clocker"
 	"github.com/papayaworks/papayaworks/internal/pooler"
 	"github.com/papayaworks/papayaworks/internal/request"
 	"github.com/papayaworks/papayaworks/internal/retrier"
@@ -154,7 +155,7 @@
 		return retrier.Unknown, errors.New("remaining time is too short to send the call")
 	}
 	c.WeightVersion, c.Scope = s.versionAndScope(c, t)
-	superseded := s.supersededFor(c, t, now)
+	superseded := s.supersededFor(c, t)
 	c.TriedTargets = append(c.TriedTargets, t.ID)
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	load := announcer.InFlight{Requests: 1, Tokens: c.Headers.Prompt.InputTokens + c.Headers.Prompt.expectedOutputTokens(), PrefillTokens: d.PrefillTokens}
@@ -181,7 +182,7 @@
 	for _, t := range targets {
 		load := s.load(t.ID, loadTTL(in.IsEngine, mean), now)
 		in.Candidates = append(in.Candidates, balancer.Candidate{
-			Target: t, Remote: t.DataCentre != s.settings().DataCentre, HashRank: 1, MeanDuration: mean, Superseded: s.isSuperseded(c, t, now),
+			Target: t, Remote: t.DataCentre != s.settings().DataCentre, HashRank: 1, MeanDuration: mean, Superseded: s.isSuperseded(c, t),
 			Outstanding: load.Requests, Tokens: load.Tokens, QueuedPrefillTokens: load.PrefillTokens,
 		})
 	}
@@ -247,7 +248,7 @@
 	for _, t := range s.Watcher.View().Targets(c.Service.Name) {
 		state := s.loads.Status(t.ID, now)
 		switch {
-		case t.Leaving, slices.Contains(c.TriedTargets, t.ID), !s.versionAllowed(c, t, now):
+		case t.Leaving, slices.Contains(c.TriedTargets, t.ID), !s.versionAllowed(c, t):
 		case limit > 0 && state.InFlight.Requests >= limit:
 		case s.Updater != nil && s.Updater.IsSwapping(t.ID):
 			failing = append(failing, t)
@@ -269,14 +270,14 @@
 }
 
 // isSuperseded reports whether the target's weights have been superseded for so long that other targets are preferred.
-func (s *Server) isSuperseded(c *Call, t *cataloger.Target, now time.Time) bool {
-	return s.supersededFor(c, t, now) > supersededPenaltyDelay
+func (s *Server) isSuperseded(c *Call, t *cataloger.Target) bool {
+	return s.supersededFor(c, t) > supersededPenaltyDelay
 }
 
 // supersededFor returns how long ago the target's weights were superseded; 0 if they have the desired version.
-func (s *Server) supersededFor(c *Call, t *cataloger.Target, now time.Time) time.Duration {
+func (s *Server) supersededFor(c *Call, t *cataloger.Target) time.Duration {
 	model := c.Headers.Prompt.Model
-	return s.Watcher.View().SupersededFor(model, s.versionOf(t, model), now)
+	return s.Watcher.View().SupersededFor(model, s.versionOf(t, model), clocker.SinceBoot())
 }
 
 // hasDesiredVersion reports whether the call runs on the desired weight version or a newer one, or none is desired. KV cache of
@@ -287,11 +288,11 @@
 }
 
 // versionAllowed reports whether calls may still start on the target's weights.
-func (s *Server) versionAllowed(c *Call, t *cataloger.Target, now time.Time) bool {
+func (s *Server) versionAllowed(c *Call, t *cataloger.Target) bool {
 	if c.Service.Engine == nil {
 		return true
 	}
-	return s.supersededFor(c, t, now) < s.settings().SupersededGrace-supersededMargin
+	return s.supersededFor(c, t) < s.settings().SupersededGrace-supersededMargin
 }
 
 // versionAndScope returns the weight version on which the target runs the call, and the scope of the call's KV cache. The scope
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -210,6 +210,7 @@
 		if s.Updater != nil {
 			st.Swapping = s.Updater.SwappingTargets()
 		}
+		st.Published = s.recentVersions()
 		return st
 	}
 	if s.Archiver != nil {
@@ -223,6 +224,7 @@
 		if s.Updater != nil {
 			s.Updater.Merge(st.Swapping)
 		}
+		s.mergePublishTimes(ctx, st.Published)
 		if s.Archiver != nil && len(st.StoreUpdates) > 0 {
 			s.Archiver.Merge(st.StoreUpdates, now)
 		}
--- a/internal/updater/lease_test.go
+++ b/internal/updater/lease_test.go
@@ -65,7 +65,7 @@
 func TestRandomPlan(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 30).Draw(t, "targets")
-		v := cataloger.NewView().WithDesiredVersion("m", 2, time.Unix(0, 0))
+		v := cataloger.NewView().WithDesiredVersion("m", 2, 0)
 		have := map[string]int64{}
 		for i := range n {
 			id := fmt.Sprint(i)
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -127,6 +127,8 @@
 	batch Batch
 	// requestedAt is when the batch was requested from the operator's source; 0 for other sources.
 	requestedAt time.Duration
+	// publishedAt is the earliest time at which the changes of the batch may have been published, or [cataloger.UnknownTime].
+	publishedAt time.Duration
 	// afterOutage reports whether reads failed since the last batch of the same source.
 	afterOutage bool
 	apply       func(*cataloger.View) *cataloger.View
@@ -195,6 +197,7 @@
 // follow reads one source until ctx is done: the operator's by long polling, others with an interval between reads.
 func (w *Watcher) follow(ctx context.Context, name string, s Source, wait, interval time.Duration) {
 	var next int64
+	confirmedAt := cataloger.UnknownTime
 	synced, failing, retry := false, false, minRetryDelay
 	for ctx.Err() == nil {
 		start := w.elapsed()
@@ -216,7 +219,12 @@
 			w.Log.WithField("source", name).Info("metadata store reachable again")
 		}
 		next, retry = b.NextOffset, minRetryDelay
-		e := event{batch: b, afterOutage: failing && synced}
+		e := event{batch: b, publishedAt: w.elapsed(), afterOutage: failing && synced}
+		if failing || b.IsSnapshot {
+			// The changes were not read as soon as they were published, but are missing in the last response before.
+			e.publishedAt = confirmedAt
+		}
+		confirmedAt = start
 		if s == w.Operator {
 			// A response without changes may have been made at any time since the request, so only the time of the
 			// request is confirmed.
@@ -276,7 +284,7 @@
 	}
 	present, d := map[string]bool{}, v.Draft()
 	for _, c := range e.batch.Changes {
-		v = w.applyChange(v, d, c, e.afterOutage, now, present)
+		v = w.applyChange(v, d, c, e, now, present)
 	}
 	// A snapshot without targets removes none: that of the operator's source never has any.
 	if e.batch.IsSnapshot && len(present) > 0 {
@@ -295,24 +303,25 @@
 	}
 }
 
-// applyChange returns the view after one change. Changes of targets are made in the draft, and the IDs of updated
+// applyChange returns the view after one change of an event. Changes of targets are made in the draft, and the IDs of updated
 // targets are added to present.
-func (w *Watcher) applyChange(v *cataloger.View, d *cataloger.Draft, c Change, afterOutage bool, now time.Time, present map[string]bool) *cataloger.View {
+func (w *Watcher) applyChange(v *cataloger.View, d *cataloger.Draft, c Change, e event, now time.Time, present map[string]bool) *cataloger.View {
 	switch c := c.(type) {
 	case ConfigChange:
 		n := v.WithCatalog(c.Catalog)
 		w.Log.WithField("version", c.Catalog.Version).WithField("taken", n != v).Info("configuration read")
 		return n
 	case DesiredVersionChange:
-		w.Log.WithField("model", c.Model).WithField("version", c.Version).Info("desired weight version read")
-		return v.WithDesiredVersion(c.Model, c.Version, now)
+		w.Log.WithField("model", c.Model).WithField("version", c.Version).WithField("publishTimeKnown", e.publishedAt != cataloger.UnknownTime).
+			Info("desired weight version read")
+		return v.WithDesiredVersion(c.Model, c.Version, e.publishedAt)
 	case TargetUpdated:
 		present[c.Target.ID] = true
 		delete(w.expired, c.Target.ID)
 		w.logTarget(d, c.Target)
 		d.Put(c.Target)
 	case TargetRemoved:
-		w.removeTarget(d, c.ID, afterOutage, now)
+		w.removeTarget(d, c.ID, e.afterOutage, now)
 	case InvalidRecord:
 		w.Log.WithField("key", c.Key).WithField("error", c.Err.Error()).Warn("invalid record ignored")
 	}
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -181,6 +181,80 @@
 	})
 }
 
+// versionSource is a source with a weight version that is published at a preset time, and that is unreachable for a while.
+type versionSource struct {
+	started                        time.Time
+	publishedAt, downFrom, downFor time.Duration
+}
+
+// Snapshot implements Source.
+func (s *versionSource) Snapshot(ctx context.Context) (Batch, error) {
+	b, err := s.Changes(ctx, 0, 0)
+	b.IsSnapshot = true
+	return b, err
+}
+
+// Changes implements Source.
+func (s *versionSource) Changes(ctx context.Context, from int64, wait time.Duration) (Batch, error) {
+	if remaining := s.publishedAt - time.Since(s.started); from == 0 && remaining > 0 {
+		sleeper.Sleep(ctx, min(wait, remaining))
+	} else if from > 0 {
+		sleeper.Sleep(ctx, wait)
+	}
+	now := time.Since(s.started)
+	if now >= s.downFrom && now < s.downFrom+s.downFor {
+		return Batch{}, errors.New("connection refused")
+	}
+	if from == 0 && now >= s.publishedAt {
+		return Batch{Changes: []Change{DesiredVersionChange{"m", 2}}, NextOffset: 1}, nil
+	}
+	return Batch{NextOffset: from}, ctx.Err()
+}
+
+// Guards against an age of superseded weights that counts from when the newer version was read, although it may have been
+// published long before.
+func TestPublishTimeOfVersionReadLate(t *testing.T) {
+	tests := map[string]struct {
+		source versionSource
+		// earliest and latest bound the publish time after the start; both are 0 if it must be unknown.
+		earliest, latest time.Duration
+	}{
+		"read when published":           {versionSource{publishedAt: 5 * time.Second}, 5 * time.Second, 5 * time.Second},
+		"published before the start":    {versionSource{publishedAt: -time.Second}, 0, 0},
+		"published during an outage":    {versionSource{publishedAt: 7 * time.Second, downFrom: 5 * time.Second, downFor: 4 * time.Second}, 2 * time.Second, 7 * time.Second},
+		"published and read after one":  {versionSource{publishedAt: 13 * time.Second, downFrom: 5 * time.Second, downFor: 4 * time.Second}, 13 * time.Second, 13 * time.Second},
+		"first snapshot after an error": {versionSource{publishedAt: time.Second, downFor: 3 * time.Second}, 0, 0},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tc.source.started = time.Now()
+				targets := &scriptedSource{started: time.Now()}
+				w := New(&tc.source, targets, logger.Discard())
+				w.elapsed = func() time.Duration { return time.Since(tc.source.started) }
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan struct{})
+				go func() {
+					w.Run(ctx)
+					close(done)
+				}()
+				time.Sleep(20 * time.Second)
+				synctest.Wait()
+				d, ok := w.View().DesiredVersion("m")
+				require.True(t, ok)
+				if tc.latest == 0 {
+					require.Equal(t, cataloger.UnknownTime, d.PublishedAt)
+				} else {
+					require.GreaterOrEqual(t, d.PublishedAt, tc.earliest)
+					require.LessOrEqual(t, d.PublishedAt, tc.latest)
+				}
+				cancel()
+				<-done
+			})
+		})
+	}
+}
+
 // BenchmarkTargets handles a batch with a heartbeat of each of 830 targets.
 func BenchmarkTargets(b *testing.B) {
 	var ids []string
