fix(watcher): do not take the end of a long poll for the time of publication

Cause: five of seven instances read version 4 at 9.99 s, 1.98 s after its acknowledgement at 8.02 s, and counted from then. A trace of the reads (trial on a scratch copy) shows why: a long poll that reaches the store while the record is being appended is answered only at the end of its wait, with the record. The instances start their polls at the same time, so most or all are affected together.

Change: a change counts as published when it is read only if it arrived during the wait of a long poll that followed the last one without a pause. Otherwise it counts as published at the time up to which the earlier reads are known to be complete. An age can then exceed the true one by a long poll, never fall short of it by one.

Evidence: TestPublishTimeOfVersionReadLate, 'returned at the end of a read', failed with 8 s instead of at most 7 s. Another case of this new test published a version exactly when a poll ended, which is such a late read now; it publishes 0.5 s earlier.

--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -48,6 +48,8 @@
 	recoveryCheckInterval = 100 * time.Millisecond
 	// maxRecoveryWait is how long the reads of another source are suspended for the operator's source to recover.
 	maxRecoveryWait = 2400 * time.Millisecond
+	// maxReadPause is the longest time between two reads in which a change is regarded as read when it was published.
+	maxReadPause = 200 * time.Millisecond
 	// reregistrationGrace is how long a target whose record expired during an outage may take to register again. Live
 	// targets do so within 2 s of the store's recovery.
 	reregistrationGrace = 2200 * time.Millisecond
@@ -197,11 +199,11 @@
 // follow reads one source until ctx is done: the operator's by long polling, others with an interval between reads.
 func (w *Watcher) follow(ctx context.Context, name string, s Source, wait, interval time.Duration) {
 	var next int64
-	confirmedAt := cataloger.UnknownTime
+	complete := cataloger.UnknownTime
 	synced, failing, retry := false, false, minRetryDelay
 	for ctx.Err() == nil {
-		start := w.elapsed()
-		b, err := w.read(ctx, s, synced, next, timeoutAfter(failing, wait))
+		start, timeout := w.elapsed(), timeoutAfter(failing, wait)
+		b, err := w.read(ctx, s, synced, next, timeout)
 		if err != nil {
 			if !failing && ctx.Err() == nil {
 				logger.WithError(w.Log, err).WithField("source", name).Warn("metadata store unreachable")
@@ -218,13 +220,14 @@
 		if failing {
 			w.Log.WithField("source", name).Info("metadata store reachable again")
 		}
-		next, retry = b.NextOffset, minRetryDelay
-		e := event{batch: b, publishedAt: w.elapsed(), afterOutage: failing && synced}
-		if failing || b.IsSnapshot {
-			// The changes were not read as soon as they were published, but are missing in the last response before.
-			e.publishedAt = confirmedAt
+		end := w.elapsed()
+		empty, duringWait := b.NextOffset == next, end-start < timeout && !b.IsSnapshot
+		e := event{batch: b, publishedAt: complete, afterOutage: failing && synced}
+		if duringWait && start-complete < maxReadPause {
+			e.publishedAt = end // the changes ended the wait when they were published
 		}
-		confirmedAt = start
+		complete = completeUntil(start, end, timeout, empty, duringWait)
+		next, retry = b.NextOffset, minRetryDelay
 		if s == w.Operator {
 			// A response without changes may have been made at any time since the request, so only the time of the
 			// request is confirmed.
@@ -241,6 +244,19 @@
 	}
 }
 
+// completeUntil returns the time up to which all changes are known after a read. The store sends an empty response at the end
+// of the wait, but it may arrive later. A response with changes was sent as soon as there were any if it arrived during the
+// wait, and at an unknown time after the request otherwise.
+func completeUntil(start, end, timeout time.Duration, empty, duringWait bool) time.Duration {
+	switch {
+	case empty:
+		return min(end, start+timeout)
+	case duringWait:
+		return end
+	}
+	return start
+}
+
 // timeoutAfter returns the long-poll time-out of the next read. It is 0 after a failed read, so that the current
 // configuration is confirmed as soon as the store is reachable.
 func timeoutAfter(failing bool, wait time.Duration) time.Duration {
