--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -55,6 +55,9 @@
 	// keys are accepted. The age of the configuration counts from the time at which the last answered request was sent, so it
 	// can reach two such waits.
 	longPollFraction = 0.43
+	// configApplyFraction is the longest wait of a long poll as a fraction of ConfigApplyTimeout: a store that misses the
+	// wake-up of a read returns a new configuration only at the end of the wait.
+	configApplyFraction = 0.8
 	// pollFraction is the interval between two reads of the targets, as a fraction of LeaveDetectionTimeout. It is below one
 	// half, so that one read may fail.
 	pollFraction = 0.48
@@ -95,6 +98,8 @@
 	RetryWindow time.Duration
 	// SupersededGrace is how long calls may start on superseded weights after a newer version was desired.
 	SupersededGrace time.Duration
+	// ConfigApplyTimeout is the time after which a published configuration must be in force; 0 means no limit.
+	ConfigApplyTimeout time.Duration
 	// LeaseGuardInterval is the time that must pass between commands of two different lease holders to targets.
 	// FencingEnabled reports whether targets check fencing tokens; the interval is not needed then.
 	LeaseGuardInterval time.Duration
@@ -103,6 +108,19 @@
 	MemoryBytes int64
 }
 
+// longPollTimeout returns the longest wait of a long poll for a new configuration that keeps the bounds of the settings; 0 if
+// there are none.
+func (set *Settings) longPollTimeout() time.Duration {
+	var out time.Duration
+	if set.KeyTTL > 0 {
+		out = time.Duration(longPollFraction * float64(set.KeyTTL-keyMargin))
+	}
+	if apply := time.Duration(configApplyFraction * float64(set.ConfigApplyTimeout)); apply > 0 && (out == 0 || apply < out) {
+		out = apply
+	}
+	return out
+}
+
 // Server is one entry instance. The exported fields are set before Run or Start.
 type Server struct {
 	Settings *Settings
@@ -167,7 +185,7 @@
 		s.Archiver.Self = s.Settings.Instance
 	}
 	s.Watcher.OnPublish = func(v *cataloger.View) { s.onPublish(ctx, v) }
-	s.Watcher.LongPollTimeout = time.Duration(longPollFraction * float64(s.Settings.KeyTTL-keyMargin))
+	s.Watcher.LongPollTimeout = s.Settings.longPollTimeout()
 	s.Watcher.PollInterval = time.Duration(pollFraction * float64(s.Settings.LeaveDetectionTimeout))
 	go s.Watcher.Run(ctx)
 	s.startUpdater(ctx)
