fix(forwarder): do not take a target for updated because it refused an older version

Cause: an instance that got 421 for a superseded version recorded that the target has the desired version. A target may have one in between, as when a command is carried out late while a newer version is named. Recorded versions only rise, so the wrong one stayed, and a target that seems updated gets no command.

Change: the desired version is assumed for the call alone. The response of the call then gives the version.

Evidence: TestTargetAtIntermediateVersionIsUpdated failed ('Condition never satisfied' after 10 s).

--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -134,6 +134,8 @@
 	Attempts     []Attempt
 	// MisdirectedCount is the number of tried targets that refused the call as misdirected.
 	MisdirectedCount int
+	// AssumedVersions holds the weight versions that targets are assumed to have because they refused an older one.
+	AssumedVersions map[string]int64
 	// UnsentCount is the number of tried targets to which no byte of the call was sent.
 	UnsentCount int
 	// MayHaveRun reports whether bytes of the call may have reached a target that did not state that it has not run the call.
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -276,8 +276,12 @@
 
 // supersededFor returns how long ago the target's weights were superseded; 0 if they have the desired version.
 func (s *Server) supersededFor(c *Call, t *cataloger.Target) time.Duration {
-	model := c.Headers.Prompt.Model
-	return s.Watcher.View().SupersededFor(model, s.versionOf(t, model), clocker.SinceBoot())
+	return s.Watcher.View().SupersededFor(c.Headers.Prompt.Model, s.callVersion(c, t), clocker.SinceBoot())
+}
+
+// callVersion returns the weight version with which the call is sent to the target.
+func (s *Server) callVersion(c *Call, t *cataloger.Target) int64 {
+	return max(s.versionOf(t, c.Headers.Prompt.Model), c.AssumedVersions[t.ID])
 }
 
 // hasDesiredVersion reports whether the call runs on the desired weight version or a newer one, or none is desired. KV cache of
@@ -305,7 +309,7 @@
 	if c.Account != nil && c.Account.Isolated {
 		account = c.Account.Name
 	}
-	v := s.versionOf(t, c.Headers.Prompt.Model)
+	v := s.callVersion(c, t)
 	return v, cacheScope(c.Headers.Prompt.Model, v, account)
 }
 
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -130,15 +130,24 @@
 }
 
 // assumeDesiredVersion handles a misdirected call to the right target: the target no longer has the superseded version that
-// the call required, so it is assumed to have the desired version, and the call may be sent to it again.
+// the call required. The call may be sent to it again with the desired version, which it most likely has. This is not recorded
+// as the target's version, since the target may have one in between and would then never be updated.
 func (x *targetRequest) assumeDesiredVersion(headers ResponseHeaders) {
-	desired, ok := x.s.Watcher.View().DesiredVersion(x.c.Headers.Prompt.Model)
-	if headers.TargetID != x.t.ID || !ok || x.c.WeightVersion == 0 || x.c.WeightVersion >= desired.Version {
+	c := x.c
+	desired, ok := x.s.Watcher.View().DesiredVersion(c.Headers.Prompt.Model)
+	if headers.TargetID != x.t.ID || !ok || c.WeightVersion == 0 {
 		return
 	}
-	x.s.loads.SetVersion(balancer.WeightsKeyOf(x.t, x.c.Headers.Prompt.Model), desired.Version)
-	x.c.TriedTargets = x.c.TriedTargets[:len(x.c.TriedTargets)-1]
-	x.c.MisdirectedCount--
+	if c.WeightVersion >= desired.Version {
+		x.s.loads.RecordRefusal(x.t.ID, time.Now())
+		return
+	}
+	if c.AssumedVersions == nil {
+		c.AssumedVersions = map[string]int64{}
+	}
+	c.AssumedVersions[x.t.ID] = desired.Version
+	c.TriedTargets = c.TriedTargets[:len(c.TriedTargets)-1]
+	c.MisdirectedCount--
 }
 
 // recordResponse records the load, the weight versions and the cached blocks of the target from a response.
