fix(updater): command targets in turn when some do not respond

Cause: the next targets were chosen in the order of their IDs. One that does not answer its command counts as swapping for 300 ms only, and was then chosen again before all later ones.

Change: targets whose last attempt is the oldest come first.

--- a/internal/updater/lease_test.go
+++ b/internal/updater/lease_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"github.com/papayaworks/papayaworks/internal/cataloger"
@@ -80,7 +81,7 @@
 			if len(pending) == 0 {
 				return
 			}
-			for _, up := range NextUpdates(v, pending, swapping, now) {
+			for _, up := range NextUpdates(v, pending, swapping, nil, now) {
 				if swapping.Contains(up.Target.ID, now) {
 					t.Fatalf("target %s gets a second command while swapping", up.Target.ID)
 				}
@@ -101,3 +102,23 @@
 		}
 	})
 }
+
+// Guards against targets that get no command because others, which do not respond to theirs, are commanded again and again.
+func TestUnresponsiveTargetsDoNotDelayOthers(t *testing.T) {
+	const n = 12
+	v := cataloger.NewView().WithDesiredVersion("m", 2, 0)
+	for i := range n {
+		v = v.WithTarget(&cataloger.Target{ID: fmt.Sprintf("w-%02d", i), Service: "s", Versions: map[string]int64{"m": 1}})
+	}
+	pending := PendingUpdates(v, func(*cataloger.Target, string) int64 { return 1 })
+	attemptedAt := map[string]time.Duration{}
+	rounds := 0
+	for now := time.Second; len(attemptedAt) < n; now += time.Second {
+		rounds++
+		require.LessOrEqual(t, rounds, n, "only %d targets got a command", len(attemptedAt))
+		for _, up := range NextUpdates(v, pending, Swapping{}, attemptedAt, now) {
+			attemptedAt[up.Target.ID] = now
+		}
+	}
+	require.Equal(t, n/2, rounds)
+}
--- a/internal/updater/plan.go
+++ b/internal/updater/plan.go
@@ -52,8 +52,9 @@
 }
 
 // NextUpdates returns the pending updates to start now. At most maxSwappingShare of the targets of a service, rounded and at
-// least one, swap at the same time.
-func NextUpdates(v *cataloger.View, pending []Update, swapping Swapping, now time.Duration) []Update {
+// least one, swap at the same time. Targets whose last update attempt is the oldest come first, so that targets which do not
+// respond to commands do not delay the others; attemptedAt holds the times of these attempts.
+func NextUpdates(v *cataloger.View, pending []Update, swapping Swapping, attemptedAt map[string]time.Duration, now time.Duration) []Update {
 	swappingCount := map[string]int{}
 	for id := range swapping {
 		if t, ok := v.Target(id); ok && swapping.Contains(id, now) {
@@ -61,7 +62,9 @@
 		}
 	}
 	pending = slices.Clone(pending)
-	slices.SortFunc(pending, func(a, b Update) int { return cmp.Compare(a.Target.ID, b.Target.ID) })
+	slices.SortFunc(pending, func(a, b Update) int {
+		return cmp.Or(cmp.Compare(attemptedAt[a.Target.ID], attemptedAt[b.Target.ID]), cmp.Compare(a.Target.ID, b.Target.ID))
+	})
 	var out []Update
 	for _, up := range pending {
 		id, service := up.Target.ID, up.Target.Service
--- a/internal/updater/updater.go
+++ b/internal/updater/updater.go
@@ -167,6 +167,8 @@
 	// of a target's state.
 	sequences  map[string]int64
 	nextReport map[string]time.Duration
+	// attemptedAt holds when this instance last tried to command targets with pending updates.
+	attemptedAt map[string]time.Duration
 }
 
 // IsSwapping reports whether a target is assumed to be swapping weights after a recent command.
@@ -226,7 +228,7 @@
 // Run follows the claim log and sends commands until ctx is done.
 func (u *Updater) Run(ctx context.Context) {
 	u.mu.Lock()
-	u.nonces, u.sequences, u.nextReport = map[string]time.Duration{}, map[string]int64{}, map[string]time.Duration{}
+	u.nonces, u.sequences, u.nextReport, u.attemptedAt = map[string]time.Duration{}, map[string]int64{}, map[string]time.Duration{}, map[string]time.Duration{}
 	u.mu.Unlock()
 	go u.follow(ctx)
 	for sleeper.Sleep(ctx, reconcileInterval) {
@@ -310,12 +312,15 @@
 		}
 	}
 	u.standby = u.standby.WithPending(len(pending), now)
+	if len(pending) == 0 {
+		clear(u.attemptedAt)
+	}
 	if len(pending) == 0 || v.Draining {
 		u.mu.Unlock()
 		return
 	}
 	l, sb := u.lease, u.standby
-	next := NextUpdates(v, pending, u.swapping, now)
+	next := NextUpdates(v, pending, u.swapping, u.attemptedAt, now)
 	u.mu.Unlock()
 	switch {
 	case len(next) == 0:
@@ -401,6 +406,7 @@
 	t := up.Target
 	key := t.ID + "/" + strconv.FormatInt(t.StartedUnixMs, 10)
 	u.mu.Lock()
+	u.attemptedAt[t.ID] = clocker.SinceBoot()
 	count, ok := u.sequences[key]
 	u.mu.Unlock()
 	if !ok {
