fix(forwarder): withdraw calls that wait on weights whose grace period ends

Callers: a request that is sent within the bound may still begin after it. It is sent until 1.5 s before the bound, and can wait longer than that in its target's queue; one that was sent before the newer version was named can wait until its deadline, 15 s.

Cause: the age of the weights was checked only when a request was sent.

TestRequestWaitingOnSupersededWeightsIsWithdrawn failed: the target kept the request for the 10 s that the test allows.

Change: calls at engines whose response has not started are checked every 200 ms, and withdrawn 0.4 s before the bound by closing their connection. Repeatable ones go to another target; others get 502, because it is unknown whether they began. Whether a wait alone broke the bound in the users' report is not known.

--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -162,7 +162,7 @@
 	if s.Announcer != nil && load.Tokens >= longCallTokens {
 		s.Announcer.AnnounceStart(t.ID, load)
 	}
-	x := &targetRequest{s: s, c: c, t: t, startedAt: now, cancel: cancel, inFlight: s.loads.Start(t.ID, load, now)}
+	x := &targetRequest{s: s, c: c, t: t, startedAt: now, weightVersion: c.WeightVersion, cancel: cancel, inFlight: s.loads.Start(t.ID, load, now)}
 	out, err := x.send(ctx, remaining)
 	s.recordAttempt(c, Attempt{
 		Target: t.ID, Reason: d.Reason, ExpectedMs: d.Cost.Milliseconds(), Outstanding: d.Outstanding, WeightVersion: c.WeightVersion,
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -144,6 +144,7 @@
 	health       *health
 	retryBudgets *retryBudgets
 	pool         *pooler.Pool
+	waiting      waitingAttempts
 	steps        []request.Stage[*Call]
 	callerServer *listener.Server
 	readyServer  *listener.Server
@@ -189,6 +190,9 @@
 	s.Watcher.PollInterval = time.Duration(pollFraction * float64(s.Settings.LeaveDetectionTimeout))
 	go s.Watcher.Run(ctx)
 	s.startUpdater(ctx)
+	if s.settings().SupersededGrace > 0 {
+		go s.withdrawSuperseded(ctx)
+	}
 	if s.Archiver != nil {
 		go s.freeSuperseded(ctx)
 	}
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -28,8 +28,10 @@
 	c         *Call
 	t         *cataloger.Target
 	startedAt time.Time
-	cancel    context.CancelFunc
-	inFlight  *balancer.InFlightRequest
+	// weightVersion is the weight version that the target must have; 0 for plain services.
+	weightVersion int64
+	cancel        context.CancelFunc
+	inFlight      *balancer.InFlightRequest
 }
 
 // release ends the attempt: it cancels the context and removes the call from the in-flight load of the target.
@@ -42,10 +44,14 @@
 // the target that may be retried.
 func (x *targetRequest) send(ctx context.Context, remaining time.Duration) (retrier.Outcome, error) {
 	c := x.c
+	if c.Service.Engine != nil {
+		ctx = x.s.waiting.add(ctx, x)
+	}
 	ex, err := x.s.pool.Do(ctx, pooler.Peer{Address: x.t.Address, MaxConnections: x.s.maxConnections(c.Service)}, c.HTTP.Method, x.encode(remaining), func(h http.Header) bool {
 		id := x.s.Codec.ResponseID(h)
 		return id == c.Headers.ID || id == ""
 	})
+	x.s.waiting.remove(x)
 	if err != nil {
 		return x.handleFailure(ctx, err)
 	}
@@ -95,7 +101,9 @@
 
 // handleFailure returns the outcome of an attempt without a valid response and records the failure of the target.
 func (x *targetRequest) handleFailure(ctx context.Context, err error) (retrier.Outcome, error) {
-	if x.c.HTTP.Context().Err() == nil {
+	if cause := context.Cause(ctx); errors.Is(cause, errSuperseded) {
+		err = &pooler.Error{Err: cause, MaybeSent: pooler.MaybeSent(err)}
+	} else if x.c.HTTP.Context().Err() == nil {
 		x.s.health.observe(x.t.ID, false, time.Now())
 		// An attempt that the call's own deadline ended does not show that the target is unreachable. A target that does not
 		// respond at all is covered by unresponsiveTimeout.
--- a/internal/forwarder/superseded.go
+++ b/internal/forwarder/superseded.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"errors"
+	"sync"
+	"time"
 
 	"github.com/papayaworks/papayaworks/internal/announcer"
 	"github.com/papayaworks/papayaworks/internal/cataloger"
@@ -12,6 +15,73 @@
 // that were superseded before that are past their grace period at every instance.
 const publishAnnounceFactor = 2
 
+const (
+	// withdrawMargin is how long before the end of the grace period calls are withdrawn from superseded weights. The target must
+	// notice the closed connection before it starts the call.
+	withdrawMargin = 400 * time.Millisecond
+	// withdrawInterval is the time between two checks for calls to withdraw.
+	withdrawInterval = 200 * time.Millisecond
+)
+
+// errSuperseded is the cause of a cancelled attempt whose target has not started it while its weights were permitted.
+var errSuperseded = errors.New("the target's weights were superseded while the call was waiting")
+
+// waitingAttempts holds the attempts at engines whose response has not started. It is safe for concurrent use.
+type waitingAttempts struct {
+	mu       sync.Mutex
+	attempts map[*targetRequest]context.CancelCauseFunc
+}
+
+// add adds an attempt. The returned context is cancelled with [errSuperseded] when the attempt is withdrawn.
+func (w *waitingAttempts) add(ctx context.Context, x *targetRequest) context.Context {
+	ctx, cancel := context.WithCancelCause(ctx)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.attempts == nil {
+		w.attempts = map[*targetRequest]context.CancelCauseFunc{}
+	}
+	w.attempts[x] = cancel
+	return ctx
+}
+
+// remove removes an attempt whose response has started, or which has failed.
+func (w *waitingAttempts) remove(x *targetRequest) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.attempts, x)
+}
+
+// withdraw cancels and removes the attempts for which isSuperseded returns true.
+func (w *waitingAttempts) withdraw(isSuperseded func(*targetRequest) bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for x, cancel := range w.attempts {
+		if isSuperseded(x) {
+			cancel(errSuperseded)
+			delete(w.attempts, x)
+		}
+	}
+}
+
+// withdrawSuperseded withdraws calls that wait at a target while the grace period of its weights ends, until ctx is done. The
+// target would start them on weights that are too old.
+func (s *Server) withdrawSuperseded(ctx context.Context) {
+	t := time.NewTicker(withdrawInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		v, now := s.Watcher.View(), clocker.SinceBoot()
+		limit := s.settings().SupersededGrace - withdrawMargin
+		s.waiting.withdraw(func(x *targetRequest) bool {
+			return v.SupersededFor(x.c.Headers.Prompt.Model, x.weightVersion, now) >= limit
+		})
+	}
+}
+
 // recentVersions returns the recently published weight versions of each model, with the last one before them, so that
 // instances that started or read a version later know for how long older ones have been superseded.
 func (s *Server) recentVersions() []announcer.PublishedVersion {
