fix(forwarder): a stream that ends inside an event is interrupted

Callers got the first part of an event, followed by the regular end of the response, if a target without a length or chunks closed its connection inside an event. The stream looked complete and was not resumed, although its route allowed it. The same happened if a chunked stream ended with its last chunk inside an event.

Cause: at the end of the body forwardEvents took any pending bytes as the last event. Without a length or chunks, the end of the body is only the end of the connection and does not show that the target has finished.

Now bytes after the last complete event must be blank, else the stream counts as interrupted: it is resumed at another target if the route allows it, and otherwise the caller's connection is closed without the end of the response. No part of an incomplete event is forwarded. A stream without framing that ends between two events is complete, since nothing tells it from one that has ended; one that is reset there is not. A blank line may also end with CRLF after an LF, so that such an event is not held back.

--- a/internal/forwarder/deliver.go
+++ b/internal/forwarder/deliver.go
@@ -62,8 +62,12 @@
 	}
 }
 
-// forwardEvents copies complete events until the stream ends. An incomplete event is not forwarded before the stream has
-// ended normally, since an interrupted stream can only be resumed after a complete event.
+// errIncompleteEvent reports a stream that has ended inside an event.
+var errIncompleteEvent = errors.New("stream ended inside an event")
+
+// forwardEvents copies complete events until the stream ends. An incomplete event is never forwarded, since an interrupted
+// stream can only be resumed after a complete event. A stream that ends inside an event counts as interrupted even if its
+// framing is complete.
 func (st *deliverStep) forwardEvents(c *Call) error {
 	res := c.Response
 	defer res.Release()
@@ -77,7 +81,7 @@
 		}
 		pending = append(pending, buf[:n]...)
 		complete := completeEventsLen(pending)
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && isBlank(pending[complete:]) {
 			complete = len(pending)
 		}
 		if complete > 0 {
@@ -87,6 +91,9 @@
 			pending = append(pending[:0], pending[complete:]...)
 		}
 		if errors.Is(err, io.EOF) {
+			if len(pending) > 0 {
+				return errIncompleteEvent
+			}
 			res.Stream.Finish()
 			st.s.health.observe(res.Target, true, time.Now())
 			st.s.loads.RecordDuration(c.Service.Name, time.Since(c.ReceivedAt))
@@ -117,7 +124,7 @@
 // completeEventsLen returns the number of bytes up to the end of the last complete event in b.
 func completeEventsLen(b []byte) int {
 	end := 0
-	for _, sep := range []string{"\n\n", "\r\n\r\n"} {
+	for _, sep := range []string{"\n\n", "\n\r\n"} {
 		if i := bytes.LastIndex(b, []byte(sep)); i >= 0 {
 			end = max(end, i+len(sep))
 		}
@@ -125,6 +132,9 @@
 	return end
 }
 
+// isBlank reports whether b contains only white space, which belongs to no event.
+func isBlank(b []byte) bool { return len(bytes.TrimSpace(b)) == 0 }
+
 // lastEventID returns the ID of the last event that has one, or an empty string.
 func lastEventID(events []byte) string {
 	i := bytes.LastIndex(events, []byte("\nid:"))
--- a/internal/forwarder/deliver_test.go
+++ b/internal/forwarder/deliver_test.go
@@ -20,6 +20,8 @@
 		"complete and incomplete": {"id: 1\ndata: a\n\nid: 2\nda", 15, "2"},
 		"two":                     {"id: 1\n\nid: 2\n\n", 14, "2"},
 		"carriage returns":        {"id: 7\r\ndata: a\r\n\r\nid: 8", 18, "8"},
+		"mixed line ends":         {"id: 7\ndata: a\n\r\nid: 8", 16, "8"},
+		"half a blank line":       {"id: 7\r\ndata: a\r\n\r", 0, "7"},
 		"no id":                   {"data: a\n\n", 9, ""},
 		"id in data":              {"data: id: 9\n\n", 13, ""},
 	}
