fix(forwarder,pooler): bound what a target sends without end

A target may send bytes without end that are no response. Callers then waited until their deadline and got 504, although another target could have answered a call that may be retried, and the instance kept all bytes of a header or of an incomplete event in memory until then.

Cause: the response header, the body of a response to another request and an event had no limit. The body of a refusal and of a response that is invalid by its header was read to its end, or to 8 MiB, before the next target was tried. Exchange.Finish relied on its caller to have read the complete body, and pooled a connection on which the rest was still to arrive.

Evidence: on the code before, with two targets that send such responses and a route timeout of 3 s:

TestEndlessResponses: header, header line, status line, header of an interim response, bytes that are no response, body of another response, invalid responses: expected 502, actual 504; slow refusals: expected attempts at 2 targets, actual 1. Interim responses, other responses, trailers and chunk headers were bounded already.

Now a header of more than 64 KiB, a skipped body of more than 1 MiB, an event of more than 64 KiB and a first line that does not start with HTTP/ are errors as soon as they are read, and the connection is closed. An interrupted stream is resumed if its route allows it. Whether a response is valid is decided by its header. The body of a refusal or of an invalid response is read for at most 50 ms and 64 KiB to keep its connection, and not at all if it is unframed or longer. Finish pools a connection only if the body was read to its end. Blank lines after an event wait for the next event.

--- a/internal/forwarder/deliver.go
+++ b/internal/forwarder/deliver.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -13,8 +14,12 @@
 	"github.com/papayaworks/papayaworks/internal/retrier"
 )
 
-// readBufferBytes is the buffer size for reading a stream.
-const readBufferBytes = 8 << 10
+const (
+	// readBufferBytes is the buffer size for reading a stream.
+	readBufferBytes = 8 << 10
+	// maxEventBytes bounds the part of an event that is kept in memory until the event is complete. Events hold a few tokens.
+	maxEventBytes = 64 << 10
+)
 
 // deliverStep sends the response to the caller.
 type deliverStep struct{ s *Server }
@@ -62,8 +67,11 @@
 	}
 }
 
-// errIncompleteEvent reports a stream that has ended inside an event.
-var errIncompleteEvent = errors.New("stream ended inside an event")
+// Reasons for which a stream counts as interrupted although its connection has not failed.
+var (
+	errIncompleteEvent = errors.New("stream ended inside an event")
+	errEventTooLong    = fmt.Errorf("event is longer than %d bytes", maxEventBytes)
+)
 
 // forwardEvents copies complete events until the stream ends. An incomplete event is never forwarded, since an interrupted
 // stream can only be resumed after a complete event. A stream that ends inside an event counts as interrupted even if its
@@ -102,6 +110,9 @@
 		if err != nil {
 			return err
 		}
+		if len(pending) > maxEventBytes {
+			return errEventTooLong
+		}
 	}
 }
 
@@ -121,7 +132,8 @@
 	return nil
 }
 
-// completeEventsLen returns the number of bytes up to the end of the last complete event in b.
+// completeEventsLen returns the number of bytes up to the end of the last complete event in b. Further blank lines after an
+// event do not belong to it.
 func completeEventsLen(b []byte) int {
 	end := 0
 	for _, sep := range []string{"\n\n", "\n\r\n"} {
@@ -129,7 +141,14 @@
 			end = max(end, i+len(sep))
 		}
 	}
-	return end
+	n := len(bytes.TrimRight(b[:end], "\r\n"))
+	if n == 0 {
+		return 0
+	}
+	for range 2 { // the end of the last line and the blank line
+		n += bytes.IndexByte(b[n:], '\n') + 1
+	}
+	return n
 }
 
 // isBlank reports whether b contains only white space, which belongs to no event.
--- a/internal/forwarder/deliver_test.go
+++ b/internal/forwarder/deliver_test.go
@@ -22,6 +22,10 @@
 		"carriage returns":        {"id: 7\r\ndata: a\r\n\r\nid: 8", 18, "8"},
 		"mixed line ends":         {"id: 7\ndata: a\n\r\nid: 8", 16, "8"},
 		"half a blank line":       {"id: 7\r\ndata: a\r\n\r", 0, "7"},
+		"blank lines":             {"\n\n\r\n\n", 0, ""},
+		"more blank lines":        {"id: 1\n\n\n\r\n\n", 7, "1"},
+		"more blank CRLF lines":   {"id: 1\r\n\r\n\r\n\r\nid", 9, "1"},
+		"blank line and event":    {"\n\nid: 1\n\nid", 9, "1"},
 		"no id":                   {"data: a\n\n", 9, ""},
 		"id in data":              {"data: id: 9\n\n", 13, ""},
 	}
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -56,20 +56,23 @@
 	headers := x.s.Codec.ParseResponse(ex.StatusCode, ex.Header)
 	x.recordResponse(headers)
 	if headers.NotRun || headers.Misdirected {
-		_, _ = io.Copy(io.Discard, io.LimitReader(ex.Body, maxResponseBytes))
-		ex.Finish()
+		ex.DiscardBody()
 		return x.handleNotRun(headers, ex.StatusCode)
 	}
-	if isStream(ex) && headers.HasSignature {
+	if !isValid(ex.StatusCode, headers) {
+		ex.DiscardBody()
+		return x.handleFailure(ctx, &pooler.Error{Err: fmt.Errorf("invalid response with status %d", ex.StatusCode), MaybeSent: true})
+	}
+	if isStream(ex) {
 		c.MayHaveRun = true
 		c.Response = &Response{Target: x.t.ID, Status: ex.StatusCode, Header: ex.Header, Stream: ex, InFlight: x.inFlight, Release: x.release}
 		return retrier.Done, nil
 	}
-	return x.readResponse(ctx, ex, headers)
+	return x.readResponse(ctx, ex)
 }
 
 // readResponse reads a response that is not a stream and returns the outcome.
-func (x *targetRequest) readResponse(ctx context.Context, ex *pooler.Exchange, headers ResponseHeaders) (retrier.Outcome, error) {
+func (x *targetRequest) readResponse(ctx context.Context, ex *pooler.Exchange) (retrier.Outcome, error) {
 	c := x.c
 	body, err := io.ReadAll(io.LimitReader(ex.Body, maxResponseBytes))
 	if err != nil {
@@ -78,16 +81,12 @@
 	}
 	ex.Finish()
 	c.MayHaveRun = true
-	success := ex.StatusCode < http.StatusMultipleChoices
-	if success && !headers.HasSignature || impliesNotRun(ex.StatusCode) || http.StatusText(ex.StatusCode) == "" {
-		return x.handleFailure(ctx, &pooler.Error{Err: fmt.Errorf("invalid response with status %d", ex.StatusCode), MaybeSent: true})
-	}
 	x.s.health.observe(x.t.ID, ex.StatusCode < http.StatusInternalServerError, time.Now())
 	c.Response = &Response{Target: x.t.ID, Status: ex.StatusCode, Header: ex.Header, Body: body}
 	if ex.StatusCode >= http.StatusInternalServerError && c.Route.Retryable() {
 		return retrier.Repeatable, fmt.Errorf("target %s returned status %d", x.t.ID, ex.StatusCode)
 	}
-	if success {
+	if isSuccess(ex.StatusCode) {
 		x.s.loads.RecordDuration(c.Service.Name, time.Since(x.startedAt))
 	}
 	return retrier.Done, nil
@@ -208,7 +207,14 @@
 }
 
 func isStream(ex *pooler.Exchange) bool {
-	return ex.StatusCode < http.StatusMultipleChoices && strings.HasPrefix(ex.Header.Get("Content-Type"), "text/event-stream")
+	return isSuccess(ex.StatusCode) && strings.HasPrefix(ex.Header.Get("Content-Type"), "text/event-stream")
+}
+
+func isSuccess(status int) bool { return status < http.StatusMultipleChoices }
+
+// isValid reports whether a response of a target that does not state that the call was not run may be delivered.
+func isValid(status int, headers ResponseHeaders) bool {
+	return (headers.HasSignature || !isSuccess(status)) && !impliesNotRun(status) && http.StatusText(status) != ""
 }
 
 // impliesNotRun reports whether callers may infer from the status that the call has not run. A response with such a status is
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -7,6 +7,8 @@
 //
 // A connection is reused only after a complete response without further bytes, and
 // only if nothing has arrived on it since. Responses to other requests are skipped.
+// A response header and a skipped body that exceed their limits are errors; the body
+// of a response has no limit.
 //
 // # Usage
 //
@@ -23,6 +25,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -47,8 +50,17 @@
 	maxIdlePerTarget = 16
 	// maxSkippedResponses is how many responses to other requests are skipped on a connection before it is closed.
 	maxSkippedResponses = 2
-	readBufferBytes     = 4 << 10
-	sweepPeriod         = 2 * time.Second
+	// maxHeaderBytes bounds a response header, maxSkippedBytes the body of a response to another request.
+	maxHeaderBytes  = 64 << 10
+	maxSkippedBytes = 1 << 20
+	// maxDiscardedBytes and discardTimeout bound the rest of a body that is discarded in order to keep its connection. Short
+	// bodies arrive together with their header or soon after it.
+	maxDiscardedBytes = 64 << 10
+	discardTimeout    = 50 * time.Millisecond
+	// responsePrefix starts every HTTP response.
+	responsePrefix  = "HTTP/"
+	readBufferBytes = 4 << 10
+	sweepPeriod     = 2 * time.Second
 	// tcpUserTimeout is the socket option TCP_USER_TIMEOUT of Linux.
 	tcpUserTimeout = 18
 )
@@ -98,9 +110,47 @@
 type conn struct {
 	net.Conn
 	r         *bufio.Reader
+	limited   *limitedReader
 	expiresAt time.Time
 }
 
+func newConn(nc net.Conn) *conn {
+	l := &limitedReader{r: nc, remaining: math.MaxInt64}
+	return &conn{Conn: nc, r: bufio.NewReaderSize(l, readBufferBytes), limited: l}
+}
+
+// errTooLong is returned by reads beyond the limit of a [limitedReader].
+var errTooLong = errors.New("response header or skipped body is too long")
+
+// limitedReader reads at most remaining bytes and then fails, unlike [io.LimitedReader], which reports the end of the input.
+type limitedReader struct {
+	r         io.Reader
+	remaining int64
+}
+
+// Read implements io.Reader.
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if l.remaining <= 0 {
+		return 0, errTooLong
+	}
+	n, err := l.r.Read(p[:min(int64(len(p)), l.remaining)])
+	l.remaining -= int64(n)
+	return n, err
+}
+
+// body is a response body that records whether it was read to its end.
+type body struct {
+	io.ReadCloser
+	ended bool
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.ended = b.ended || errors.Is(err, io.EOF)
+	return n, err
+}
+
 // New returns an empty Pool.
 func New() *Pool {
 	d := &net.Dialer{Timeout: connectTimeout, KeepAlive: -1, Control: control}
@@ -125,6 +175,7 @@
 	pool      *Pool
 	peer      Peer
 	c         *conn
+	body      *body
 	stopWatch func() bool
 	done      bool
 }
@@ -152,19 +203,26 @@
 
 // readHeader reads the response header and skips responses to other requests.
 func (ex *Exchange) readHeader(method string, belongs func(http.Header) bool) error {
+	defer func() { ex.c.limited.remaining = math.MaxInt64 }()
 	req := &http.Request{Method: method}
 	for range maxSkippedResponses + 1 {
+		ex.c.limited.remaining = maxHeaderBytes
+		if b, err := ex.c.r.Peek(len(responsePrefix)); err == nil && string(b) != responsePrefix {
+			return failer.New("response starts with %q instead of %q", b, responsePrefix)
+		}
 		res, err := http.ReadResponse(ex.c.r, req) //nolint:bodyclose // the body ends with the connection, which Finish or Close ends
 		if err != nil {
 			return err
 		}
 		if res.StatusCode >= http.StatusOK && belongs(res.Header) {
-			ex.Response = res
+			ex.body = &body{ReadCloser: res.Body, ended: res.Body == http.NoBody}
+			res.Body, ex.Response = ex.body, res
 			return nil
 		}
-		if res.StatusCode >= http.StatusOK && res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
+		if res.StatusCode >= http.StatusOK && !isFramed(res) {
 			return failer.New("response to another request has no length, so it cannot be skipped")
 		}
+		ex.c.limited.remaining = maxSkippedBytes
 		if _, err := io.Copy(io.Discard, res.Body); err != nil {
 			return err
 		}
@@ -172,7 +230,12 @@
 	return failer.New("too many responses to other requests")
 }
 
-// Finish returns the connection to the pool. The caller must have read the complete response body.
+// isFramed reports whether the end of the body is known, other than by the end of the connection.
+func isFramed(res *http.Response) bool {
+	return res.ContentLength >= 0 || len(res.TransferEncoding) > 0
+}
+
+// Finish returns the connection to the pool if the response body was read to its end.
 func (ex *Exchange) Finish() {
 	if ex.done {
 		return
@@ -185,10 +248,23 @@
 	ex.pool.putIdle(ex.peer, ex.c, idleTimeout(ex.Header))
 }
 
-// reusable reports whether the end of the response is known and nothing follows it on the connection.
+// DiscardBody ends the exchange without the rest of the response body. The connection returns to the pool only if the body
+// is short and ends soon.
+func (ex *Exchange) DiscardBody() {
+	defer ex.Close()
+	if !isFramed(ex.Response) || ex.ContentLength > maxDiscardedBytes {
+		return
+	}
+	_ = ex.c.SetReadDeadline(time.Now().Add(discardTimeout)) // fails only if the connection is closed, as reads do then
+	_, _ = io.CopyN(io.Discard, ex.Body, maxDiscardedBytes+1)
+	if ex.body.ended && ex.c.SetReadDeadline(time.Time{}) == nil {
+		ex.Finish()
+	}
+}
+
+// reusable reports whether the end of the response has been read and nothing follows it on the connection.
 func (ex *Exchange) reusable() bool {
-	framed := ex.ContentLength >= 0 || len(ex.TransferEncoding) > 0
-	return framed && !ex.Response.Close && ex.c.r.Buffered() == 0
+	return isFramed(ex.Response) && ex.body.ended && !ex.Response.Close && ex.c.r.Buffered() == 0
 }
 
 // Close ends the exchange. Without a preceding Finish it closes the connection, so that the target aborts the request.
@@ -236,7 +312,7 @@
 		p.release(peer)
 		return nil, err
 	}
-	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, readBufferBytes)}, nil
+	return newConn(nc), nil
 }
 
 // acquire counts one more connection as in use. It returns an idle connection, or nil if the caller has to open one.
