--- a/internal/forwarder/deliver.go
+++ b/internal/forwarder/deliver.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -13,8 +14,12 @@
 	"github.com/papayaworks/papayaworks/internal/retrier"
 )
 
-// readBufferBytes is the buffer size for reading a stream.
-const readBufferBytes = 8 << 10
+const (
+	// readBufferBytes is the buffer size for reading a stream.
+	readBufferBytes = 8 << 10
+	// maxEventBytes bounds the part of an event that is kept in memory until the event is complete. Events hold a few tokens.
+	maxEventBytes = 64 << 10
+)
 
 // deliverStep sends the response to the caller.
 type deliverStep struct{ s *Server }
@@ -62,8 +67,15 @@
 	}
 }
 
-// forwardEvents copies complete events until the stream ends. An incomplete event is not forwarded before the stream has
-// ended normally, since an interrupted stream can only be resumed after a complete event.
+// Reasons for which a stream counts as interrupted although its connection has not failed.
+var (
+	errIncompleteEvent = errors.New("stream ended inside an event")
+	errEventTooLong    = fmt.Errorf("event is longer than %d bytes", maxEventBytes)
+)
+
+// forwardEvents copies complete events until the stream ends. An incomplete event is never forwarded, since an interrupted
+// stream can only be resumed after a complete event. A stream that ends inside an event counts as interrupted even if its
+// framing is complete.
 func (st *deliverStep) forwardEvents(c *Call) error {
 	res := c.Response
 	defer res.Release()
@@ -77,7 +89,7 @@
 		}
 		pending = append(pending, buf[:n]...)
 		complete := completeEventsLen(pending)
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && isBlank(pending[complete:]) {
 			complete = len(pending)
 		}
 		if complete > 0 {
@@ -87,6 +99,9 @@
 			pending = append(pending[:0], pending[complete:]...)
 		}
 		if errors.Is(err, io.EOF) {
+			if len(pending) > 0 {
+				return errIncompleteEvent
+			}
 			res.Stream.Finish()
 			st.s.health.observe(res.Target, true, time.Now())
 			st.s.loads.RecordDuration(c.Service.Name, time.Since(c.ReceivedAt))
@@ -95,6 +110,9 @@
 		if err != nil {
 			return err
 		}
+		if len(pending) > maxEventBytes {
+			return errEventTooLong
+		}
 	}
 }
 
@@ -114,17 +132,28 @@
 	return nil
 }
 
-// completeEventsLen returns the number of bytes up to the end of the last complete event in b.
+// completeEventsLen returns the number of bytes up to the end of the last complete event in b. Further blank lines after an
+// event do not belong to it.
 func completeEventsLen(b []byte) int {
 	end := 0
-	for _, sep := range []string{"\n\n", "\r\n\r\n"} {
+	for _, sep := range []string{"\n\n", "\n\r\n"} {
 		if i := bytes.LastIndex(b, []byte(sep)); i >= 0 {
 			end = max(end, i+len(sep))
 		}
 	}
-	return end
+	n := len(bytes.TrimRight(b[:end], "\r\n"))
+	if n == 0 {
+		return 0
+	}
+	for range 2 { // the end of the last line and the blank line
+		n += bytes.IndexByte(b[n:], '\n') + 1
+	}
+	return n
 }
 
+// isBlank reports whether b contains only white space, which belongs to no event.
+func isBlank(b []byte) bool { return len(bytes.TrimSpace(b)) == 0 }
+
 // lastEventID returns the ID of the last event that has one, or an empty string.
 func lastEventID(events []byte) string {
 	i := bytes.LastIndex(events, []byte("\nid:"))
