fix(quarantiner): quarantine the last of the blocks that crashes have in common

A deadly block may always follow the same sound block, which few other calls have. Both then gather the same evidence, and calls with the sound one were refused as well.

The blocks of each unanswered call are now kept and announced in prompt order. They are counted from the last one on; a quarantined block explains the crash, and the ones before it are not counted. TestBlockBeforeDeadlyOneIsNotQuarantined guards it.

--- a/internal/quarantiner/load_test.go
+++ b/internal/quarantiner/load_test.go
@@ -102,20 +102,22 @@
 	m.startedMs[target]++
 	m.upAt[target] = m.now.Add(m.between(2000, 5000))
 	var noticeAt [loadInstances]time.Time
-	blocks := [loadInstances][]uint64{}
+	calls := [loadInstances][][]uint64{}
 	for i := range noticeAt {
 		noticeAt[i] = m.now.Add(m.between(10, noticeMs))
 	}
 	for _, c := range m.inFlight[target] {
-		blocks[c.instance] = append(blocks[c.instance], c.blocks...)
+		calls[c.instance] = append(calls[c.instance], c.blocks)
 		if c.attempts < loadAttempts {
 			c.endsAt = noticeAt[c.instance].Add(m.between(10, 300))
 			m.retries = append(m.retries, c)
 		}
 	}
 	m.inFlight[target] = nil
-	for i, b := range blocks {
-		m.reports = append(m.reports, loadReport{at: noticeAt[i], instance: i, process: p, blocks: b})
+	for i := range calls {
+		for _, blocks := range calls[i] {
+			m.reports = append(m.reports, loadReport{at: noticeAt[i], instance: i, process: p, blocks: blocks})
+		}
 	}
 }
 
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -8,8 +8,9 @@
 // suspects, of which at most a few are the cause.
 //
 // A block is quarantined after crashes of three different processes of targets, at
-// each of which a call with the block was unanswered. Two facts keep sound blocks
-// out:
+// each of which a call with the block was unanswered. Of the blocks of a call, the last
+// one with so many crashes is quarantined, because a deadly block may always follow the
+// same sound ones. Two facts keep sound blocks out:
 //
 //   - A complete answer proves that all blocks of the call are sound. It discards
 //     all earlier crashes as evidence, and those that follow within soundWindow. It
@@ -52,7 +53,7 @@
 //	q.Log = log
 //	if remaining, ok := q.Blocked(blocks, now); ok { refuse(remaining) } // before each attempt
 //	q.RecordSuccess(blocks, now)                                         // the answer is complete
-//	q.RecordCrash(process, unansweredBlocks, now)                        // the target has crashed
+//	q.RecordCrash(process, blocks, now)                                  // the target crashed before it answered
 //	announce(q.Crashes(now), q.Entries(now))                             // periodically
 //	q.Merge(crashes, entries, now)                                       // from another instance
 package quarantiner
@@ -126,10 +127,11 @@
 	StartedUnixMs int64  `msgpack:"b"`
 }
 
-// Crash is a crashed process with the suspect blocks: those of the sender's unanswered calls that have not succeeded since.
+// Crash is a crashed process with the suspect blocks of each of the sender's unanswered calls, in prompt order and without
+// those that have succeeded since.
 type Crash struct {
-	Process Process  `msgpack:"p"`
-	Blocks  []uint64 `msgpack:"k"`
+	Process Process    `msgpack:"p"`
+	Calls   [][]uint64 `msgpack:"k"`
 }
 
 // Entry is the state of a block at the sender. If Remaining is positive, the block is quarantined for that time. Otherwise a
@@ -161,8 +163,8 @@
 type crash struct {
 	// at is when the crash was first reported at this instance, by itself or another one.
 	at time.Time
-	// blocks holds the blocks of this instance's unanswered calls.
-	blocks []uint64
+	// calls holds the blocks of each of this instance's unanswered calls.
+	calls [][]uint64
 }
 
 // suspect is a block of calls that were unanswered at a crash, or that another instance quarantined.
@@ -201,8 +203,8 @@
 // New returns an empty Quarantine.
 func New() *Quarantine { return &Quarantine{} }
 
-// RecordCrash records the confirmed crash of a process and the blocks of this instance's calls that were unanswered. Further
-// calls for the same process add blocks during crashMergeWindow.
+// RecordCrash records the confirmed crash of a process and the blocks of one of this instance's calls that were unanswered, in
+// prompt order. It is called for each of them, during crashMergeWindow.
 func (q *Quarantine) RecordCrash(p Process, blocks []uint64, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -211,13 +213,31 @@
 	if now.Sub(c.at) > crashMergeWindow {
 		return
 	}
-	for _, block := range blocks {
-		if q.addEvidence(block, c.at, now) && len(c.blocks) < maxAnnouncedBlocks && !slices.Contains(c.blocks, block) {
-			c.blocks = append(c.blocks, block)
+	q.addCall(blocks, c.at, now)
+	if len(c.calls) < maxAnnouncedBlocks {
+		c.calls = append(c.calls, slices.Clone(blocks))
+	}
+}
+
+// addCall counts a crash against the blocks of an unanswered call, the last one first. A quarantined block explains the crash,
+// so the blocks before it are not counted: they may always precede it, and would be blamed with it.
+func (q *Quarantine) addCall(blocks []uint64, at, now time.Time) {
+	if slices.ContainsFunc(blocks, q.isQuarantined) {
+		return
+	}
+	for _, block := range slices.Backward(blocks) {
+		q.addEvidence(block, at, now)
+		if q.isQuarantined(block) {
+			return
 		}
 	}
 }
 
+func (q *Quarantine) isQuarantined(block uint64) bool {
+	s := q.suspects[block]
+	return s != nil && s.isQuarantined()
+}
+
 // RecordSuccess records that a call with these blocks got its complete answer. It is also called for calls without blocks, as
 // any success shows that there is no general outage.
 func (q *Quarantine) RecordSuccess(blocks []uint64, now time.Time) {
@@ -260,6 +280,16 @@
 	return 0, false
 }
 
+// Contains reports whether one of the blocks is quarantined. Unlike Blocked it admits no probe.
+func (q *Quarantine) Contains(blocks []uint64) bool {
+	if q.quarantined.Load() == 0 {
+		return false
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return slices.ContainsFunc(blocks, q.isQuarantined)
+}
+
 // Crashes returns this instance's recent crashes for the announcement, the newest first, with the blocks that are still
 // suspect.
 func (q *Quarantine) Crashes(now time.Time) []Crash {
@@ -270,15 +300,22 @@
 		if now.Sub(c.at) > announceTime {
 			continue
 		}
-		var blocks []uint64
-		for _, block := range c.blocks {
-			// A quarantined block is announced by Entries.
-			if s := q.suspects[block]; s != nil && !s.isQuarantined() && !s.isClearedAt(c.at) {
-				blocks = append(blocks, block)
+		var calls [][]uint64
+		for _, blocks := range c.calls {
+			// Entries announces a quarantined block, which explains the crash.
+			if slices.ContainsFunc(blocks, q.isQuarantined) {
+				continue
+			}
+			suspects := slices.DeleteFunc(slices.Clone(blocks), func(block uint64) bool {
+				s := q.suspects[block]
+				return s == nil || s.isClearedAt(c.at)
+			})
+			if len(suspects) > 0 {
+				calls = append(calls, suspects)
 			}
 		}
-		if len(blocks) > 0 {
-			out = append(out, Crash{Process: p, Blocks: blocks})
+		if len(calls) > 0 {
+			out = append(out, Crash{Process: p, Calls: calls})
 		}
 	}
 	slices.SortFunc(out, func(a, b Crash) int {
@@ -286,12 +323,15 @@
 	})
 	out = out[:min(len(out), maxAnnouncedCrashes)]
 	left := maxAnnouncedBlocks
-	for i := range out {
-		if len(out[i].Blocks) >= left {
-			out[i].Blocks = out[i].Blocks[:left]
-			return out[:i+1]
+	for i, c := range out {
+		for k, blocks := range c.Calls {
+			if left < len(blocks) {
+				c.Calls[k] = blocks[len(blocks)-left:]
+				out[i].Calls = c.Calls[:k+1]
+				return out[:i+1]
+			}
+			left -= len(blocks)
 		}
-		left -= len(out[i].Blocks)
 	}
 	return out
 }
@@ -328,21 +368,18 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.prune(now)
-	// Successes come first, so that a block is not quarantined by a crash that they rule out.
+	// Entries come first, so that no block is blamed for a crash that a success rules out or a quarantined block explains.
 	for _, e := range entries[:min(len(entries), maxAnnouncedEntries)] {
 		if e.Remaining <= 0 {
 			q.clear(e.Block, now.Add(e.Remaining), now)
+		} else {
+			q.mergeQuarantine(e.Block, now.Add(min(e.Remaining, quarantineTime)), now)
 		}
 	}
 	for _, r := range crashes[:min(len(crashes), maxAnnouncedCrashes)] {
 		c := q.crash(r.Process, now)
-		for _, block := range r.Blocks[:min(len(r.Blocks), maxAnnouncedBlocks)] {
-			q.addEvidence(block, c.at, now)
-		}
-	}
-	for _, e := range entries[:min(len(entries), maxAnnouncedEntries)] {
-		if e.Remaining > 0 {
-			q.mergeQuarantine(e.Block, now.Add(min(e.Remaining, quarantineTime)), now)
+		for _, blocks := range r.Calls[:min(len(r.Calls), maxAnnouncedBlocks)] {
+			q.addCall(blocks[:min(len(blocks), maxAnnouncedBlocks)], c.at, now)
 		}
 	}
 }
@@ -418,9 +455,8 @@
 	}
 }
 
-// addEvidence counts a crash against a block, and quarantines the block if there are enough of them. It reports whether the
-// block remains suspect.
-func (q *Quarantine) addEvidence(block uint64, at, now time.Time) bool {
+// addEvidence counts a crash against a block, and quarantines the block if there are enough of them.
+func (q *Quarantine) addEvidence(block uint64, at, now time.Time) {
 	s := q.suspect(block, now)
 	if at.After(s.reportedAt) {
 		s.reportedAt = at
@@ -429,12 +465,12 @@
 		if !s.isCleared() {
 			s.clearedAt = now
 		}
-		return false
+		return
 	}
 	s.crashes = slices.DeleteFunc(s.crashes, func(t time.Time) bool { return now.Sub(t) >= evidenceTTL })
 	isKnown := slices.ContainsFunc(s.crashes, func(t time.Time) bool { return at.Sub(t).Abs() < burstWindow })
 	if isKnown || s.isQuarantined() {
-		return true
+		return
 	}
 	s.crashes = append(s.crashes, at)
 	need := minCrashes
@@ -444,7 +480,6 @@
 	if len(s.crashes) >= need {
 		q.quarantine(block, s, now.Add(quarantineTime), now)
 	}
-	return true
 }
 
 // quarantine starts the quarantine of a block. If there are too many, the one that ends first is released.
@@ -499,7 +534,7 @@
 		if now.Sub(c.at) >= evidenceTTL {
 			delete(q.crashes, p)
 		} else if now.Sub(c.at) > announceTime {
-			c.blocks = nil // only needed for the announcement
+			c.calls = nil // only needed for the announcement
 		}
 	}
 	for block, s := range q.suspects {
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -194,7 +194,7 @@
 // Guards against counting a crash again each time that it is announced, also after a success.
 func TestMergeIsIdempotent(t *testing.T) {
 	q := New()
-	report := []Crash{{process(1), []uint64{deadly}}}
+	report := []Crash{{process(1), [][]uint64{{deadly}}}}
 	play(q, []step{{0, 2, []uint64{deadly}}, {1, 0, nil}})
 	for n := range 60 {
 		q.Merge(report, nil, epoch.Add(time.Duration(n+10)*100*time.Millisecond))
@@ -212,12 +212,31 @@
 func TestCrashesAnnounced(t *testing.T) {
 	q := New()
 	play(q, []step{{0, 1, []uint64{shared, deadly, deadly}}, {time.Second, 0, []uint64{shared}}, {time.Second, 2, []uint64{shared}}, {2 * time.Second, 3, []uint64{deadly, shared}}})
-	require.Equal(t, []Crash{{process(3), []uint64{deadly}}, {process(1), []uint64{deadly}}}, q.Crashes(epoch.Add(2*time.Second)))
+	require.Equal(t, []Crash{{process(3), [][]uint64{{deadly}}}, {process(1), [][]uint64{{deadly, deadly}}}}, q.Crashes(epoch.Add(2*time.Second)))
 	require.Equal(t, []Entry{{shared, -time.Second}}, q.Entries(epoch.Add(2*time.Second)))
 	require.Empty(t, q.Crashes(epoch.Add(2*time.Second+announceTime+1)))
 	require.Empty(t, q.Entries(epoch.Add(2*time.Second+announceTime+1)))
 }
 
+// Guards against refusing sound calls because all calls with the deadly block have one of theirs before it and few others do.
+func TestBlockBeforeDeadlyOneIsNotQuarantined(t *testing.T) {
+	const before = uint64(7)
+	a, b := New(), New()
+	for n := range 5 {
+		now := epoch.Add(time.Duration(n) * time.Second)
+		a.RecordSuccess([]uint64{shared}, now)
+		b.RecordSuccess([]uint64{shared}, now)
+		a.RecordCrash(process(n), []uint64{shared, before, deadly}, now.Add(time.Millisecond))
+		b.Merge(a.Crashes(now.Add(2*time.Millisecond)), a.Entries(now.Add(2*time.Millisecond)), now.Add(3*time.Millisecond))
+	}
+	for name, q := range map[string]*Quarantine{"own crashes": a, "announced crashes": b} {
+		now := epoch.Add(5 * time.Second)
+		require.True(t, blocked(q, deadly, now), name)
+		require.False(t, blocked(q, before, now), name)
+		require.False(t, blocked(q, shared, now), name)
+	}
+}
+
 // Guards against memory and datagrams that grow with the number of crashes, and against evicting a block with more evidence
 // than others.
 func TestBounds(t *testing.T) {
@@ -240,7 +259,9 @@
 	require.LessOrEqual(t, len(q.recent.previous), maxRecent)
 	announced := 0
 	for _, c := range q.Crashes(now) {
-		announced += len(c.Blocks)
+		for _, blocks := range c.Calls {
+			announced += len(blocks)
+		}
 	}
 	require.Equal(t, maxAnnouncedBlocks, announced)
 	q.RecordCrash(process(3), []uint64{deadly}, now)
@@ -276,7 +297,7 @@
 
 // Guards against a change of the names or types that other instances expect.
 func TestWireFormat(t *testing.T) {
-	crashes := []Crash{{Process{"w-1", 7}, []uint64{1, 1 << 63}}}
+	crashes := []Crash{{Process{"w-1", 7}, [][]uint64{{1, 1 << 63}, {2}}}}
 	data, err := msgpack.Marshal(crashes)
 	require.NoError(t, err)
 	var generic []map[string]any
