feat(forwarder): refuse calls with a prompt block that crashes targets

Cause: a crash was held against the target only. The class: retries and fresh copies of a request that kills its server.

Instances announce crashes and quarantined blocks at once. A call with a quarantined block gets 503 with Retry-After before it is sent; one that waits at a target is withdrawn. A stream whose target crashed as it began to answer is not resumed.

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -45,6 +45,7 @@
 	"github.com/papayaworks/papayaworks/internal/archiver"
 	"github.com/papayaworks/papayaworks/internal/failer"
 	"github.com/papayaworks/papayaworks/internal/logger"
+	"github.com/papayaworks/papayaworks/internal/quarantiner"
 	"github.com/papayaworks/papayaworks/internal/sleeper"
 )
 
@@ -152,6 +153,9 @@
 	Swapping map[string]time.Duration `msgpack:"s,omitempty"`
 	// Published holds the recently published weight versions.
 	Published []PublishedVersion `msgpack:"p,omitempty"`
+	// Crashes holds recent crashes of targets with the suspect blocks, Quarantined the state of blocks.
+	Crashes     []quarantiner.Crash `msgpack:"c,omitempty"`
+	Quarantined []quarantiner.Entry `msgpack:"q,omitempty"`
 }
 
 // announcement is the payload of a datagram. Announcements are ordered by the start of the sender's process, then by
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -147,11 +147,14 @@
 	ExpectedLatency time.Duration
 	// HeaderSent reports whether the response header of a stream was sent to the caller.
 	HeaderSent bool
+
+	// blockKeys caches the keys of the shared blocks in the quarantine.
+	blockKeys []uint64
 }
 
 // Response is a target's response.
 type Response struct {
-	Target string
+	Target *cataloger.Target
 	Status int
 	Header http.Header
 	// Body is the complete body; it is empty if Stream is set.
@@ -160,4 +163,7 @@
 	// InFlight counts the call as in flight at its target until Release is called. Both are set only with Stream.
 	InFlight *balancer.InFlightRequest
 	Release  func()
+
+	// hasEvents reports whether a complete event of the stream has arrived.
+	hasEvents bool
 }
--- a/internal/forwarder/deliver.go
+++ b/internal/forwarder/deliver.go
@@ -53,7 +53,14 @@
 		if ctx.Err() != nil {
 			return err
 		}
-		st.s.health.observe(c.Response.Target, false, time.Now())
+		t := c.Response.Target
+		st.s.health.observe(t.ID, false, time.Now())
+		if !c.Response.hasEvents && c.Service.Engine != nil {
+			// A prompt that crashed its target would most likely crash the next one.
+			if st.s.crashes.report(t, interruptedCall{blocks: st.s.blockKeys(c), begun: true}).wait(ctx) {
+				return request.Fail(http.StatusBadGateway, request.CodeRunLost, "target crashed when it began to answer: %v", err)
+			}
+		}
 		c.Response = nil
 		if !c.Route.Resumable || !st.s.shouldRetry(c, retrier.Repeatable, nil) {
 			return request.Fail(http.StatusBadGateway, request.CodeRunLost, "stream interrupted: %v", err)
@@ -93,6 +100,7 @@
 			complete = len(pending)
 		}
 		if complete > 0 {
+			res.hasEvents = true
 			if werr := st.writeEvents(c, pending[:complete]); werr != nil {
 				return werr
 			}
@@ -103,7 +111,8 @@
 				return errIncompleteEvent
 			}
 			res.Stream.Finish()
-			st.s.health.observe(res.Target, true, time.Now())
+			st.s.health.observe(res.Target.ID, true, time.Now())
+			st.s.recordSound(c)
 			st.s.loads.RecordDuration(c.Service.Name, time.Since(c.ReceivedAt))
 			return nil
 		}
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -67,6 +67,9 @@
 // not allowed. It sets c.Response unless it returns an error.
 func (s *Server) dispatch(ctx context.Context, c *Call) error {
 	for {
+		if err := s.checkQuarantine(c); err != nil {
+			return err
+		}
 		out, err := s.attempt(ctx, c)
 		if out == retrier.Done {
 			return nil
@@ -162,7 +165,7 @@
 	if s.Announcer != nil && load.Tokens >= longCallTokens {
 		s.Announcer.AnnounceStart(t.ID, load)
 	}
-	x := &targetRequest{s: s, c: c, t: t, startedAt: now, weightVersion: c.WeightVersion, cancel: cancel, inFlight: s.loads.Start(t.ID, load, now)}
+	x := &targetRequest{s: s, c: c, t: t, startedAt: now, weightVersion: c.WeightVersion, blocks: s.blockKeys(c), cancel: cancel, inFlight: s.loads.Start(t.ID, load, now)}
 	out, err := x.send(ctx, remaining)
 	s.recordAttempt(c, Attempt{
 		Target: t.ID, Reason: d.Reason, ExpectedMs: d.Cost.Milliseconds(), Outstanding: d.Outstanding, WeightVersion: c.WeightVersion,
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -39,6 +39,7 @@
 	"github.com/papayaworks/papayaworks/internal/listener"
 	"github.com/papayaworks/papayaworks/internal/logger"
 	"github.com/papayaworks/papayaworks/internal/pooler"
+	"github.com/papayaworks/papayaworks/internal/quarantiner"
 	"github.com/papayaworks/papayaworks/internal/request"
 	"github.com/papayaworks/papayaworks/internal/sleeper"
 	"github.com/papayaworks/papayaworks/internal/updater"
@@ -145,6 +146,8 @@
 	retryBudgets *retryBudgets
 	pool         *pooler.Pool
 	waiting      waitingAttempts
+	quarantine   *quarantiner.Quarantine
+	crashes      crashDetector
 	steps        []request.Stage[*Call]
 	callerServer *listener.Server
 	readyServer  *listener.Server
@@ -179,6 +182,9 @@
 	s.health = newHealth()
 	s.retryBudgets = newRetryBudgets()
 	s.pool = pooler.New()
+	s.quarantine = quarantiner.New()
+	s.quarantine.Log = s.Log
+	s.crashes.s = s
 	s.steps = s.newSteps()
 	s.rateLimiter = &logger.RateLimiter{LinesPerSecond: linesPerSecond}
 	s.metrics = s.newMetrics()
@@ -190,9 +196,7 @@
 	s.Watcher.PollInterval = time.Duration(pollFraction * float64(s.Settings.LeaveDetectionTimeout))
 	go s.Watcher.Run(ctx)
 	s.startUpdater(ctx)
-	if s.settings().SupersededGrace > 0 {
-		go s.withdrawSuperseded(ctx)
-	}
+	go s.withdrawWaiting(ctx)
 	if s.Archiver != nil {
 		go s.freeSuperseded(ctx)
 	}
@@ -233,6 +237,7 @@
 			st.Swapping = s.Updater.SwappingTargets()
 		}
 		st.Published = s.recentVersions()
+		st.Crashes, st.Quarantined = s.quarantine.Crashes(now), s.quarantine.Entries(now)
 		return st
 	}
 	if s.Archiver != nil {
@@ -247,6 +252,9 @@
 			s.Updater.Merge(st.Swapping)
 		}
 		s.mergePublishTimes(ctx, st.Published)
+		if len(st.Crashes)+len(st.Quarantined) > 0 {
+			s.quarantine.Merge(st.Crashes, st.Quarantined, now)
+		}
 		if s.Archiver != nil && len(st.StoreUpdates) > 0 {
 			s.Archiver.Merge(st.StoreUpdates, now)
 		}
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -30,8 +30,10 @@
 	startedAt time.Time
 	// weightVersion is the weight version that the target must have; 0 for plain services.
 	weightVersion int64
-	cancel        context.CancelFunc
-	inFlight      *balancer.InFlightRequest
+	// blocks holds the keys of the prompt's shared blocks in the quarantine.
+	blocks   []uint64
+	cancel   context.CancelFunc
+	inFlight *balancer.InFlightRequest
 }
 
 // release ends the attempt: it cancels the context and removes the call from the in-flight load of the target.
@@ -71,7 +73,7 @@
 	}
 	if isStream(ex) {
 		c.MayHaveRun = true
-		c.Response = &Response{Target: x.t.ID, Status: ex.StatusCode, Header: ex.Header, Stream: ex, InFlight: x.inFlight, Release: x.release}
+		c.Response = &Response{Target: x.t, Status: ex.StatusCode, Header: ex.Header, Stream: ex, InFlight: x.inFlight, Release: x.release}
 		return retrier.Done, nil
 	}
 	return x.readResponse(ctx, ex)
@@ -88,11 +90,12 @@
 	ex.Finish()
 	c.MayHaveRun = true
 	x.s.health.observe(x.t.ID, ex.StatusCode < http.StatusInternalServerError, time.Now())
-	c.Response = &Response{Target: x.t.ID, Status: ex.StatusCode, Header: ex.Header, Body: body}
+	c.Response = &Response{Target: x.t, Status: ex.StatusCode, Header: ex.Header, Body: body}
 	if ex.StatusCode >= http.StatusInternalServerError && c.Route.Retryable() {
 		return retrier.Repeatable, fmt.Errorf("target %s returned status %d", x.t.ID, ex.StatusCode)
 	}
 	if isSuccess(ex.StatusCode) {
+		x.s.recordSound(c)
 		x.s.loads.RecordDuration(c.Service.Name, time.Since(x.startedAt))
 	}
 	return retrier.Done, nil
@@ -100,7 +103,7 @@
 
 // handleFailure returns the outcome of an attempt without a valid response and records the failure of the target.
 func (x *targetRequest) handleFailure(ctx context.Context, err error) (retrier.Outcome, error) {
-	if cause := context.Cause(ctx); errors.Is(cause, errSuperseded) {
+	if cause := context.Cause(ctx); errors.Is(cause, errSuperseded) || errors.Is(cause, errQuarantined) {
 		err = &pooler.Error{Err: cause, MaybeSent: pooler.MaybeSent(err)}
 	} else if x.c.HTTP.Context().Err() == nil {
 		x.s.health.observe(x.t.ID, false, time.Now())
@@ -109,6 +112,9 @@
 		if ctx.Err() == nil && !pooler.MaybeSent(err) && !errors.Is(err, pooler.ErrConnectionLimit) {
 			x.s.loads.RecordConnectFailure(x.t.ID, time.Now())
 		}
+		if ctx.Err() == nil && pooler.MaybeSent(err) && x.c.Service.Engine != nil {
+			x.s.crashes.report(x.t, interruptedCall{blocks: x.s.blockKeys(x.c)})
+		}
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		x.c.MayHaveRun = x.c.MayHaveRun || pooler.MaybeSent(err)
--- a/internal/forwarder/superseded.go
+++ b/internal/forwarder/superseded.go
@@ -32,7 +32,7 @@
 	attempts map[*targetRequest]context.CancelCauseFunc
 }
 
-// add adds an attempt. The returned context is cancelled with [errSuperseded] when the attempt is withdrawn.
+// add adds an attempt. The returned context is cancelled with the reason when the attempt is withdrawn.
 func (w *waitingAttempts) add(ctx context.Context, x *targetRequest) context.Context {
 	ctx, cancel := context.WithCancelCause(ctx)
 	w.mu.Lock()
@@ -51,21 +51,21 @@
 	delete(w.attempts, x)
 }
 
-// withdraw cancels and removes the attempts for which isSuperseded returns true.
-func (w *waitingAttempts) withdraw(isSuperseded func(*targetRequest) bool) {
+// withdraw cancels and removes the attempts for which reason returns an error.
+func (w *waitingAttempts) withdraw(reason func(*targetRequest) error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for x, cancel := range w.attempts {
-		if isSuperseded(x) {
-			cancel(errSuperseded)
+		if err := reason(x); err != nil {
+			cancel(err)
 			delete(w.attempts, x)
 		}
 	}
 }
 
-// withdrawSuperseded withdraws calls that wait at a target while the grace period of its weights ends, until ctx is done. The
-// target would start them on weights that are too old.
-func (s *Server) withdrawSuperseded(ctx context.Context) {
+// withdrawWaiting withdraws calls that a target must not start any more, until ctx is done: those that wait while the grace
+// period of its weights ends, and those with a block that was quarantined meanwhile.
+func (s *Server) withdrawWaiting(ctx context.Context) {
 	t := time.NewTicker(withdrawInterval)
 	defer t.Stop()
 	for {
@@ -74,10 +74,15 @@
 			return
 		case <-t.C:
 		}
-		v, now := s.Watcher.View(), clocker.SinceBoot()
-		limit := s.settings().SupersededGrace - withdrawMargin
-		s.waiting.withdraw(func(x *targetRequest) bool {
-			return v.SupersededFor(x.c.Headers.Prompt.Model, x.weightVersion, now) >= limit
+		v, now, grace := s.Watcher.View(), clocker.SinceBoot(), s.settings().SupersededGrace
+		s.waiting.withdraw(func(x *targetRequest) error {
+			switch {
+			case grace > 0 && v.SupersededFor(x.c.Headers.Prompt.Model, x.weightVersion, now) >= grace-withdrawMargin:
+				return errSuperseded
+			case s.quarantine.Contains(x.blocks):
+				return errQuarantined
+			}
+			return nil
 		})
 	}
 }
