fix(cataloger): do not announce a bound on a publish time as an observation

Callers: after one instance could not reach the metadata store for longer than the grace period of superseded weights, all instances refused calls on weights that had been superseded 0.1 s before, and withdrew calls that waited at targets (502).

Cause: that instance only knows the earliest time at which the version may have been published. It announced it like a time that it had observed, and the others kept the earliest.

Change: a publish time says how it is known. Only observed ones are announced, and replace bounds, also if they are later. An observed or learned time is replaced by an earlier one only. Learned times are not announced again, so that they do not drift.

TestPublishTime now says of each case whether the time is observed or a bound; no case is left out.

--- a/internal/cataloger/view.go
+++ b/internal/cataloger/view.go
@@ -37,11 +37,25 @@
 // DesiredVersion is a weight version that the operator requested for a model.
 type DesiredVersion struct {
 	Version int64
-	// PublishedAt is the earliest time at which the version may have been published, on the clock of package clocker, or
-	// [UnknownTime].
+	// PublishedAt is when the version was published, on the clock of package clocker, or [UnknownTime].
 	PublishedAt time.Duration
+	// Source says how PublishedAt is known.
+	Source PublishTimeSource
 }
 
+// PublishTimeSource says how the publish time of a version is known.
+type PublishTimeSource int
+
+// Sources of publish times.
+const (
+	// Bounded is the earliest possible time, for a version that was read late.
+	Bounded PublishTimeSource = iota
+	// Learned is a time that another process has observed.
+	Learned
+	// Observed is the time at which this process read the version, when it was published.
+	Observed
+)
+
 // View is an immutable snapshot of the control state.
 type View struct {
 	// Catalog is nil until a configuration has been read.
@@ -79,29 +93,33 @@
 	return &n
 }
 
-// WithDesiredVersion returns the view with a desired weight version and its publish time. It returns v itself unless the
-// version is higher than the current one.
-func (v *View) WithDesiredVersion(model string, version int64, publishedAt time.Duration) *View {
-	if old, ok := v.DesiredVersion(model); ok && old.Version >= version {
+// WithDesiredVersion returns the view with a desired weight version. It returns v itself unless the version is higher than the
+// current one.
+func (v *View) WithDesiredVersion(model string, d DesiredVersion) *View {
+	if old, ok := v.DesiredVersion(model); ok && old.Version >= d.Version {
 		return v
 	}
-	return v.withDesired(model, append(slices.Clone(v.desired[model]), DesiredVersion{Version: version, PublishedAt: publishedAt}))
+	return v.withDesired(model, append(slices.Clone(v.desired[model]), d))
 }
 
-// WithPublishTime returns the view with what another process knows of the publish time of a weight version, also of one that
-// this process did not read because newer versions followed. It returns v itself if that is no news or the version is higher
-// than the desired one.
+// WithPublishTime returns the view with the publish time of a weight version that another process has observed, or
+// [UnknownTime], also of a version that this process did not read because newer ones followed. It returns v itself if that is no
+// news or the version is higher than the desired one.
 func (v *View) WithPublishTime(model string, version int64, publishedAt time.Duration) *View {
 	ds := v.desired[model]
 	i, found := slices.BinarySearchFunc(ds, version, func(d DesiredVersion, version int64) int { return cmp.Compare(d.Version, version) })
+	learned := DesiredVersion{Version: version, PublishedAt: publishedAt, Source: Learned}
+	if publishedAt == UnknownTime {
+		learned.Source = Bounded
+	}
 	switch {
 	case i == len(ds):
 		return v
 	case !found:
-		ds = slices.Insert(slices.Clone(ds), i, DesiredVersion{Version: version, PublishedAt: publishedAt})
-	case publishedAt != UnknownTime && (ds[i].PublishedAt == UnknownTime || ds[i].PublishedAt-publishedAt >= publishTimeResolution):
+		ds = slices.Insert(slices.Clone(ds), i, learned)
+	case publishedAt != UnknownTime && (ds[i].Source == Bounded || ds[i].PublishedAt-publishedAt >= publishTimeResolution):
 		ds = slices.Clone(ds)
-		ds[i].PublishedAt = publishedAt
+		ds[i] = learned
 	default:
 		return v
 	}
--- a/internal/cataloger/view_test.go
+++ b/internal/cataloger/view_test.go
@@ -14,7 +14,10 @@
 // Guards against counting the time since the last newer version instead of the first: a target that misses several
 // updates would keep receiving requests for as long as new versions are published.
 func TestSupersededFor(t *testing.T) {
-	v := NewView().WithDesiredVersion("m", 2, 0).WithDesiredVersion("m", 3, 3*time.Second).WithDesiredVersion("m", 5, 6*time.Second)
+	v := NewView()
+	for _, d := range []DesiredVersion{{Version: 2}, {Version: 3, PublishedAt: 3 * time.Second}, {Version: 5, PublishedAt: 6 * time.Second}} {
+		v = v.WithDesiredVersion("m", d)
+	}
 	now := 10 * time.Second
 	tests := map[string]struct {
 		version int64
@@ -39,30 +42,48 @@
 		version int64
 		at      time.Duration
 	}
+	bounded := func(ks ...known) []DesiredVersion {
+		var out []DesiredVersion
+		for _, k := range ks {
+			out = append(out, DesiredVersion{Version: k.version, PublishedAt: k.at, Source: Bounded})
+		}
+		return out
+	}
+	observed := func(ks ...known) []DesiredVersion {
+		out := bounded(ks...)
+		for i := range out {
+			out[i].Source = Observed
+		}
+		return out
+	}
 	const now, unknown = 10 * time.Second, time.Duration(math.MaxInt64)
 	tests := map[string]struct {
-		read, learned []known
-		version       int64
-		want          time.Duration
+		read    []DesiredVersion
+		learned []known
+		version int64
+		want    time.Duration
 	}{
-		"published before the start":                   {[]known{{4, UnknownTime}}, nil, 1, unknown},
-		"published before the start, another followed": {[]known{{4, UnknownTime}, {5, 9 * time.Second}}, nil, 1, unknown},
-		"newest of these":                              {[]known{{4, UnknownTime}}, nil, 4, 0},
-		"between these":                                {[]known{{4, UnknownTime}, {5, 9 * time.Second}}, nil, 4, time.Second},
-		"learned":                                      {[]known{{4, UnknownTime}}, []known{{4, 7 * time.Second}}, 1, 3 * time.Second},
-		"learned, with an earlier one":                 {[]known{{4, UnknownTime}}, []known{{4, 7 * time.Second}, {2, 2 * time.Second}}, 1, 8 * time.Second},
-		"learned, an earlier one is unknown":           {[]known{{4, UnknownTime}}, []known{{4, 7 * time.Second}, {3, UnknownTime}}, 1, unknown},
-		"read late":                                    {[]known{{4, 9 * time.Second}}, []known{{4, 5 * time.Second}}, 1, 5 * time.Second},
-		"learned from a process that read late":        {[]known{{4, 5 * time.Second}}, []known{{4, 9 * time.Second}}, 1, 5 * time.Second},
-		"unknown to another process":                   {[]known{{4, 5 * time.Second}}, []known{{4, UnknownTime}}, 1, 5 * time.Second},
-		"learned, not yet read":                        {[]known{{4, 5 * time.Second}}, []known{{6, 6 * time.Second}}, 4, 0},
+		"published before the start":                   {bounded(known{4, UnknownTime}), nil, 1, unknown},
+		"published before the start, another followed": {append(bounded(known{4, UnknownTime}), observed(known{5, 9 * time.Second})...), nil, 1, unknown},
+		"newest of these":                              {bounded(known{4, UnknownTime}), nil, 4, 0},
+		"between these":                                {append(bounded(known{4, UnknownTime}), observed(known{5, 9 * time.Second})...), nil, 4, time.Second},
+		"learned":                                      {bounded(known{4, UnknownTime}), []known{{4, 7 * time.Second}}, 1, 3 * time.Second},
+		"learned, with an earlier one":                 {bounded(known{4, UnknownTime}), []known{{4, 7 * time.Second}, {2, 2 * time.Second}}, 1, 8 * time.Second},
+		"learned, an earlier one is unknown":           {bounded(known{4, UnknownTime}), []known{{4, 7 * time.Second}, {3, UnknownTime}}, 1, unknown},
+		"learned twice":                                {bounded(known{4, UnknownTime}), []known{{4, 7 * time.Second}, {4, 8 * time.Second}}, 1, 3 * time.Second},
+		"read late":                                    {bounded(known{4, 2 * time.Second}), nil, 1, 8 * time.Second},
+		"read late, learned":                           {bounded(known{4, 2 * time.Second}), []known{{4, 9 * time.Second}}, 1, time.Second},
+		"observed, learned an earlier time":            {observed(known{4, 9 * time.Second}), []known{{4, 5 * time.Second}}, 1, 5 * time.Second},
+		"observed, learned a later time":               {observed(known{4, 5 * time.Second}), []known{{4, 9 * time.Second}}, 1, 5 * time.Second},
+		"unknown to another process":                   {observed(known{4, 5 * time.Second}), []known{{4, UnknownTime}}, 1, 5 * time.Second},
+		"learned, not yet read":                        {observed(known{4, 5 * time.Second}), []known{{6, 6 * time.Second}}, 4, 0},
 		"nothing read":                                 {nil, []known{{6, 6 * time.Second}}, 4, 0},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			v := NewView()
-			for _, k := range tc.read {
-				v = v.WithDesiredVersion("m", k.version, k.at)
+			for _, d := range tc.read {
+				v = v.WithDesiredVersion("m", d)
 			}
 			for _, k := range tc.learned {
 				v = v.WithPublishTime("m", k.version, k.at)
@@ -85,7 +106,7 @@
 			case 0:
 				v, config = v.WithCatalog(New(n, nil, nil, nil, Limits{})), max(config, n)
 			case 1:
-				v, weights = v.WithDesiredVersion("m", n, time.Duration(n)), max(weights, n)
+				v, weights = v.WithDesiredVersion("m", DesiredVersion{Version: n, PublishedAt: time.Duration(n)}), max(weights, n)
 			case 2:
 				v, started = v.WithTarget(&Target{ID: "t", StartedUnixMs: n}), max(started, n)
 			}
--- a/internal/forwarder/superseded.go
+++ b/internal/forwarder/superseded.go
@@ -87,24 +87,26 @@
 	}
 }
 
-// recentVersions returns the recently published weight versions of each model, with the last one before them, so that
-// instances that started or read a version later know for how long older ones have been superseded.
+// recentVersions returns the weight versions of each model that this instance has recently observed, with the last one before
+// them, so that instances that started or read a version later know for how long older ones have been superseded. Times that
+// are only bounds, or that another instance has announced, are sent as unknown.
 func (s *Server) recentVersions() []announcer.PublishedVersion {
 	v, now := s.Watcher.View(), clocker.SinceBoot()
 	oldest := now - publishAnnounceFactor*s.settings().SupersededGrace
 	var out []announcer.PublishedVersion
 	for _, model := range v.DesiredModels() {
 		ds := v.DesiredVersions(model)
-		if ds[len(ds)-1].PublishedAt < oldest {
-			continue
-		}
 		for i := len(ds) - 1; i >= 0; i-- {
+			isObserved := ds[i].Source == cataloger.Observed
+			if i == len(ds)-1 && (!isObserved || ds[i].PublishedAt < oldest) {
+				break
+			}
 			p := announcer.PublishedVersion{Model: model, Version: ds[i].Version, Age: -1}
-			if ds[i].PublishedAt != cataloger.UnknownTime {
+			if isObserved {
 				p.Age = now - ds[i].PublishedAt
 			}
 			out = append(out, p)
-			if ds[i].PublishedAt < oldest {
+			if !isObserved || ds[i].PublishedAt < oldest {
 				break
 			}
 		}
--- a/internal/updater/lease_test.go
+++ b/internal/updater/lease_test.go
@@ -66,7 +66,7 @@
 func TestRandomPlan(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 30).Draw(t, "targets")
-		v := cataloger.NewView().WithDesiredVersion("m", 2, 0)
+		v := cataloger.NewView().WithDesiredVersion("m", cataloger.DesiredVersion{Version: 2})
 		have := map[string]int64{}
 		for i := range n {
 			id := fmt.Sprint(i)
@@ -106,7 +106,7 @@
 // Guards against targets that get no command because others, which do not respond to theirs, are commanded again and again.
 func TestUnresponsiveTargetsDoNotDelayOthers(t *testing.T) {
 	const n = 12
-	v := cataloger.NewView().WithDesiredVersion("m", 2, 0)
+	v := cataloger.NewView().WithDesiredVersion("m", cataloger.DesiredVersion{Version: 2})
 	for i := range n {
 		v = v.WithTarget(&cataloger.Target{ID: fmt.Sprintf("w-%02d", i), Service: "s", Versions: map[string]int64{"m": 1}})
 	}
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -129,8 +129,10 @@
 	batch Batch
 	// requestedAt is when the batch was requested from the operator's source; 0 for other sources.
 	requestedAt time.Duration
-	// publishedAt is the earliest time at which the changes of the batch may have been published, or [cataloger.UnknownTime].
+	// publishedAt is when the changes of the batch were published; if it was not observed, the earliest possible time or
+	// [cataloger.UnknownTime].
 	publishedAt time.Duration
+	observed    bool
 	// afterOutage reports whether reads failed since the last batch of the same source.
 	afterOutage bool
 	apply       func(*cataloger.View) *cataloger.View
@@ -224,7 +226,8 @@
 		empty, duringWait := b.NextOffset == next, end-start < timeout && !b.IsSnapshot
 		e := event{batch: b, publishedAt: complete, afterOutage: failing && synced}
 		if duringWait && start-complete < maxReadPause {
-			e.publishedAt = end // the changes ended the wait when they were published
+			// The changes ended the wait when they were published.
+			e.publishedAt, e.observed = end, true
 		}
 		complete = completeUntil(start, end, timeout, empty, duringWait)
 		next, retry = b.NextOffset, minRetryDelay
@@ -330,7 +333,11 @@
 	case DesiredVersionChange:
 		w.Log.WithField("model", c.Model).WithField("version", c.Version).WithField("publishTimeKnown", e.publishedAt != cataloger.UnknownTime).
 			Info("desired weight version read")
-		return v.WithDesiredVersion(c.Model, c.Version, e.publishedAt)
+		d := cataloger.DesiredVersion{Version: c.Version, PublishedAt: e.publishedAt}
+		if e.observed {
+			d.Source = cataloger.Observed
+		}
+		return v.WithDesiredVersion(c.Model, d)
 	case TargetUpdated:
 		present[c.Target.ID] = true
 		delete(w.expired, c.Target.ID)
