fix(watcher): of several changes in a long poll none counts as just published

If a store misses the wake-up of a long poll for a weight version, a later change may end the poll, up to 1.6 s after the version was published. The version then counted as published at that time.

TestPublishTimeOfVersionReadWithLaterChange failed with 6.2 s instead of at most 4.805 s. Changes that arrive together now have the earliest possible publish time.

--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -225,8 +225,9 @@
 		end := w.elapsed()
 		empty, duringWait := b.NextOffset == next, end-start < timeout && !b.IsSnapshot
 		e := event{batch: b, publishedAt: complete, afterOutage: failing && synced}
-		if duringWait && start-complete < maxReadPause {
-			// The changes ended the wait when they were published.
+		if duringWait && start-complete < maxReadPause && b.NextOffset == next+1 {
+			// The change ended the wait when it was published. Of several changes, the store may have missed the wake-up for all
+			// but the last one.
 			e.publishedAt, e.observed = end, true
 		}
 		complete = completeUntil(start, end, timeout, empty, duringWait)
