fix(forwarder): a short grace period does not refuse the desired weights

With version_ms up to 1.5 s, or 0, each call to an engine was refused, because an age of 0 was not below the grace period less its margin. The check of the settings accepts such values.

TestCallsOnDesiredWeightsWithShortGracePeriod failed with 503 at 0, 0.3 and 1.5 s.

--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -299,7 +299,7 @@
 	if c.Service.Engine == nil {
 		return true
 	}
-	return s.supersededFor(c, t) < s.settings().SupersededGrace-supersededMargin
+	return !isPast(s.supersededFor(c, t), s.settings().SupersededGrace-supersededMargin)
 }
 
 // versionAndScope returns the weight version on which the target runs the call, and the scope of the call's KV cache. The scope
--- a/internal/forwarder/superseded.go
+++ b/internal/forwarder/superseded.go
@@ -77,7 +77,7 @@
 		v, now, grace := s.Watcher.View(), clocker.SinceBoot(), s.settings().SupersededGrace
 		s.waiting.withdraw(func(x *targetRequest) error {
 			switch {
-			case grace > 0 && v.SupersededFor(x.c.Headers.Prompt.Model, x.weightVersion, now) >= grace-withdrawMargin:
+			case isPast(v.SupersededFor(x.c.Headers.Prompt.Model, x.weightVersion, now), grace-withdrawMargin):
 				return errSuperseded
 			case s.quarantine.Contains(x.blocks):
 				return errQuarantined
@@ -134,3 +134,6 @@
 		s.Watcher.Apply(ctx, merge)
 	}
 }
+
+// isPast reports whether weights have been superseded for at least a limit. Those of the desired version never are.
+func isPast(superseded, limit time.Duration) bool { return superseded > 0 && superseded >= limit }
