fix(forwarder): admit a probe of a quarantined block until it has ended

Callers: a sound block that was quarantined by mistake could be refused for as long as calls with it came, not only for the five minutes of a quarantine.

Cause: admitting the probe renews the quarantine. The probe was then withdrawn at the next check if its target had not answered within 200 ms, and refused if its first target had not run it. Found by review.

Change: a call that was admitted as a probe is neither checked again nor withdrawn. A probe that fails before it is sent is still used up.

--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -150,6 +150,8 @@
 
 	// blockKeys caches the keys of the shared blocks in the quarantine.
 	blockKeys []uint64
+	// isProbe reports whether the call was admitted to find out whether a quarantined block still crashes targets.
+	isProbe bool
 }
 
 // Response is a target's response.
--- a/internal/forwarder/crashes.go
+++ b/internal/forwarder/crashes.go
@@ -117,11 +117,17 @@
 	}
 }
 
-// checkQuarantine returns the error for a call with a quarantined block. It must be called once before each attempt.
+// checkQuarantine returns the error for a call with a quarantined block, before each of its attempts. A call that was admitted as
+// a probe stays admitted.
 func (s *Server) checkQuarantine(c *Call) error {
-	remaining, ok := s.quarantine.Blocked(s.blockKeys(c), time.Now())
+	blocks := s.blockKeys(c)
+	if c.isProbe || !s.quarantine.Contains(blocks) {
+		return nil
+	}
+	remaining, ok := s.quarantine.Blocked(blocks, time.Now())
 	switch {
 	case !ok:
+		c.isProbe = true
 		return nil
 	case c.MayHaveRun:
 		return request.Fail(http.StatusBadGateway, request.CodeOutcomeUnknown, "a block of the prompt crashes targets")
--- a/internal/forwarder/superseded.go
+++ b/internal/forwarder/superseded.go
@@ -79,7 +79,7 @@
 			switch {
 			case isPast(v.SupersededFor(x.c.Headers.Prompt.Model, x.weightVersion, now), grace-withdrawMargin):
 				return errSuperseded
-			case s.quarantine.Contains(x.blocks):
+			case !x.c.isProbe && s.quarantine.Contains(x.blocks):
 				return errQuarantined
 			}
 			return nil
