--- a/internal/forwarder/crashes.go
+++ b/internal/forwarder/crashes.go
@@ -23,9 +23,6 @@
 	crashCheckTimeout = 200 * time.Millisecond
 )
 
-// errQuarantined is the cause of a cancelled attempt whose prompt has a block that was quarantined while the call was waiting.
-var errQuarantined = errors.New("a block of the prompt was quarantined while the call was waiting")
-
 // interruptedCall is a call whose target closed the connection before the first event.
 type interruptedCall struct {
 	blocks []uint64
