fix(forwarder): an unframed stream without any event is interrupted

An answer may end with its connection. A target that crashes as it begins to answer ends such a stream before the first event: callers got an empty stream that looked complete, and the prompt counted as sound, so that its blocks were never quarantined.

Cause: without a length or chunks the end of the connection was taken for the end of the stream also where nothing had come.

Change: an unframed stream that ends before its first event is interrupted, unless it was resumed.

--- a/internal/forwarder/deliver.go
+++ b/internal/forwarder/deliver.go
@@ -77,6 +77,7 @@
 // Reasons for which a stream counts as interrupted although its connection has not failed.
 var (
 	errIncompleteEvent = errors.New("stream ended inside an event")
+	errNoEvent         = errors.New("stream without framing ended before its first event")
 	errEventTooLong    = fmt.Errorf("event is longer than %d bytes", maxEventBytes)
 )
 
@@ -107,8 +108,11 @@
 			pending = append(pending[:0], pending[complete:]...)
 		}
 		if errors.Is(err, io.EOF) {
-			if len(pending) > 0 {
+			switch {
+			case len(pending) > 0:
 				return errIncompleteEvent
+			case !res.hasEvents && c.Headers.LastEventID == "" && !res.Stream.Framed():
+				return errNoEvent // a target that crashes as it begins to answer closes its connections
 			}
 			res.Stream.Finish()
 			st.s.health.observe(res.Target.ID, true, time.Now())
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -235,6 +235,9 @@
 	return res.ContentLength >= 0 || len(res.TransferEncoding) > 0
 }
 
+// Framed reports whether the end of the body is known, other than by the end of the connection.
+func (ex *Exchange) Framed() bool { return isFramed(ex.Response) }
+
 // Finish returns the connection to the pool if the response body was read to its end.
 func (ex *Exchange) Finish() {
 	if ex.done {
