--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -42,10 +42,8 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"golang.org/x/time/rate"
 
-	"github.com/papayaworks/papayaworks/internal/archiver"
 	"github.com/papayaworks/papayaworks/internal/failer"
 	"github.com/papayaworks/papayaworks/internal/logger"
-	"github.com/papayaworks/papayaworks/internal/quarantiner"
 	"github.com/papayaworks/papayaworks/internal/sleeper"
 )
 
@@ -105,68 +103,6 @@
 	Peers(ctx context.Context, from int64) ([]Peer, int64, error)
 }
 
-// InFlight is the load of an instance's requests in flight at one target. It is encoded as an array, so the order of
-// the fields is part of the format.
-type InFlight struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
-
-	Requests int
-	// Tokens is the sum of the prompt tokens and the expected output tokens.
-	Tokens int
-	// PrefillTokens is the sum of the prompt tokens of requests without a first response event.
-	PrefillTokens int
-}
-
-// Add returns the sum of both loads.
-func (f InFlight) Add(o InFlight) InFlight {
-	return InFlight{Requests: f.Requests + o.Requests, Tokens: f.Tokens + o.Tokens, PrefillTokens: f.PrefillTokens + o.PrefillTokens}
-}
-
-// TargetVersion is the weight version that a process of a target reported for a model.
-type TargetVersion struct {
-	Target        string `msgpack:"t"`
-	StartedUnixMs int64  `msgpack:"b"`
-	Model         string `msgpack:"m"`
-	Version       int64  `msgpack:"v"`
-}
-
-// PublishedVersion is a weight version that the operator published, with the time since then; a negative age means that it is
-// unknown.
-type PublishedVersion struct {
-	Model   string        `msgpack:"m"`
-	Version int64         `msgpack:"v"`
-	Age     time.Duration `msgpack:"a"`
-}
-
-// State is the content of an announcement.
-type State struct {
-	InFlightByTarget map[string]InFlight `msgpack:"f"`
-	// Versions holds the weight versions that targets recently reported to this instance.
-	Versions []TargetVersion `msgpack:"v,omitempty"`
-	// StoreUpdates holds the updates of KV stores that this instance follows.
-	StoreUpdates []archiver.StoreUpdate `msgpack:"k,omitempty"`
-	// Started holds the load of a request that has just started, by its target. It is set in start announcements only;
-	// all other fields are then empty.
-	Started map[string]InFlight `msgpack:"b,omitempty"`
-	// Swapping holds the targets that this instance has commanded to load new weights, with the remaining time for
-	// which each is excluded from selection.
-	Swapping map[string]time.Duration `msgpack:"s,omitempty"`
-	// Published holds the recently published weight versions.
-	Published []PublishedVersion `msgpack:"p,omitempty"`
-	// Crashes holds recent crashes of targets with the suspect blocks, Quarantined the state of blocks.
-	Crashes     []quarantiner.Crash `msgpack:"c,omitempty"`
-	Quarantined []quarantiner.Entry `msgpack:"q,omitempty"`
-}
-
-// announcement is the payload of a datagram. Announcements are ordered by the start of the sender's process, then by
-// sequence number.
-type announcement struct {
-	ID              string `msgpack:"i"`
-	Sequence        uint64 `msgpack:"n"`
-	StartedUnixNano int64  `msgpack:"b"`
-	State           State  `msgpack:"s"`
-}
-
 // Announcer sends and receives announcements. After Start it is safe for concurrent use.
 type Announcer struct {
 	Self     Peer
@@ -317,62 +253,6 @@
 	}
 }
 
-// encoder encodes one announcement for several peers. The datagrams differ only in the store updates, and in the ages of
-// published versions if they are sent at different times.
-type encoder struct {
-	a         *Announcer
-	an        announcement
-	updates   []archiver.StoreUpdate
-	published []PublishedVersion
-	createdAt time.Time
-	// encoded holds the datagrams by the selection of store updates.
-	encoded map[string][]byte
-}
-
-// newEncoder returns an encoder for the current state.
-func (a *Announcer) newEncoder(now time.Time) *encoder {
-	st := a.LocalState()
-	return &encoder{
-		a: a, an: announcement{ID: a.Self.ID, Sequence: a.sequence.Add(1), StartedUnixNano: a.startedUnixNano, State: st},
-		updates: st.StoreUpdates, published: st.Published, createdAt: now, encoded: map[string][]byte{},
-	}
-}
-
-// setTime adjusts the ages of published versions to the time at which the next datagrams are sent.
-func (e *encoder) setTime(now time.Time) {
-	if len(e.published) == 0 {
-		return
-	}
-	e.an.State.Published = slices.Clone(e.published)
-	for i := range e.published {
-		if e.published[i].Age >= 0 {
-			e.an.State.Published[i].Age += now.Sub(e.createdAt)
-		}
-	}
-	clear(e.encoded)
-}
-
-// encode returns the datagram for a peer; nil if it cannot be encoded.
-func (e *encoder) encode(p Peer) []byte {
-	selection := make([]byte, len(e.updates))
-	e.an.State.StoreUpdates = nil
-	for k, u := range e.updates {
-		if e.a.ShouldSend == nil || e.a.ShouldSend(u.Store, p.ID) {
-			selection[k] = 1
-			e.an.State.StoreUpdates = append(e.an.State.StoreUpdates, u)
-		}
-	}
-	data, ok := e.encoded[string(selection)]
-	if !ok {
-		var err error
-		if data, err = msgpack.Marshal(e.an); err != nil {
-			logger.WithError(e.a.Log, err).Error("could not encode announcement")
-		}
-		e.encoded[string(selection)] = data
-	}
-	return data
-}
-
 // intervalFor returns the time between two announcements to the same peer for a number of peers.
 func intervalFor(peers int) time.Duration {
 	return max(minInterval, time.Duration(peers)*intervalPerPeer)
--- /dev/null
+++ b/internal/announcer/encoder.go
@@ -0,0 +1,67 @@
+package announcer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/papayaworks/papayaworks/internal/archiver"
+	"github.com/papayaworks/papayaworks/internal/logger"
+)
+
+// encoder encodes one announcement for several peers. The datagrams differ only in the store updates, and in the ages of
+// published versions if they are sent at different times.
+type encoder struct {
+	a         *Announcer
+	an        announcement
+	updates   []archiver.StoreUpdate
+	published []PublishedVersion
+	createdAt time.Time
+	// encoded holds the datagrams by the selection of store updates.
+	encoded map[string][]byte
+}
+
+// newEncoder returns an encoder for the current state.
+func (a *Announcer) newEncoder(now time.Time) *encoder {
+	st := a.LocalState()
+	return &encoder{
+		a: a, an: announcement{ID: a.Self.ID, Sequence: a.sequence.Add(1), StartedUnixNano: a.startedUnixNano, State: st},
+		updates: st.StoreUpdates, published: st.Published, createdAt: now, encoded: map[string][]byte{},
+	}
+}
+
+// setTime adjusts the ages of published versions to the time at which the next datagrams are sent.
+func (e *encoder) setTime(now time.Time) {
+	if len(e.published) == 0 {
+		return
+	}
+	e.an.State.Published = slices.Clone(e.published)
+	for i := range e.published {
+		if e.published[i].Age >= 0 {
+			e.an.State.Published[i].Age += now.Sub(e.createdAt)
+		}
+	}
+	clear(e.encoded)
+}
+
+// encode returns the datagram for a peer; nil if it cannot be encoded.
+func (e *encoder) encode(p Peer) []byte {
+	selection := make([]byte, len(e.updates))
+	e.an.State.StoreUpdates = nil
+	for k, u := range e.updates {
+		if e.a.ShouldSend == nil || e.a.ShouldSend(u.Store, p.ID) {
+			selection[k] = 1
+			e.an.State.StoreUpdates = append(e.an.State.StoreUpdates, u)
+		}
+	}
+	data, ok := e.encoded[string(selection)]
+	if !ok {
+		var err error
+		if data, err = msgpack.Marshal(e.an); err != nil {
+			logger.WithError(e.a.Log, err).Error("could not encode announcement")
+		}
+		e.encoded[string(selection)] = data
+	}
+	return data
+}
--- /dev/null
+++ b/internal/announcer/state.go
@@ -0,0 +1,70 @@
+package announcer
+
+import (
+	"time"
+
+	"github.com/papayaworks/papayaworks/internal/archiver"
+	"github.com/papayaworks/papayaworks/internal/quarantiner"
+)
+
+// InFlight is the load of an instance's requests in flight at one target. It is encoded as an array, so the order of
+// the fields is part of the format.
+type InFlight struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
+	Requests int
+	// Tokens is the sum of the prompt tokens and the expected output tokens.
+	Tokens int
+	// PrefillTokens is the sum of the prompt tokens of requests without a first response event.
+	PrefillTokens int
+}
+
+// Add returns the sum of both loads.
+func (f InFlight) Add(o InFlight) InFlight {
+	return InFlight{Requests: f.Requests + o.Requests, Tokens: f.Tokens + o.Tokens, PrefillTokens: f.PrefillTokens + o.PrefillTokens}
+}
+
+// TargetVersion is the weight version that a process of a target reported for a model.
+type TargetVersion struct {
+	Target        string `msgpack:"t"`
+	StartedUnixMs int64  `msgpack:"b"`
+	Model         string `msgpack:"m"`
+	Version       int64  `msgpack:"v"`
+}
+
+// PublishedVersion is a weight version that the operator published, with the time since then; a negative age means that it is
+// unknown.
+type PublishedVersion struct {
+	Model   string        `msgpack:"m"`
+	Version int64         `msgpack:"v"`
+	Age     time.Duration `msgpack:"a"`
+}
+
+// State is the content of an announcement.
+type State struct {
+	InFlightByTarget map[string]InFlight `msgpack:"f"`
+	// Versions holds the weight versions that targets recently reported to this instance.
+	Versions []TargetVersion `msgpack:"v,omitempty"`
+	// StoreUpdates holds the updates of KV stores that this instance follows.
+	StoreUpdates []archiver.StoreUpdate `msgpack:"k,omitempty"`
+	// Started holds the load of a request that has just started, by its target. It is set in start announcements only;
+	// all other fields are then empty.
+	Started map[string]InFlight `msgpack:"b,omitempty"`
+	// Swapping holds the targets that this instance has commanded to load new weights, with the remaining time for
+	// which each is excluded from selection.
+	Swapping map[string]time.Duration `msgpack:"s,omitempty"`
+	// Published holds the recently published weight versions.
+	Published []PublishedVersion `msgpack:"p,omitempty"`
+	// Crashes holds recent crashes of targets with the suspect blocks, Quarantined the state of blocks.
+	Crashes     []quarantiner.Crash `msgpack:"c,omitempty"`
+	Quarantined []quarantiner.Entry `msgpack:"q,omitempty"`
+}
+
+// announcement is the payload of a datagram. Announcements are ordered by the start of the sender's process, then by
+// sequence number.
+type announcement struct {
+	ID              string `msgpack:"i"`
+	Sequence        uint64 `msgpack:"n"`
+	StartedUnixNano int64  `msgpack:"b"`
+	State           State  `msgpack:"s"`
+}
