--- a/internal/quarantiner/load_test.go
+++ b/internal/quarantiner/load_test.go
@@ -46,8 +46,8 @@
 	upAt       [loadTargets]time.Time
 	retries    []loadCall
 	reports    []loadReport
-	deadlySent []time.Time // the deadly calls that reached a target
-	crashes    []time.Time // those that deadly calls caused
+	poisonSent []time.Time // the poison calls that reached a target
+	crashes    []time.Time // those that poison calls caused
 	refused    map[uint64]int
 }
 
@@ -89,8 +89,8 @@
 	c.attempts++
 	c.endsAt = m.now.Add(m.between(100, 800))
 	m.inFlight[target] = append(m.inFlight[target], c)
-	if c.blocks[len(c.blocks)-1] == deadly {
-		m.deadlySent = append(m.deadlySent, m.now)
+	if c.blocks[len(c.blocks)-1] == poison {
+		m.poisonSent = append(m.poisonSent, m.now)
 		m.crashes = append(m.crashes, m.now)
 		m.crash(target, 300)
 	}
@@ -162,12 +162,12 @@
 	}
 }
 
-// replayLoad replays 140 calls/s, a deadly call per second that is sent again after each crash, a failure of all targets at
+// replayLoad replays 140 calls/s, a poison call per second that is sent again after each crash, a failure of all targets at
 // once, and a restart of all targets in turn.
 func replayLoad(seed uint64) *loadModel {
 	const (
 		callsPerSecond = 140
-		deadlyFrom     = 4 * time.Second
+		poisonFrom     = 4 * time.Second
 		allFailAt      = 30 * time.Second
 		restartFrom    = 45 * time.Second
 		restartGap     = 1200 * time.Millisecond
@@ -186,8 +186,8 @@
 		for range n {
 			m.send(loadCall{blocks: m.soundBlocks(), instance: m.random.IntN(loadInstances)})
 		}
-		if elapsed >= deadlyFrom && m.random.Float64() < loadTick.Seconds() {
-			m.send(loadCall{blocks: append(m.soundBlocks(), deadly), instance: m.random.IntN(loadInstances)})
+		if elapsed >= poisonFrom && m.random.Float64() < loadTick.Seconds() {
+			m.send(loadCall{blocks: append(m.soundBlocks(), poison), instance: m.random.IntN(loadInstances)})
 		}
 		if elapsed == allFailAt {
 			for target := range loadTargets {
@@ -204,38 +204,38 @@
 
 // soundRefused returns the sound blocks that were refused.
 func (m *loadModel) soundRefused() []uint64 {
-	return slices.DeleteFunc(slices.Sorted(maps.Keys(m.refused)), func(block uint64) bool { return block == deadly })
+	return slices.DeleteFunc(slices.Sorted(maps.Keys(m.refused)), func(block uint64) bool { return block == poison })
 }
 
-// Guards against deadly calls that reach targets after the block could have been found, and against sound blocks that are
+// Guards against poison calls that reach targets after the block could have been found, and against sound blocks that are
 // refused, also after crashes with another cause.
 func TestLoadPattern(t *testing.T) {
-	// The rule BUDGET: no more than three deadly calls reach targets later than 3 s after the fifth crash.
+	// The rule BUDGET: no more than three poison calls reach targets later than 3 s after the fifth crash.
 	const (
 		settleTime    = 3 * time.Second
-		maxDeadlyLate = 3
+		maxPoisonLate = 3
 	)
 	for seed := range uint64(20) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			m := replayLoad(seed)
-			require.Positive(t, m.refused[deadly])
+			require.Positive(t, m.refused[poison])
 			late := 0
 			if len(m.crashes) >= 5 {
-				for _, at := range m.deadlySent {
+				for _, at := range m.poisonSent {
 					if at.Sub(m.crashes[4]) > settleTime {
 						late++
 					}
 				}
 			}
-			t.Logf("%d crashes by deadly calls, %d of them late, %d deadly calls refused", len(m.crashes), late, m.refused[deadly])
-			require.LessOrEqual(t, late, maxDeadlyLate)
+			t.Logf("%d crashes by poison calls, %d of them late, %d poison calls refused", len(m.crashes), late, m.refused[poison])
+			require.LessOrEqual(t, late, maxPoisonLate)
 			require.Empty(t, m.soundRefused(), "sound blocks refused")
 		})
 	}
 }
 
 // Guards against refusing a conversation with few calls, one of which was sent again until three targets had crashed: either a
-// deadly call (seeds 28, 124 and 157), or a sound one that deadly calls met each time (seeds 102 and 116).
+// poison call (seeds 28, 124 and 157), or a sound one that poison calls met each time (seeds 102 and 116).
 func TestConversationOfRetriedCallIsRefused(t *testing.T) {
 	for _, seed := range []uint64{28, 102, 116, 124, 157} {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -9,7 +9,7 @@
 //
 // A block is quarantined after crashes of three different processes of targets, at
 // each of which a call with the block was unanswered. Of the blocks of a call, the last
-// one with so many crashes is quarantined, because a deadly block may always follow the
+// one with so many crashes is quarantined, because a poison block may always follow the
 // same sound ones. Two facts keep sound blocks out:
 //
 //   - A complete answer proves that all blocks of the call are sound. It discards
@@ -23,7 +23,7 @@
 // A block that few calls use is quarantined by mistake if one of them is sent again
 // until three targets have crashed, because no call with it succeeds meanwhile. The
 // probe described below admits it again. Only counting the blocks with the most
-// crashes would avoid most of these cases, but finds a deadly block too late.
+// crashes would avoid most of these cases, but finds a poison block too late.
 //
 // Instances exchange three kinds of information: their recent crashes with the
 // blocks that are still suspect, the quarantined blocks, and the suspect blocks that
@@ -78,11 +78,11 @@
 	// targets, and nothing can clear them.
 	minOutageCrashes = 5
 	// burstWindow is the time within which crashes count once. It has to cover the time in which instances notice that
-	// several targets failed together. Deadly calls that arrive once a second still give three separate crashes within a
+	// several targets failed together. Poison calls that arrive once a second still give three separate crashes within a
 	// few seconds.
 	burstWindow = 500 * time.Millisecond
 	// soundWindow is the time after a success in which a crash is no evidence. It covers the time that a crash takes to be
-	// confirmed. A block that turns deadly is quarantined that much later.
+	// confirmed. A block that turns poison is quarantined that much later.
 	soundWindow = 2 * time.Second
 	// crashMergeWindow is the time in which an instance adds suspects to a crash. Calls that fail later on the same
 	// process were not pending because of its crash.
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	deadly = uint64(0xdead)
+	poison = uint64(0xdead)
 	shared = uint64(1)
 )
 
@@ -46,9 +46,9 @@
 	return ok
 }
 
-// Guards against a deadly block that keeps reaching targets, and against sound blocks that are refused.
+// Guards against a poison block that keeps reaching targets, and against sound blocks that are refused.
 func TestEvidence(t *testing.T) {
-	both := []uint64{shared, deadly}
+	both := []uint64{shared, poison}
 	second := time.Second
 	other := step{at: second / 2, blocks: []uint64{99}} // some call succeeds, so that there is no general outage
 	tests := map[string]struct {
@@ -78,7 +78,7 @@
 		t.Run(name, func(t *testing.T) {
 			q := New()
 			play(q, tc.steps)
-			require.Equal(t, tc.want, blocked(q, deadly, epoch.Add(tc.steps[len(tc.steps)-1].at)))
+			require.Equal(t, tc.want, blocked(q, poison, epoch.Add(tc.steps[len(tc.steps)-1].at)))
 		})
 	}
 }
@@ -88,11 +88,11 @@
 	q := New()
 	for n := range 20 {
 		now := epoch.Add(time.Duration(n) * time.Second)
-		q.RecordCrash(process(n), []uint64{shared, deadly, uint64(1000 + n)}, now)
+		q.RecordCrash(process(n), []uint64{shared, poison, uint64(1000 + n)}, now)
 		q.RecordSuccess([]uint64{shared}, now.Add(300*time.Millisecond))
 	}
 	now := epoch.Add(20 * time.Second)
-	remaining, ok := q.Blocked([]uint64{shared, deadly}, now)
+	remaining, ok := q.Blocked([]uint64{shared, poison}, now)
 	require.True(t, ok)
 	require.Equal(t, quarantineTime-18*time.Second, remaining, "quarantined at the third crash")
 	for _, block := range []uint64{shared, 1000, 1019} {
@@ -100,10 +100,10 @@
 	}
 }
 
-// quarantined returns a Quarantine in which the block deadly has been quarantined at epoch.
+// quarantined returns a Quarantine in which the block poison has been quarantined at epoch.
 func quarantined() *Quarantine {
 	q := New()
-	q.Merge(nil, []Entry{{deadly, quarantineTime}}, epoch)
+	q.Merge(nil, []Entry{{poison, quarantineTime}}, epoch)
 	return q
 }
 
@@ -111,13 +111,13 @@
 func TestSuccessLiftsQuarantineEverywhere(t *testing.T) {
 	a, b := quarantined(), quarantined()
 	now := epoch.Add(time.Second)
-	a.RecordSuccess([]uint64{deadly}, now)
-	require.False(t, blocked(a, deadly, now))
-	require.True(t, blocked(b, deadly, now))
+	a.RecordSuccess([]uint64{poison}, now)
+	require.False(t, blocked(a, poison, now))
+	require.True(t, blocked(b, poison, now))
 	a.Merge(nil, b.Entries(now), now)
-	require.False(t, blocked(a, deadly, now), "a recent success overrules another instance")
+	require.False(t, blocked(a, poison, now), "a recent success overrules another instance")
 	b.Merge(nil, a.Entries(now), now)
-	require.False(t, blocked(b, deadly, now))
+	require.False(t, blocked(b, poison, now))
 }
 
 // Guards against a quarantine of a block in use that another instance has found by mistake.
@@ -135,14 +135,14 @@
 // Guards against a success that arrives once and clears a block forever, and against one that its sender knew before the crash.
 func TestAnnouncedSuccessHasItsAge(t *testing.T) {
 	q := New()
-	q.Merge(nil, []Entry{{deadly, -time.Second}}, epoch) // not a suspect yet
-	play(q, []step{{0, 1, []uint64{deadly}}, {1, 0, nil}, {time.Second, 2, []uint64{deadly}}})
+	q.Merge(nil, []Entry{{poison, -time.Second}}, epoch) // not a suspect yet
+	play(q, []step{{0, 1, []uint64{poison}}, {1, 0, nil}, {time.Second, 2, []uint64{poison}}})
 	now := epoch.Add(4 * time.Second)
-	q.Merge(nil, []Entry{{deadly, -4 * time.Second}}, now) // at epoch: clears both crashes
-	play(q, []step{{4 * time.Second, 3, []uint64{deadly}}, {5 * time.Second, 0, nil}, {6 * time.Second, 4, []uint64{deadly}}})
-	require.False(t, blocked(q, deadly, epoch.Add(6*time.Second)))
-	play(q, []step{{7 * time.Second, 5, []uint64{deadly}}})
-	require.True(t, blocked(q, deadly, epoch.Add(7*time.Second)))
+	q.Merge(nil, []Entry{{poison, -4 * time.Second}}, now) // at epoch: clears both crashes
+	play(q, []step{{4 * time.Second, 3, []uint64{poison}}, {5 * time.Second, 0, nil}, {6 * time.Second, 4, []uint64{poison}}})
+	require.False(t, blocked(q, poison, epoch.Add(6*time.Second)))
+	play(q, []step{{7 * time.Second, 5, []uint64{poison}}})
+	require.True(t, blocked(q, poison, epoch.Add(7*time.Second)))
 }
 
 // Guards against a probe by each instance when a quarantine ends, of which each would crash a target.
@@ -154,7 +154,7 @@
 	admitted := 0
 	for elapsed := time.Duration(0); elapsed <= 2*quarantineTime+time.Minute; elapsed += 100 * time.Millisecond {
 		now := epoch.Add(elapsed)
-		if !blocked(qs[int(elapsed/(100*time.Millisecond))%len(qs)], deadly, now) {
+		if !blocked(qs[int(elapsed/(100*time.Millisecond))%len(qs)], poison, now) {
 			admitted++
 		}
 		exchange(qs[:], now)
@@ -167,11 +167,11 @@
 	q := quarantined()
 	q.Merge(nil, []Entry{{shared, quarantineTime}}, epoch.Add(time.Minute))
 	now := epoch.Add(quarantineTime)
-	remaining, ok := q.Blocked([]uint64{deadly, shared}, now)
+	remaining, ok := q.Blocked([]uint64{poison, shared}, now)
 	require.True(t, ok)
 	require.Equal(t, time.Minute, remaining)
-	require.False(t, blocked(q, deadly, now), "no probe has been sent yet")
-	require.True(t, blocked(q, deadly, now))
+	require.False(t, blocked(q, poison, now), "no probe has been sent yet")
+	require.True(t, blocked(q, poison, now))
 }
 
 // Guards against instances that extend each other's quarantines by the transit time of their announcements.
@@ -185,53 +185,53 @@
 		a.Merge(nil, fromB, now)
 		b.Merge(nil, fromA, now)
 	}
-	remaining, ok := a.Blocked([]uint64{deadly}, now)
+	remaining, ok := a.Blocked([]uint64{poison}, now)
 	require.True(t, ok)
 	require.Equal(t, epoch.Add(quarantineTime), now.Add(remaining))
-	require.False(t, blocked(b, deadly, epoch.Add(quarantineTime+transit)))
+	require.False(t, blocked(b, poison, epoch.Add(quarantineTime+transit)))
 }
 
 // Guards against counting a crash again each time that it is announced, also after a success.
 func TestMergeIsIdempotent(t *testing.T) {
 	q := New()
-	report := []Crash{{process(1), [][]uint64{{deadly}}}}
-	play(q, []step{{0, 2, []uint64{deadly}}, {1, 0, nil}})
+	report := []Crash{{process(1), [][]uint64{{poison}}}}
+	play(q, []step{{0, 2, []uint64{poison}}, {1, 0, nil}})
 	for n := range 60 {
 		q.Merge(report, nil, epoch.Add(time.Duration(n+10)*100*time.Millisecond))
 	}
 	now := epoch.Add(8 * time.Second)
-	require.False(t, blocked(q, deadly, now))
-	q.RecordSuccess([]uint64{deadly}, now)
+	require.False(t, blocked(q, poison, now))
+	q.RecordSuccess([]uint64{poison}, now)
 	q.Merge(report, nil, now.Add(3*time.Second))
-	play(q, []step{{12 * time.Second, 3, []uint64{deadly}}, {13 * time.Second, 4, []uint64{deadly}}})
-	require.False(t, blocked(q, deadly, epoch.Add(13*time.Second)))
+	play(q, []step{{12 * time.Second, 3, []uint64{poison}}, {13 * time.Second, 4, []uint64{poison}}})
+	require.False(t, blocked(q, poison, epoch.Add(13*time.Second)))
 }
 
 // Guards against announcing blocks that others would take for suspects although a call with them has succeeded, and against
 // announcing crashes forever.
 func TestCrashesAnnounced(t *testing.T) {
 	q := New()
-	play(q, []step{{0, 1, []uint64{shared, deadly, deadly}}, {time.Second, 0, []uint64{shared}}, {time.Second, 2, []uint64{shared}}, {2 * time.Second, 3, []uint64{deadly, shared}}})
-	require.Equal(t, []Crash{{process(3), [][]uint64{{deadly}}}, {process(1), [][]uint64{{deadly, deadly}}}}, q.Crashes(epoch.Add(2*time.Second)))
+	play(q, []step{{0, 1, []uint64{shared, poison, poison}}, {time.Second, 0, []uint64{shared}}, {time.Second, 2, []uint64{shared}}, {2 * time.Second, 3, []uint64{poison, shared}}})
+	require.Equal(t, []Crash{{process(3), [][]uint64{{poison}}}, {process(1), [][]uint64{{poison, poison}}}}, q.Crashes(epoch.Add(2*time.Second)))
 	require.Equal(t, []Entry{{shared, -time.Second}}, q.Entries(epoch.Add(2*time.Second)))
 	require.Empty(t, q.Crashes(epoch.Add(2*time.Second+announceTime+1)))
 	require.Empty(t, q.Entries(epoch.Add(2*time.Second+announceTime+1)))
 }
 
-// Guards against refusing sound calls because all calls with the deadly block have one of theirs before it and few others do.
-func TestBlockBeforeDeadlyOneIsNotQuarantined(t *testing.T) {
+// Guards against refusing sound calls because all calls with the poison block have the same block before it and few others do.
+func TestBlockBeforePoisonBlockIsNotQuarantined(t *testing.T) {
 	const before = uint64(7)
 	a, b := New(), New()
 	for n := range 5 {
 		now := epoch.Add(time.Duration(n) * time.Second)
 		a.RecordSuccess([]uint64{shared}, now)
 		b.RecordSuccess([]uint64{shared}, now)
-		a.RecordCrash(process(n), []uint64{shared, before, deadly}, now.Add(time.Millisecond))
+		a.RecordCrash(process(n), []uint64{shared, before, poison}, now.Add(time.Millisecond))
 		b.Merge(a.Crashes(now.Add(2*time.Millisecond)), a.Entries(now.Add(2*time.Millisecond)), now.Add(3*time.Millisecond))
 	}
 	for name, q := range map[string]*Quarantine{"own crashes": a, "announced crashes": b} {
 		now := epoch.Add(5 * time.Second)
-		require.True(t, blocked(q, deadly, now), name)
+		require.True(t, blocked(q, poison, now), name)
 		require.False(t, blocked(q, before, now), name)
 		require.False(t, blocked(q, shared, now), name)
 	}
@@ -241,7 +241,7 @@
 // than others.
 func TestBounds(t *testing.T) {
 	q, now := New(), epoch
-	play(q, []step{{0, 1, []uint64{deadly}}, {1, 0, nil}, {time.Second, 2, []uint64{deadly}}})
+	play(q, []step{{0, 1, []uint64{poison}}, {1, 0, nil}, {time.Second, 2, []uint64{poison}}})
 	next := uint64(1_000_000)
 	for n := range 2 * maxCrashes {
 		now = epoch.Add(time.Second + time.Duration(n)*time.Millisecond)
@@ -264,15 +264,15 @@
 		}
 	}
 	require.Equal(t, maxAnnouncedBlocks, announced)
-	q.RecordCrash(process(3), []uint64{deadly}, now)
-	require.True(t, blocked(q, deadly, now))
+	q.RecordCrash(process(3), []uint64{poison}, now)
+	require.True(t, blocked(q, poison, now))
 
 	now = now.Add(time.Second)
 	for n := range 2 * maxQuarantined {
 		q.Merge(nil, []Entry{{uint64(n + 1), quarantineTime}}, now)
 	}
 	require.EqualValues(t, maxQuarantined, q.quarantined.Load())
-	require.True(t, blocked(q, deadly, now), "other instances do not displace a block")
+	require.True(t, blocked(q, poison, now), "other instances do not displace a block")
 	require.LessOrEqual(t, len(q.Entries(now)), maxAnnouncedEntries)
 
 	own := uint64(0xbad)
@@ -325,15 +325,15 @@
 		wg.Go(func() {
 			for n := range 200 {
 				now := epoch.Add(time.Duration(n) * 100 * time.Millisecond)
-				q.RecordCrash(process(n), []uint64{deadly, uint64(g)}, now)
+				q.RecordCrash(process(n), []uint64{poison, uint64(g)}, now)
 				q.RecordSuccess([]uint64{uint64(g)}, now)
-				q.Blocked([]uint64{deadly, uint64(g)}, now)
+				q.Blocked([]uint64{poison, uint64(g)}, now)
 				q.Merge(q.Crashes(now), q.Entries(now), now)
 			}
 		})
 	}
 	wg.Wait()
-	require.True(t, blocked(q, deadly, epoch.Add(20*time.Second)))
+	require.True(t, blocked(q, poison, epoch.Add(20*time.Second)))
 }
 
 // exchange sends the announcements of all instances to all others.
@@ -348,7 +348,7 @@
 	}
 }
 
-// Guards against sound blocks that are quarantined although calls with them succeed, and against a deadly block that is not
+// Guards against sound blocks that are quarantined although calls with them succeed, and against a poison block that is not
 // quarantined at all instances after three separate crashes, wherever its calls arrive.
 func TestRandomCrashesAtSevenInstances(t *testing.T) {
 	const instances = 7
@@ -362,17 +362,17 @@
 		now := epoch
 		for n := range rapid.IntRange(3, 12).Draw(t, "crashes") {
 			now = now.Add(time.Duration(rapid.IntRange(int(burstWindow/time.Millisecond), 20_000).Draw(t, "gapMs")) * time.Millisecond)
-			deadlyAt := instance.Draw(t, "deadly at")
+			poisonAt := instance.Draw(t, "poison at")
 			if n >= 3 {
 				for i := range qs {
-					require.True(t, blocked(qs[i], deadly, now), "deadly block at instance %d after %d crashes", i, n)
+					require.True(t, blocked(qs[i], poison, now), "poison block at instance %d after %d crashes", i, n)
 				}
 			}
 			// Each instance notices the crash with the blocks of its own calls.
 			for i, q := range qs {
 				blocks := rapid.SliceOfNDistinct(rapid.SampledFrom(sound), 0, len(sound), rapid.ID[uint64]).Draw(t, "unanswered")
-				if i == deadlyAt {
-					blocks = slices.Insert(blocks, rapid.IntRange(0, len(blocks)).Draw(t, "position"), deadly)
+				if i == poisonAt {
+					blocks = slices.Insert(blocks, rapid.IntRange(0, len(blocks)).Draw(t, "position"), poison)
 				}
 				q.RecordCrash(process(n), blocks, now)
 			}
