feat(forwarder): log and count how streams of targets end

Log lines of delivered streams did not say how the target had framed its response nor how it ended, so the hypotheses about truncated streams could not be told apart. Each attempt now has framing, eventBytes and streamEnd, and papayaworks_stream_ends_total counts the ends, as log lines of successes are limited. TestMetricsPage, the tests of forwarder, pooler and the stream tests of platform pass.

--- a/internal/exporter/forwarding.go
+++ b/internal/exporter/forwarding.go
@@ -14,6 +14,7 @@
 	Calls           = "papayaworks_calls_total"
 	CallSeconds     = "papayaworks_call_seconds"
 	Attempts        = "papayaworks_attempts_total"
+	StreamEnds      = "papayaworks_stream_ends_total"
 	ConfigAge       = "papayaworks_configuration_age_seconds"
 	CatalogVersion  = "papayaworks_catalog_version"
 	Targets         = "papayaworks_targets"
@@ -70,6 +71,11 @@
 	f.set.GetOrCreateCounter(fmt.Sprintf("%s{service=%q,outcome=%q,reason=%q}", Attempts, service, outcome, reason)).Inc()
 }
 
+// RecordStreamEnd counts a stream of a target by the framing of its response and by how it ended.
+func (f *ForwardingMetrics) RecordStreamEnd(service, framing, end string) {
+	f.set.GetOrCreateCounter(fmt.Sprintf("%s{service=%q,framing=%q,end=%q}", StreamEnds, service, framing, end)).Inc()
+}
+
 // boundedLabel returns the value, or otherLabel if the label already has maxLabels other values.
 func (f *ForwardingMetrics) boundedLabel(label, value string) string {
 	f.mu.Lock()
@@ -91,6 +97,7 @@
 	{Calls, "counter", "route, account, outcome, step, status", "forwarded calls: answered, refused (not run), failed, or callerGone; step and status tell what ended them; the first 100 routes and accounts have a value of their own"},
 	{CallSeconds, "histogram", "route, le", "seconds from the arrival of a forwarded call to the first event or the whole answer"},
 	{Attempts, "counter", "service, outcome, reason", "sends of forwarded calls to targets by outcome (done, notRun, repeatable, unknown) and by why the target was chosen"},
+	{StreamEnds, "counter", "service, framing, end", "streams of targets by the framing of the response (length, chunked, none) and by how they ended (see streamEnd in docs/logs.md)"},
 	{ConfigAge, "gauge", "", "seconds since the operator's configuration was last known to be the newest; API keys are refused near the operator's bound"},
 	{CatalogVersion, "gauge", "", "version of the operator's configuration in force at the instance"},
 	{Targets, "gauge", "", "targets that are known, those that are leaving included"},
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -166,6 +166,6 @@
 	InFlight *balancer.InFlightRequest
 	Release  func()
 
-	// hasEvents reports whether a complete event of the stream has arrived.
-	hasEvents bool
+	// eventBytes is the number of bytes of complete events that were forwarded.
+	eventBytes int
 }
--- a/internal/forwarder/deliver.go
+++ b/internal/forwarder/deliver.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/papayaworks/papayaworks/internal/pooler"
 	"github.com/papayaworks/papayaworks/internal/request"
 	"github.com/papayaworks/papayaworks/internal/retrier"
 )
@@ -47,6 +48,7 @@
 	c.HeaderSent = true
 	for {
 		err := st.forwardEvents(c)
+		st.s.recordStreamEnd(c, err)
 		if err == nil {
 			return nil
 		}
@@ -55,7 +57,7 @@
 		}
 		t := c.Response.Target
 		st.s.health.observe(t.ID, false, time.Now())
-		if !c.Response.hasEvents && c.Service.Engine != nil {
+		if c.Response.eventBytes == 0 && c.Service.Engine != nil {
 			// A prompt that crashed its target would most likely crash the next one.
 			if st.s.crashes.report(t, interruptedCall{blocks: st.s.blockKeys(c), begun: true}).wait(ctx) {
 				return request.Fail(http.StatusBadGateway, request.CodeRunLost, "target crashed when it began to answer: %v", err)
@@ -101,7 +103,7 @@
 			complete = len(pending)
 		}
 		if complete > 0 {
-			res.hasEvents = true
+			res.eventBytes += complete
 			if werr := st.writeEvents(c, pending[:complete]); werr != nil {
 				return werr
 			}
@@ -111,7 +113,7 @@
 			switch {
 			case len(pending) > 0:
 				return errIncompleteEvent
-			case !res.hasEvents && c.Headers.LastEventID == "" && !res.Stream.Framed():
+			case res.eventBytes == 0 && c.Headers.LastEventID == "" && res.Stream.Framing() == pooler.FramingNone:
 				return errNoEvent // a target that crashes as it begins to answer closes its connections
 			}
 			res.Stream.Finish()
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -169,7 +169,7 @@
 	out, err := x.send(ctx, remaining)
 	s.recordAttempt(c, Attempt{
 		Target: t.ID, Reason: d.Reason, ExpectedMs: d.Cost.Milliseconds(), Outstanding: d.Outstanding, WeightVersion: c.WeightVersion,
-		SupersededMs: superseded.Milliseconds(), DurationMs: time.Since(now).Milliseconds(),
+		SupersededMs: superseded.Milliseconds(), DurationMs: time.Since(now).Milliseconds(), Framing: x.framing,
 	}, out, err)
 	if c.Response == nil || c.Response.Stream == nil {
 		x.release()
--- a/internal/forwarder/report.go
+++ b/internal/forwarder/report.go
@@ -1,7 +1,10 @@
 package forwarder
 
 import (
+	"errors"
+	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -9,6 +12,7 @@
 	"github.com/papayaworks/papayaworks/internal/exporter"
 	"github.com/papayaworks/papayaworks/internal/listener"
 	"github.com/papayaworks/papayaworks/internal/logger"
+	"github.com/papayaworks/papayaworks/internal/pooler"
 	"github.com/papayaworks/papayaworks/internal/retrier"
 )
 
@@ -42,6 +46,11 @@
 	// SupersededMs is how long this instance took the weight version to be superseded when the attempt started.
 	SupersededMs int64 `json:"supersededMs,omitempty"`
 	DurationMs   int64 `json:"ms"`
+	// Framing is how the end of the response was marked, EventBytes the length of the complete events of its stream, and
+	// StreamEnd how the stream ended.
+	Framing    pooler.Framing `json:"framing,omitempty"`
+	EventBytes int            `json:"eventBytes,omitempty"`
+	StreamEnd  string         `json:"streamEnd,omitempty"`
 }
 
 // report counts the outcome of a call and logs it, unless the line is suppressed.
@@ -89,6 +98,32 @@
 	}
 }
 
+// recordStreamEnd adds to the last attempt how the stream of its response ended, and counts it.
+func (s *Server) recordStreamEnd(c *Call, err error) {
+	res, a := c.Response, &c.Attempts[len(c.Attempts)-1]
+	a.EventBytes, a.StreamEnd = res.eventBytes, streamEndOf(c, err)
+	s.metrics.RecordStreamEnd(c.Service.Name, string(a.Framing), a.StreamEnd)
+}
+
+// streamEndOf returns the name in logs and metrics for the end of a stream.
+func streamEndOf(c *Call, err error) string {
+	switch {
+	case err == nil:
+		return "complete"
+	case c.HTTP.Context().Err() != nil:
+		return "callerGone"
+	case errors.Is(err, errIncompleteEvent):
+		return "insideEvent"
+	case errors.Is(err, errNoEvent):
+		return "noEvent"
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return "closed"
+	case errors.Is(err, syscall.ECONNRESET):
+		return "reset"
+	}
+	return "failed"
+}
+
 // loggerFor returns the logger, and whether a line of the kind may be written now. It also logs the number of lines that were
 // suppressed in the previous second.
 func (s *Server) loggerFor(kind string) (logger.Logger, bool) {
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -34,6 +34,8 @@
 	blocks   []uint64
 	cancel   context.CancelFunc
 	inFlight *balancer.InFlightRequest
+	// framing is how the end of the response is marked; it is empty if none has arrived.
+	framing pooler.Framing
 }
 
 // release ends the attempt: it cancels the context and removes the call from the in-flight load of the target.
@@ -57,6 +59,7 @@
 	if err != nil {
 		return x.handleFailure(ctx, err)
 	}
+	x.framing = ex.Framing()
 	x.s.loads.RecordConnected(x.t.ID)
 	if !isStream(ex) {
 		x.inFlight.ResponseStarted(time.Now())
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -219,7 +219,7 @@
 			res.Body, ex.Response = ex.body, res
 			return nil
 		}
-		if res.StatusCode >= http.StatusOK && !isFramed(res) {
+		if res.StatusCode >= http.StatusOK && framingOf(res) == FramingNone {
 			return failer.New("response to another request has no length, so it cannot be skipped")
 		}
 		ex.c.limited.remaining = maxSkippedBytes
@@ -230,13 +230,29 @@
 	return failer.New("too many responses to other requests")
 }
 
-// isFramed reports whether the end of the body is known, other than by the end of the connection.
-func isFramed(res *http.Response) bool {
-	return res.ContentLength >= 0 || len(res.TransferEncoding) > 0
+// Framing is how the end of a response body is marked.
+type Framing string
+
+// Framings of responses.
+const (
+	FramingLength  Framing = "length"
+	FramingChunked Framing = "chunked"
+	// FramingNone marks a body that ends with its connection.
+	FramingNone Framing = "none"
+)
+
+func framingOf(res *http.Response) Framing {
+	switch {
+	case len(res.TransferEncoding) > 0:
+		return FramingChunked
+	case res.ContentLength >= 0:
+		return FramingLength
+	}
+	return FramingNone
 }
 
-// Framed reports whether the end of the body is known, other than by the end of the connection.
-func (ex *Exchange) Framed() bool { return isFramed(ex.Response) }
+// Framing returns how the end of the response body is marked.
+func (ex *Exchange) Framing() Framing { return framingOf(ex.Response) }
 
 // Finish returns the connection to the pool if the response body was read to its end.
 func (ex *Exchange) Finish() {
@@ -255,7 +271,7 @@
 // is short and ends soon.
 func (ex *Exchange) DiscardBody() {
 	defer ex.Close()
-	if !isFramed(ex.Response) || ex.ContentLength > maxDiscardedBytes {
+	if ex.Framing() == FramingNone || ex.ContentLength > maxDiscardedBytes {
 		return
 	}
 	_ = ex.c.SetReadDeadline(time.Now().Add(discardTimeout)) // fails only if the connection is closed, as reads do then
@@ -267,7 +283,7 @@
 
 // reusable reports whether the end of the response has been read and nothing follows it on the connection.
 func (ex *Exchange) reusable() bool {
-	return isFramed(ex.Response) && ex.body.ended && !ex.Response.Close && ex.c.r.Buffered() == 0
+	return ex.Framing() != FramingNone && ex.body.ended && !ex.Response.Close && ex.c.r.Buffered() == 0
 }
 
 // Close ends the exchange. Without a preceding Finish it closes the connection, so that the target aborts the request.
