fix(forwarder): a stream without framing that ends together with its target is interrupted

Callers got the first events of a stream, framed as complete, if its target ended between two events and had sent neither a length nor chunks; a resumable stream was not resumed.

Cause: the absence of an error was taken as proof that the stream was complete. The operating system closes the connections of a process that has ended in the same way as the process itself does after the last event.

Change: when such a stream ends, the last chunk to the caller waits until the target has been checked, as for crashes before the first event: a refused connection shows that its process has ended, and the stream counts as interrupted. The events themselves are not delayed. A whole stream that ends just before its target stops may count as interrupted too; that is the safe side.

TestUnframedStreamOfEndedTargetLooksComplete failed before: 3 of 5 events on a resumable route, and complete where the route is not resumable.

--- a/internal/forwarder/crashes.go
+++ b/internal/forwarder/crashes.go
@@ -47,9 +47,24 @@
 
 // report adds a call that was interrupted before its first event to the check of its target, which it starts if necessary.
 func (d *crashDetector) report(t *cataloger.Target, c interruptedCall) *crashCheck {
-	p := quarantiner.Process{Target: t.ID, StartedUnixMs: t.StartedUnixMs}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	check := d.checkOf(t)
+	check.calls = append(check.calls, c)
+	return check
+}
+
+// hasEnded returns whether the process of a target, which has just closed a connection, has ended.
+func (d *crashDetector) hasEnded(ctx context.Context, t *cataloger.Target) bool {
+	d.mu.Lock()
+	check := d.checkOf(t)
+	d.mu.Unlock()
+	return check.wait(ctx)
+}
+
+// checkOf returns the pending check of a target, which it starts if necessary; d.mu is held.
+func (d *crashDetector) checkOf(t *cataloger.Target) *crashCheck {
+	p := quarantiner.Process{Target: t.ID, StartedUnixMs: t.StartedUnixMs}
 	check := d.checks[p]
 	if check == nil {
 		check = &crashCheck{done: make(chan struct{})}
@@ -59,7 +74,6 @@
 		d.checks[p] = check
 		time.AfterFunc(crashCheckDelay, func() { d.run(p, t, check) })
 	}
-	check.calls = append(check.calls, c)
 	return check
 }
 
@@ -83,6 +97,10 @@
 	for _, c := range calls {
 		d.s.quarantine.RecordCrash(p, c.blocks, now)
 	}
+	if len(calls) == 0 {
+		d.s.Log.WithField("target", t.ID).Info("target ended during a response")
+		return
+	}
 	d.s.Log.WithField("target", t.ID).WithField("suspects", len(calls)).Info("target crashed before it answered")
 	if d.s.Announcer != nil {
 		d.s.Announcer.AnnounceNow()
--- a/internal/forwarder/deliver.go
+++ b/internal/forwarder/deliver.go
@@ -47,7 +47,7 @@
 	c.W.WriteHeader(c.Response.Status)
 	c.HeaderSent = true
 	for {
-		err := st.forwardEvents(c)
+		err := st.forwardEvents(ctx, c)
 		st.s.recordStreamEnd(c, err)
 		if err == nil {
 			return nil
@@ -80,13 +80,13 @@
 var (
 	errIncompleteEvent = errors.New("stream ended inside an event")
 	errNoEvent         = errors.New("stream without framing ended before its first event")
+	errTargetEnded     = errors.New("response without framing ended together with its target")
 	errEventTooLong    = fmt.Errorf("event is longer than %d bytes", maxEventBytes)
 )
 
 // forwardEvents copies complete events until the stream ends. An incomplete event is never forwarded, since an interrupted
-// stream can only be resumed after a complete event. A stream that ends inside an event counts as interrupted even if its
-// framing is complete.
-func (st *deliverStep) forwardEvents(c *Call) error {
+// stream can only be resumed after a complete event. The error is nil only if checkEnd shows that the stream is complete.
+func (st *deliverStep) forwardEvents(ctx context.Context, c *Call) error {
 	res := c.Response
 	defer res.Release()
 	defer res.Stream.Close()
@@ -110,11 +110,8 @@
 			pending = append(pending[:0], pending[complete:]...)
 		}
 		if errors.Is(err, io.EOF) {
-			switch {
-			case len(pending) > 0:
-				return errIncompleteEvent
-			case res.eventBytes == 0 && c.Headers.LastEventID == "" && res.Stream.Framing() == pooler.FramingNone:
-				return errNoEvent // a target that crashes as it begins to answer closes its connections
+			if err := st.checkEnd(ctx, c, pending); err != nil {
+				return err
 			}
 			res.Stream.Finish()
 			st.s.health.observe(res.Target.ID, true, time.Now())
@@ -131,6 +128,24 @@
 	}
 }
 
+// checkEnd returns why a stream that has ended without an error is not complete, or nil if it is. A stream that ends inside an
+// event is interrupted whatever its framing. Without framing, the end of the connection is the only sign of the end, and the
+// operating system gives the same sign for a process that has ended.
+func (st *deliverStep) checkEnd(ctx context.Context, c *Call, pending []byte) error {
+	res := c.Response
+	switch {
+	case len(pending) > 0:
+		return errIncompleteEvent
+	case res.Stream.Framing() != pooler.FramingNone:
+		return nil
+	case res.eventBytes == 0 && c.Headers.LastEventID == "":
+		return errNoEvent
+	case st.s.crashes.hasEnded(ctx, res.Target):
+		return errTargetEnded
+	}
+	return nil
+}
+
 func (st *deliverStep) writeEvents(c *Call, events []byte) error {
 	if c.FirstEventAt.IsZero() {
 		c.FirstEventAt = time.Now()
