fix(forwarder): a response without framing that ends together with its target is not complete

Callers of plain routes got the first part of a body with status 200, the target's signature and a matching Content-Length, if the target had sent no length and its process ended in the middle of the body.

Cause: as for streams, the end of the connection was taken as proof of the end of the body. readResponse now checks the target before it accepts such a body.

--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -86,6 +86,9 @@
 func (x *targetRequest) readResponse(ctx context.Context, ex *pooler.Exchange) (retrier.Outcome, error) {
 	c := x.c
 	body, err := io.ReadAll(io.LimitReader(ex.Body, maxResponseBytes))
+	if err == nil && ex.Framing() == pooler.FramingNone && x.s.crashes.hasEnded(ctx, x.t) {
+		err = errTargetEnded
+	}
 	if err != nil {
 		ex.Close()
 		return x.handleFailure(ctx, &pooler.Error{Err: err, MaybeSent: true})
