fix(forwarder): a stream that lacks its target's usual framing is not proved complete

Callers got the first events of a stream, framed as complete, if a target that marks the end of its other streams sent one with neither a length nor chunks and closed its connection between two events.

Cause: without framing an orderly end of the connection is all that shows the end of a stream, and a target that breaks off its streams ends some of them in the same way. No field of the protocol tells how many events there are.

Change: each instance remembers which target processes frame their streams. From these a stream without framing is interrupted, also when it ends between events: a resumable one is resumed at another target, whose framing is the proof; the connection of any other caller ends without a last chunk. This also happens to streams that are whole; a caller can repeat those, but cannot notice a false end. A target that never frames its streams is trusted as before, as nothing better can be had from it, unless its process has ended.

--- a/internal/forwarder/crashes.go
+++ b/internal/forwarder/crashes.go
@@ -64,7 +64,7 @@
 
 // checkOf returns the pending check of a target, which it starts if necessary; d.mu is held.
 func (d *crashDetector) checkOf(t *cataloger.Target) *crashCheck {
-	p := quarantiner.Process{Target: t.ID, StartedUnixMs: t.StartedUnixMs}
+	p := processOf(t)
 	check := d.checks[p]
 	if check == nil {
 		check = &crashCheck{done: make(chan struct{})}
--- a/internal/forwarder/deliver.go
+++ b/internal/forwarder/deliver.go
@@ -56,7 +56,9 @@
 			return err
 		}
 		t := c.Response.Target
-		st.s.health.observe(t.ID, false, time.Now())
+		if !errors.Is(err, errUnproven) {
+			st.s.health.observe(t.ID, false, time.Now())
+		}
 		if c.Response.eventBytes == 0 && c.Service.Engine != nil {
 			// A prompt that crashed its target would most likely crash the next one.
 			if st.s.crashes.report(t, interruptedCall{blocks: st.s.blockKeys(c), begun: true}).wait(ctx) {
@@ -80,6 +82,7 @@
 var (
 	errIncompleteEvent = errors.New("stream ended inside an event")
 	errNoEvent         = errors.New("stream without framing ended before its first event")
+	errUnproven        = errors.New("stream ended without the framing that its target uses")
 	errTargetEnded     = errors.New("response without framing ended together with its target")
 	errEventTooLong    = fmt.Errorf("event is longer than %d bytes", maxEventBytes)
 )
@@ -113,6 +116,9 @@
 			if err := st.checkEnd(ctx, c, pending); err != nil {
 				return err
 			}
+			if res.Stream.Framing() != pooler.FramingNone {
+				st.s.framings.record(res.Target)
+			}
 			res.Stream.Finish()
 			st.s.health.observe(res.Target.ID, true, time.Now())
 			st.s.recordSound(c)
@@ -129,8 +135,9 @@
 }
 
 // checkEnd returns why a stream that has ended without an error is not complete, or nil if it is. A stream that ends inside an
-// event is interrupted whatever its framing. Without framing, the end of the connection is the only sign of the end, and the
-// operating system gives the same sign for a process that has ended.
+// event is interrupted whatever its framing. Without framing, the end of the connection is the only sign of the end. It is no
+// proof if the target marks the end of its other streams, or if its process has ended, for which the operating system gives the
+// same sign.
 func (st *deliverStep) checkEnd(ctx context.Context, c *Call, pending []byte) error {
 	res := c.Response
 	switch {
@@ -140,6 +147,8 @@
 		return nil
 	case res.eventBytes == 0 && c.Headers.LastEventID == "":
 		return errNoEvent
+	case st.s.framings.framesStreams(res.Target):
+		return errUnproven
 	case st.s.crashes.hasEnded(ctx, res.Target):
 		return errTargetEnded
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -148,6 +148,7 @@
 	waiting      waitingAttempts
 	quarantine   *quarantiner.Quarantine
 	crashes      crashDetector
+	framings     framingHistory
 	steps        []request.Stage[*Call]
 	callerServer *listener.Server
 	readyServer  *listener.Server
@@ -298,6 +299,7 @@
 	ids := v.TargetIDs()
 	s.loads.Retain(ids)
 	s.health.setTargets(v)
+	s.framings.retain(v)
 }
 
 func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/internal/forwarder/report.go
+++ b/internal/forwarder/report.go
@@ -116,6 +116,8 @@
 		return "insideEvent"
 	case errors.Is(err, errNoEvent):
 		return "noEvent"
+	case errors.Is(err, errUnproven):
+		return "unproven"
 	case errors.Is(err, errTargetEnded):
 		return "targetEnded"
 	case errors.Is(err, io.ErrUnexpectedEOF):
