fix(forwarder): a response beyond the memory limit is not delivered as complete

Callers got the first 8,388,608 bytes of a longer response with status 200, a matching Content-Length and the target's signature.

Cause: readResponse read through a limited reader, whose end it took for the end of the body: the class of fault of the truncated streams, the absence of an error taken as proof.

Change: one byte more than the limit is read; a longer response ends with 502 and is not retried, since another run would be as long.

TestLongResponseIsTruncated failed before on a safe and an unsafe route, with status 200 instead of 502.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -69,7 +69,8 @@
 	finishMargin = 400 * time.Millisecond
 	// maxBodyBytes is the body size above which the connection is closed. A body between the configured limit and this size
 	// is refused with an error response.
-	maxBodyBytes      = 16 << 20
+	maxBodyBytes = 16 << 20
+	// maxResponseBytes bounds a response that is not a stream, which is kept in memory until it is complete.
 	maxResponseBytes  = 8 << 20
 	writeBufferBytes  = 1 << 20
 	stopCheckInterval = 50 * time.Millisecond
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -85,7 +85,13 @@
 // readResponse reads a response that is not a stream and returns the outcome.
 func (x *targetRequest) readResponse(ctx context.Context, ex *pooler.Exchange) (retrier.Outcome, error) {
 	c := x.c
-	body, err := io.ReadAll(io.LimitReader(ex.Body, maxResponseBytes))
+	body, err := io.ReadAll(io.LimitReader(ex.Body, maxResponseBytes+1))
+	if len(body) > maxResponseBytes {
+		// Another run would be as long, so the call is not retried.
+		ex.Close()
+		c.MayHaveRun = true
+		return retrier.Unknown, fmt.Errorf("response of target %s is longer than %d bytes", x.t.ID, maxResponseBytes)
+	}
 	if err == nil && ex.Framing() == pooler.FramingNone && x.s.crashes.hasEnded(ctx, x.t) {
 		err = errTargetEnded
 	}
