fix(caller): a response beyond the size limit is an error

Client.Call returned the first 4 MiB of a longer response without an error: a limited reader ends like the body itself. Chat failed only because the truncated text is no JSON. Found while looking for the class of fault of the truncated streams elsewhere; the services behind the chat interface are limited to 1 MiB, so it was not seen.

Both now return an error, which is not retried.

--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -152,7 +152,7 @@
 // permanent reports whether err is a refusal that a retry cannot change: a status below 500 other than 429.
 func permanent(err error) bool {
 	var r *Refusal
-	return errors.As(err, &r) && r.Status < http.StatusInternalServerError && r.Status != http.StatusTooManyRequests
+	return errors.Is(err, errTooLong) || errors.As(err, &r) && r.Status < http.StatusInternalServerError && r.Status != http.StatusTooManyRequests
 }
 
 // Chat sends a chat completion request and collects the response, retrying at other instances. An interrupted stream is
@@ -262,7 +262,22 @@
 	if res.StatusCode >= http.StatusMultipleChoices {
 		return nil, readRefusal(res)
 	}
-	return io.ReadAll(io.LimitReader(res.Body, maxResponseBytes))
+	return readAll(res.Body)
+}
+
+// errTooLong is returned for a response body beyond maxResponseBytes.
+var errTooLong = fmt.Errorf("response is longer than %d bytes", maxResponseBytes)
+
+// readAll reads a response body to its end.
+func readAll(r io.Reader) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, maxResponseBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > maxResponseBytes {
+		return nil, errTooLong
+	}
+	return body, nil
 }
 
 func readRefusal(res *http.Response) error {
@@ -337,7 +352,7 @@
 }
 
 func (a *assembler) readBody(r io.Reader) error {
-	data, err := io.ReadAll(io.LimitReader(r, maxResponseBytes))
+	data, err := readAll(r)
 	if err != nil {
 		return err
 	}
