feat(watcher): read and log the era of the metadata store

Nothing read the header Store-Era, so a restored store did not show in the logs. What is read does not change yet.

--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -89,6 +89,8 @@
 type Batch struct {
 	Changes    []Change
 	NextOffset int64
+	// Era counts how often the store was restored from a copy; 0 if it is not known. Offsets are valid in their era only.
+	Era int64
 	// IsSnapshot reports whether the batch holds the complete current state instead of the changes since an offset.
 	IsSnapshot bool
 }
@@ -200,7 +202,7 @@
 
 // follow reads one source until ctx is done: the operator's by long polling, others with an interval between reads.
 func (w *Watcher) follow(ctx context.Context, name string, s Source, wait, interval time.Duration) {
-	var next int64
+	var next, era int64
 	complete := cataloger.UnknownTime
 	synced, failing, retry := false, false, minRetryDelay
 	for ctx.Err() == nil {
@@ -222,6 +224,10 @@
 		if failing {
 			w.Log.WithField("source", name).Info("metadata store reachable again")
 		}
+		if synced && b.Era != era {
+			w.Log.WithField("source", name).WithField("era", b.Era).WithField("previousEra", era).Warn("metadata store restored from a copy")
+		}
+		era = b.Era
 		end := w.elapsed()
 		empty, duringWait := b.NextOffset == next, end-start < timeout && !b.IsSnapshot
 		e := event{batch: b, publishedAt: complete, afterOutage: failing && synced}
