fix(watcher): read everything again after the metadata store was restored

Cause: an offset was taken as valid for ever. It counts the records of one history. After a restoration the store assigns offsets again; as soon as the new history is as long as the old one, a read from the remembered offset is no error, and what precedes it is missed.

Change: a position consists of an offset and its era. If the era of a response differs, its changes are dropped and the newest record of each key is read.

--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -207,7 +207,7 @@
 	synced, failing, retry := false, false, minRetryDelay
 	for ctx.Err() == nil {
 		start, timeout := w.elapsed(), timeoutAfter(failing, wait)
-		b, err := w.read(ctx, s, synced, next, timeout)
+		b, err := w.read(ctx, s, cursor{synced: synced, offset: next, era: era}, timeout)
 		if err != nil {
 			if !failing && ctx.Err() == nil {
 				logger.WithError(w.Log, err).WithField("source", name).Warn("metadata store unreachable")
@@ -292,13 +292,24 @@
 	}
 }
 
-func (w *Watcher) read(ctx context.Context, s Source, synced bool, next int64, wait time.Duration) (Batch, error) {
+// cursor is how far a source has been read.
+type cursor struct {
+	// synced reports whether a snapshot has been read. offset is then the one after the last change, in the history of era.
+	synced      bool
+	offset, era int64
+}
+
+// read returns the changes after c, or a snapshot if c is not a position in the store's present history.
+func (w *Watcher) read(ctx context.Context, s Source, c cursor, wait time.Duration) (Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
 	defer cancel()
-	if !synced {
-		return s.Snapshot(ctx)
+	if c.synced {
+		b, err := s.Changes(ctx, c.offset, wait)
+		if err != nil || b.Era == c.era || b.IsSnapshot {
+			return b, err
+		}
 	}
-	return s.Changes(ctx, next, wait)
+	return s.Snapshot(ctx)
 }
 
 // handle applies an event and publishes the resulting view.
