fix(cataloger): an older record of a target does not replace a newer one

A target that had announced that it was leaving would get requests again after the metadata store was restored from a copy: the copy has the record in which it was ready.

Cause: of the records of one process the last that was read counted. The order in the log is the order of writing only within one history.

At the same sequence, leaving is not withdrawn.

--- a/internal/cataloger/view.go
+++ b/internal/cataloger/view.go
@@ -28,12 +28,26 @@
 	Leaving    bool
 	// StartedUnixMs is the start time of the target's process in Unix milliseconds; 0 if unknown.
 	StartedUnixMs int64
+	// Sequence rises with the records of a process; 0 if unknown.
+	Sequence int64
 	// Versions holds the loaded weight version of each model.
 	Versions map[string]int64
 	// WarmupRemaining is how much longer the target is expected to be slow after its start.
 	WarmupRemaining time.Duration
 }
 
+// isOlderThan reports whether the record was written before another one of the same target. A process that has announced that it
+// is leaving does not withdraw that in a record with the same sequence.
+func (t *Target) isOlderThan(other *Target) bool {
+	switch {
+	case t.StartedUnixMs != other.StartedUnixMs:
+		return t.StartedUnixMs < other.StartedUnixMs
+	case t.Sequence != other.Sequence:
+		return t.Sequence < other.Sequence
+	}
+	return other.Leaving && !t.Leaving && t.Sequence > 0
+}
+
 // DesiredVersion is a weight version that the operator requested for a model.
 type DesiredVersion struct {
 	Version int64
@@ -134,8 +148,7 @@
 	return &n
 }
 
-// WithTarget returns the view with a target added or replaced. A record of an earlier process with the same ID is
-// ignored.
+// WithTarget returns the view with a target added or replaced. An older record of the same target is ignored.
 func (v *View) WithTarget(t *Target) *View {
 	d := v.Draft()
 	d.Put(t)
@@ -175,9 +188,9 @@
 // TargetIDs returns the IDs of all targets.
 func (d *Draft) TargetIDs() []string { return slices.Sorted(maps.Keys(d.targets)) }
 
-// Put adds or replaces a target. A record of an earlier process with the same ID is ignored.
+// Put adds or replaces a target. An older record of the same target is ignored.
 func (d *Draft) Put(t *Target) {
-	if old := d.targets[t.ID]; old != nil && t.StartedUnixMs < old.StartedUnixMs {
+	if old := d.targets[t.ID]; old != nil && t.isOlderThan(old) {
 		return
 	}
 	d.edit()
