fix(watcher): a removed target is not back after the metadata store was restored

A target that had left would get requests again: the copy from which the store was restored still has its record, and the store drops it only after three heartbeats without a new one.

Cause: nothing was remembered of a removed target.

In another era a record that is not newer is ignored and logged. Within an era nothing changes.

TestRemovedTargetIsBackAfterRestore failed before: the target that has left is back.

--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -124,6 +124,9 @@
 	events              chan event
 	// expired holds the removal times of targets whose records expired during an outage.
 	expired map[string]time.Time
+	removed removals
+	// era is that of the last batch.
+	era int64
 }
 
 // event is a message to the control goroutine: a batch, or a function to apply.
@@ -144,7 +147,7 @@
 func New(operator, targets Source, log logger.Logger) *Watcher {
 	w := &Watcher{
 		Operator: operator, Targets: targets, Log: log, elapsed: clocker.SinceBoot,
-		events: make(chan event, 16), expired: map[string]time.Time{},
+		events: make(chan event, 16), expired: map[string]time.Time{}, removed: removals{},
 	}
 	w.view.Store(cataloger.NewView())
 	return w
@@ -319,6 +322,9 @@
 	if e.apply != nil {
 		v = e.apply(v)
 	}
+	if e.apply == nil {
+		w.era = e.batch.Era
+	}
 	present, d := map[string]bool{}, v.Draft()
 	for _, c := range e.batch.Changes {
 		v = w.applyChange(v, d, c, e, now, present)
@@ -357,6 +363,10 @@
 		}
 		return v.WithDesiredVersion(c.Model, d)
 	case TargetUpdated:
+		if w.removed.contains(c.Target, e.batch.Era) {
+			w.Log.WithField("target", c.Target.ID).Info("record of a removed target ignored")
+			return v
+		}
 		present[c.Target.ID] = true
 		delete(w.expired, c.Target.ID)
 		w.logTarget(d, c.Target)
@@ -395,6 +405,7 @@
 		return
 	}
 	w.Log.WithField("target", id).Info("target removed")
+	w.removed.add(t, w.era, now)
 	d.Remove(id)
 }
 
@@ -415,8 +426,12 @@
 		if now.After(until) {
 			delete(w.expired, id)
 			w.Log.WithField("target", id).Info("target removed")
+			if t, ok := d.Target(id); ok {
+				w.removed.add(t, w.era, now)
+			}
 			d.Remove(id)
 		}
 	}
+	w.removed.prune(now)
 	w.publish(old, old.WithDraft(d))
 }
