fix(watcher): targets that a restored store lacks may register again first

Sound targets would get no requests for up to their heartbeat after the metadata store was restored: those that had registered after the copy was made were removed with the first read.

Cause: the time in which a target may register again was granted only if a read had failed. A store that was away for a moment comes back without one.

Change: it is granted also if the era has changed.

TestTargetMissingFromCopyIsRemoved failed before: the target was removed at once.

--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -138,7 +138,7 @@
 	// [cataloger.UnknownTime].
 	publishedAt time.Duration
 	observed    bool
-	// afterOutage reports whether reads failed since the last batch of the same source.
+	// afterOutage reports whether reads failed or the store was restored since the last batch of the same source.
 	afterOutage bool
 	apply       func(*cataloger.View) *cataloger.View
 }
@@ -227,13 +227,14 @@
 		if failing {
 			w.Log.WithField("source", name).Info("metadata store reachable again")
 		}
-		if synced && b.Era != era {
+		restored := synced && b.Era != era
+		if restored {
 			w.Log.WithField("source", name).WithField("era", b.Era).WithField("previousEra", era).Warn("metadata store restored from a copy")
 		}
 		era = b.Era
 		end := w.elapsed()
 		empty, duringWait := b.NextOffset == next, end-start < timeout && !b.IsSnapshot
-		e := event{batch: b, publishedAt: complete, afterOutage: failing && synced}
+		e := event{batch: b, publishedAt: complete, afterOutage: (failing || restored) && synced}
 		if duringWait && start-complete < maxReadPause && b.NextOffset == next+1 {
 			// The change ended the wait when it was published. Of several changes, the store may have missed the wake-up for all
 			// but the last one.
