fix(updater): a lease and its fencing tokens belong to an era of the metadata store

After a restoration commands would carry fencing tokens that were used before, perhaps by another holder, and the claim of a holder whose term has not ended may be lost.

Cause: the token was the offset of the claim plus one, and offsets are assigned again. The end of the log, the last claim of others and outstanding claims were kept over eras too.

Change: a position of the claim log consists of an offset and its era, a token of the era and the offset, so that tokens rise over eras. An instance that notices a new era gives up its lease and counts the lease as claimed now, and so does one that reads the log for the first time, since the store may just have lost a claim. A claim that the store appended in another era than that of the expected end is not used.

Targets that have seen such tokens refuse those of an older version of the program: going back to it needs restarted targets.

--- a/internal/updater/lease.go
+++ b/internal/updater/lease.go
@@ -12,11 +12,21 @@
 	takeoverMargin = 200 * time.Millisecond
 )
 
+// eraShift is the number of bits of a fencing token below the era. Numbers up to 53 bits pass through JSON unchanged.
+const eraShift = 32
+
+// Position is an offset of the claim log in one era of the metadata store. After the store was restored from a copy, a new era
+// begins, and offsets are assigned again.
+type Position struct{ Offset, Era int64 }
+
+// fencingToken returns the token of the commands of a claim. It rises with each claim and with each era.
+func (p Position) fencingToken() int64 { return p.Era<<eraShift + p.Offset + 1 }
+
 // Lease is one instance's view of the lease that allows its holder to send commands. It is an immutable value. All times are
 // those of a clock that also advances while the machine is suspended.
 type Lease struct {
-	// LogEnd is the offset after the last claim; LogEndKnown reports whether the claim log was read yet.
-	LogEnd      int64
+	// LogEnd is the position after the last claim; LogEndKnown reports whether the claim log was read yet in its era.
+	LogEnd      Position
 	LogEndKnown bool
 	// OtherClaimSeenAt is when this instance last read a claim of another one, or had its own refused with [Conflict].
 	OtherClaimSeenAt time.Duration
@@ -35,13 +45,25 @@
 	return leaseTerm + commandTimeout + guard + takeoverMargin
 }
 
+// WithEra returns the lease at the start of an era of the metadata store. Claims may be lost, also that of another holder whose term
+// has not ended, so the lease counts as claimed now.
+func (l Lease) WithEra(era int64, now time.Duration) Lease {
+	l.LogEnd, l.LogEndKnown = Position{Era: era}, false
+	l.OtherClaimSeenAt, l.HeldByOther, l.HeldBySelf, l.ValidUntil = now, true, false, 0
+	return l
+}
+
 // WithClaims returns the lease after the claim log was read up to next, with a number of claims by other instances since this
 // one's last claim. They count as made now, because the time of a claim that was read late is unknown.
-func (l Lease) WithClaims(others int, next int64, now time.Duration) Lease {
-	if next > l.LogEnd || !l.LogEndKnown {
+func (l Lease) WithClaims(others int, next Position, now time.Duration) Lease {
+	if !l.LogEndKnown {
+		// The store may just have been restored without the claim of a holder whose term has not ended.
+		l = l.WithEra(next.Era, now)
+		l.LogEnd, l.LogEndKnown = next, true
+	}
+	if next.Offset > l.LogEnd.Offset {
 		l.LogEnd = next
 	}
-	l.LogEndKnown = true
 	if others > 0 {
 		l.OtherClaimSeenAt, l.HeldByOther, l.HeldBySelf, l.ValidUntil = now, true, false, 0
 	}
@@ -49,16 +71,16 @@
 }
 
 // WithConflict returns the lease after a claim was refused because the claim log ends at end instead of the expected offset.
-func (l Lease) WithConflict(end int64, now time.Duration) Lease {
+func (l Lease) WithConflict(end Position, now time.Duration) Lease {
 	l.LogEnd, l.OtherClaimSeenAt, l.HeldByOther, l.HeldBySelf, l.ValidUntil = end, now, true, false, 0
 	return l
 }
 
-// WithGrant returns the lease after this instance's claim, sent at the given time, was appended at an offset.
-func (l Lease) WithGrant(offset int64, sent time.Duration) Lease {
+// WithGrant returns the lease after this instance's claim, sent at the given time, was appended at a position.
+func (l Lease) WithGrant(at Position, sent time.Duration) Lease {
 	l.LogEndKnown, l.HeldBySelf, l.HeldByOther = true, true, false
-	l.LogEnd = max(l.LogEnd, offset+1)
-	l.FencingToken, l.ValidUntil = offset+1, sent+leaseTerm
+	l.LogEnd = Position{Offset: max(l.LogEnd.Offset, at.Offset+1), Era: at.Era}
+	l.FencingToken, l.ValidUntil = at.fencingToken(), sent+leaseTerm
 	return l
 }
 
--- a/internal/updater/updater.go
+++ b/internal/updater/updater.go
@@ -2,8 +2,9 @@
 //
 // One instance at a time sends weight-update commands: the holder of a lease that
 // is derived from a claim log in the metadata store. A claim is appended on the
-// condition that the log ends at the offset that the claimant expects; the offset
-// of the claim plus one is the fencing token of its commands. The term of a lease is
+// condition that the log ends at the offset that the claimant expects; the fencing
+// token of its commands is derived from the offset of the claim and the era of the
+// store, which rises when it is restored from a copy. The term of a lease is
 // short and counted from before the claim was sent; a successor claims only after a
 // delay that no command of the previous holder can outlast (see [Lease]). Without
 // pending updates no instance claims the lease.
@@ -127,16 +128,17 @@
 // Records is a batch of consecutive claims from the claim log.
 type Records struct {
 	Claims []Claim
-	// FirstOffset is the offset of the first claim; NextOffset is the offset after the last one.
-	FirstOffset, NextOffset int64
+	// FirstOffset is the offset of the first claim; NextOffset is the offset after the last one. Both belong to Era.
+	FirstOffset, NextOffset, Era int64
 }
 
 // ClaimLog is the append-only topic of claims in the metadata store.
 type ClaimLog interface {
-	// Append appends a claim on the condition that the log ends at offset at. It returns the offset of the claim, or, with
-	// [Conflict], the actual end of the log.
-	Append(ctx context.Context, c Claim, at int64) (int64, Outcome)
-	// Read returns the claims from an offset on. If there are none, it waits up to wait for new ones.
+	// Append appends a claim on the condition that the log ends at offset at, whatever the era. It returns the position of the
+	// claim, or, with [Conflict], the actual end of the log.
+	Append(ctx context.Context, c Claim, at int64) (Position, Outcome)
+	// Read returns the claims from an offset on. If there are none, it waits up to wait for new ones. The offset belongs to the
+	// era of the returned records, which may be another one than that in which the caller got it.
 	Read(ctx context.Context, from int64, wait time.Duration) (Records, error)
 }
 
@@ -238,7 +240,8 @@
 
 // follow applies the claims of the claim log until ctx is done.
 func (u *Updater) follow(ctx context.Context) {
-	var next int64
+	var next Position
+	synced := false
 	for ctx.Err() == nil {
 		active, known := u.shouldFollow()
 		if !active {
@@ -250,7 +253,7 @@
 			wait = 0
 		}
 		rctx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
-		records, err := u.ClaimLog.Read(rctx, next, wait)
+		records, err := u.ClaimLog.Read(rctx, next.Offset, wait)
 		cancel()
 		if err != nil {
 			if ctx.Err() == nil {
@@ -259,11 +262,28 @@
 			sleeper.Sleep(ctx, retryDelay)
 			continue
 		}
-		next = records.NextOffset
+		if synced && records.Era != next.Era {
+			u.startEra(records.Era)
+			next = Position{Era: records.Era}
+			continue
+		}
+		next, synced = Position{Offset: records.NextOffset, Era: records.Era}, true
 		u.applyClaims(records)
 	}
 }
 
+// startEra gives up the lease and what is known of the claim log if the metadata store has begun an era.
+func (u *Updater) startEra(era int64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.lease.LogEnd.Era == era {
+		return
+	}
+	u.lease = u.lease.WithEra(era, clocker.SinceBoot())
+	clear(u.nonces)
+	u.Log.WithField("era", era).Info("order lease given up, as claims may be lost")
+}
+
 // shouldFollow reports whether this instance should read the claim log now, and whether the end of the log is known.
 func (u *Updater) shouldFollow() (active, known bool) {
 	u.mu.Lock()
@@ -277,7 +297,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	others := 0
-	if rs.FirstOffset > u.lease.LogEnd && len(rs.Claims) == 0 {
+	if rs.FirstOffset > u.lease.LogEnd.Offset && len(rs.Claims) == 0 {
 		others++ // claims that the store has truncated may be those of other instances
 	}
 	for i, c := range rs.Claims {
@@ -286,7 +306,7 @@
 		}
 		if sent, ok := u.nonces[c.Nonce]; ok {
 			delete(u.nonces, c.Nonce)
-			u.lease = u.lease.WithGrant(rs.FirstOffset+int64(i), sent)
+			u.lease = u.lease.WithGrant(Position{Offset: rs.FirstOffset + int64(i), Era: rs.Era}, sent)
 			others = 0
 			continue
 		}
@@ -294,7 +314,7 @@
 			others++
 		}
 	}
-	u.lease = u.lease.WithClaims(others, rs.NextOffset, now)
+	u.lease = u.lease.WithClaims(others, Position{Offset: rs.NextOffset, Era: rs.Era}, now)
 	if others > 0 {
 		u.standby = u.standby.WithProgress(now)
 	}
@@ -359,7 +379,12 @@
 	u.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	at, out := u.ClaimLog.Append(ctx, c, l.LogEnd)
+	at, out := u.ClaimLog.Append(ctx, c, l.LogEnd.Offset)
+	if (out == Accepted || out == Conflict) && at.Era != l.LogEnd.Era {
+		// The claim was made without knowledge of the claims of this era, so it is not used.
+		u.startEra(at.Era)
+		return false
+	}
 	if u.recordClaim(c, at, out, sent) {
 		if u.OnClaim != nil {
 			u.OnClaim()
@@ -370,7 +395,7 @@
 }
 
 // recordClaim applies the outcome of a claim that was sent at the given time, and reports whether it was granted.
-func (u *Updater) recordClaim(c Claim, at int64, out Outcome, sent time.Duration) bool {
+func (u *Updater) recordClaim(c Claim, at Position, out Outcome, sent time.Duration) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	switch out {
@@ -386,7 +411,7 @@
 		delete(u.nonces, c.Nonce)
 		if at != u.lease.LogEnd || !u.lease.HeldBySelf {
 			u.lease = u.lease.WithConflict(at, clocker.SinceBoot())
-			u.Log.WithField("end", at).Info("order lease is held by another instance")
+			u.Log.WithField("end", at.Offset).Info("order lease is held by another instance")
 		}
 	}
 	return false
