fix(announcer): instances register again after the metadata store was restored

An instance that starts after a restoration would not know those whose addresses were lost for up to 45 s, nor their load and their caches: the written addresses were taken as kept.

Cause: an address is written each 60 s and read each 45 s, whatever happens to the store.

Change: the watcher reports a new era, and the announcer writes the address again and reads all of them from the start, since its offset belongs to the earlier era. It is started before the watcher, which calls it.

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -123,6 +123,8 @@
 	startedUnixNano int64
 	sequence        atomic.Uint64
 	announceNow     chan struct{}
+	// registerNow and discoverNow trigger the next write and reads of the registry.
+	registerNow, discoverNow chan struct{}
 	// startLimiter bounds the rate of start announcements.
 	startLimiter *rate.Limiter
 
@@ -161,19 +163,41 @@
 	}
 	a.startedUnixNano = time.Now().UnixNano()
 	a.peers = map[string]*peer{}
-	a.announceNow = make(chan struct{}, 1)
+	a.announceNow, a.registerNow, a.discoverNow = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{}, 1)
 	a.startLimiter = rate.NewLimiter(startsPerSecond, startsBurst)
 	return nil
 }
 
 // AnnounceNow triggers the next announcement without waiting for the interval to elapse.
-func (a *Announcer) AnnounceNow() {
+func (a *Announcer) AnnounceNow() { trigger(a.announceNow) }
+
+// Refresh writes the local address to the registry again and reads all addresses, without waiting for the intervals to elapse. It is
+// called when the registry may have lost addresses.
+func (a *Announcer) Refresh() {
+	trigger(a.registerNow)
+	trigger(a.discoverNow)
+}
+
+func trigger(c chan<- struct{}) {
 	select {
-	case a.announceNow <- struct{}{}:
+	case c <- struct{}{}:
 	default: // already triggered
 	}
 }
 
+// sleep waits for d, or until c is triggered or ctx is done, and reports whether c was triggered.
+func sleep(ctx context.Context, d time.Duration, c <-chan struct{}) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	case <-c:
+		return true
+	}
+	return false
+}
+
 // AnnounceStart announces a new request at once. It is meant for requests with a long prefill: requests that others
 // send to the target before the next announcement would have to wait behind it. Above a rate limit the request is
 // announced only by the next announcement.
@@ -361,7 +385,7 @@
 			sleeper.Sleep(ctx, retryDelay)
 			continue
 		}
-		sleeper.Sleep(ctx, registerInterval)
+		sleep(ctx, registerInterval, a.registerNow)
 	}
 }
 
@@ -380,10 +404,12 @@
 		for _, p := range ps {
 			a.addRegistered(p, time.Now())
 		}
+		interval := readInterval
 		if n < initialReads {
-			sleeper.Sleep(ctx, initialReadInterval)
-		} else {
-			sleeper.Sleep(ctx, readInterval)
+			interval = initialReadInterval
+		}
+		if sleep(ctx, interval, a.discoverNow) {
+			next, n = 0, 0
 		}
 	}
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -194,6 +194,13 @@
 		s.Archiver.Self = s.Settings.Instance
 	}
 	s.Watcher.OnPublish = func(v *cataloger.View) { s.onPublish(ctx, v) }
+	if s.Announcer != nil {
+		s.connectAnnouncer(ctx)
+		if err := s.Announcer.Start(); err != nil {
+			return err
+		}
+		s.Watcher.OnRestore = s.Announcer.Refresh
+	}
 	s.Watcher.LongPollTimeout = s.Settings.longPollTimeout()
 	s.Watcher.PollInterval = time.Duration(pollFraction * float64(s.Settings.LeaveDetectionTimeout))
 	go s.Watcher.Run(ctx)
@@ -203,10 +210,6 @@
 		go s.freeSuperseded(ctx)
 	}
 	if s.Announcer != nil {
-		s.connectAnnouncer(ctx)
-		if err := s.Announcer.Start(); err != nil {
-			return err
-		}
 		go s.Announcer.Run(ctx)
 	}
 	s.callerServer = &listener.Server{
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -115,6 +115,9 @@
 	PollInterval time.Duration
 	// OnPublish is called on the control goroutine with each new view; it may be nil.
 	OnPublish func(*cataloger.View)
+	// OnRestore is called when the store was restored from a copy, so that what this instance wrote there may be lost. It must not
+	// block, and may be nil.
+	OnRestore func()
 
 	// elapsed is a clock that includes time in which the machine is suspended; tests replace it.
 	elapsed             func() time.Duration
@@ -230,6 +233,9 @@
 		restored := synced && b.Era != era
 		if restored {
 			w.Log.WithField("source", name).WithField("era", b.Era).WithField("previousEra", era).Warn("metadata store restored from a copy")
+			if s == w.Operator && w.OnRestore != nil {
+				w.OnRestore()
+			}
 		}
 		era = b.Era
 		end := w.elapsed()
