fix(watcher): a weight version written again after a restoration is not taken for new

Requests could start on superseded weights for too long after the metadata store was restored: a version that was published while an instance was cut off, lost and written again counted as published when the instance read it.

Cause: a read without changes was taken to show that nothing had been published before it, and the change that ended the next one for one published at that moment.

Change: for three seconds after a restoration neither holds, and a version counts from the last read before it at the latest. It is only a bound, so an instance that has observed the publication announces the later time.

--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -53,6 +53,8 @@
 	// reregistrationGrace is how long a target whose record expired during an outage may take to register again. Live
 	// targets do so within 2 s of the store's recovery.
 	reregistrationGrace = 2200 * time.Millisecond
+	// rewriteTime is how long after a restoration changes may be those that were published before it and are written again.
+	rewriteTime = 3 * time.Second
 )
 
 // Change is one published change: ConfigChange, DesiredVersionChange, TargetUpdated, TargetRemoved or InvalidRecord.
@@ -209,7 +211,7 @@
 // follow reads one source until ctx is done: the operator's by long polling, others with an interval between reads.
 func (w *Watcher) follow(ctx context.Context, name string, s Source, wait, interval time.Duration) {
 	var next, era int64
-	complete := cataloger.UnknownTime
+	complete, rewrittenUntil := cataloger.UnknownTime, time.Duration(0)
 	synced, failing, retry := false, false, minRetryDelay
 	for ctx.Err() == nil {
 		start, timeout := w.elapsed(), timeoutAfter(failing, wait)
@@ -239,14 +241,23 @@
 		}
 		era = b.Era
 		end := w.elapsed()
+		if restored {
+			rewrittenUntil = end + rewriteTime
+		}
 		empty, duringWait := b.NextOffset == next, end-start < timeout && !b.IsSnapshot
 		e := event{batch: b, publishedAt: complete, afterOutage: (failing || restored) && synced}
+		if end < rewrittenUntil {
+			// The changes may have been published at any time since the last read before the restoration.
+			duringWait = false
+		}
 		if duringWait && start-complete < maxReadPause && b.NextOffset == next+1 {
 			// The change ended the wait when it was published. Of several changes, the store may have missed the wake-up for all
 			// but the last one.
 			e.publishedAt, e.observed = end, true
 		}
-		complete = completeUntil(start, end, timeout, empty, duringWait)
+		if end >= rewrittenUntil {
+			complete = completeUntil(start, end, timeout, empty, duringWait)
+		}
 		next, retry = b.NextOffset, minRetryDelay
 		if s == w.Operator {
 			// A response without changes may have been made at any time since the request, so only the time of the
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -185,6 +185,8 @@
 type versionSource struct {
 	started                        time.Time
 	publishedAt, downFrom, downFor time.Duration
+	// restoredAt is when the store is restored from a copy without the version, which is then written again at publishedAt; 0 means never.
+	restoredAt time.Duration
 	// missWakeUp makes a read wait for its whole time even if the version is published meanwhile.
 	missWakeUp bool
 }
@@ -207,10 +209,14 @@
 	if now >= s.downFrom && now < s.downFrom+s.downFor {
 		return Batch{}, errors.New("connection refused")
 	}
+	era := int64(1)
+	if s.restoredAt > 0 && now >= s.restoredAt {
+		era++
+	}
 	if from == 0 && now >= s.publishedAt {
-		return Batch{Changes: []Change{DesiredVersionChange{"m", 2}}, NextOffset: 1}, nil
+		return Batch{Changes: []Change{DesiredVersionChange{"m", 2}}, NextOffset: 1, Era: era}, nil
 	}
-	return Batch{NextOffset: from}, ctx.Err()
+	return Batch{NextOffset: from, Era: era}, ctx.Err()
 }
 
 // Guards against an age of superseded weights that counts from when the newer version was read, although it may have been
@@ -226,6 +232,8 @@
 		"published during an outage":    {versionSource{publishedAt: 7 * time.Second, downFrom: 5 * time.Second, downFor: 4 * time.Second}, 2 * time.Second, 7 * time.Second},
 		"published and read after one":  {versionSource{publishedAt: 12500 * time.Millisecond, downFrom: 5 * time.Second, downFor: 4 * time.Second}, 12500 * time.Millisecond, 12500 * time.Millisecond},
 		"returned at the end of a read": {versionSource{publishedAt: 7 * time.Second, missWakeUp: true}, 6 * time.Second, 7 * time.Second},
+		"written again after a restore": {versionSource{publishedAt: 10 * time.Second, restoredAt: 8 * time.Second, downFrom: 5 * time.Second, downFor: 4 * time.Second}, 2 * time.Second, 5 * time.Second},
+		"published long after one":      {versionSource{publishedAt: 14 * time.Second, restoredAt: 8 * time.Second, downFrom: 5 * time.Second, downFor: 4 * time.Second}, 14 * time.Second, 14 * time.Second},
 		"first snapshot after an error": {versionSource{publishedAt: time.Second, downFor: 3 * time.Second}, 0, 0},
 	}
 	for name, tc := range tests {
