fix(forwarder): a stopping instance refuses late requests that it might have to abort

Cause: after the drain notice of 2.5 s, until the listener closes 0.8 s later, requests on new and open connections were taken as before, with up to 15 s of time, while the grace period leaves 4.3 s.

Change: after the drain notice a request whose deadline lies beyond the end of the grace period is refused at once, with proof that it has not run; the load balancer sends a retry elsewhere. Requests with less time are still served, and those received during the drain notice are taken all the same.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -139,6 +139,8 @@
 	// DroppedLogLines returns the number of log lines that were dropped. It may be nil.
 	DroppedLogLines func() int64
 
+	// stop is nil until Stop is called.
+	stop atomic.Pointer[stopTimes]
 	// reloaded contains the settings of the last Reload; nil before the first one.
 	reloaded atomic.Pointer[Settings]
 
@@ -372,9 +374,19 @@
 	_ = json.NewEncoder(c.W).Encode(request.NewErrorBody(re))
 }
 
+// stopTimes are the times of a graceful stop: noticeEnd is the end of the drain notice, end when the remaining requests are aborted.
+type stopTimes struct{ noticeEnd, end time.Time }
+
+// mayAbort reports whether a call would be aborted if it needed all of its time. Calls received during the drain notice are taken
+// all the same, because the load balancer may not have another instance for them yet.
+func (t *stopTimes) mayAbort(c *Call) bool {
+	return t != nil && c.ReceivedAt.After(t.noticeEnd) && c.Deadline.After(t.end)
+}
+
 // Stop stops the server gracefully: it reports not ready, serves new connections during the drain notice, closes idle
-// connections and the listener, and waits for the requests in progress. It returns an error if requests were still in
-// progress shortly before the end of the grace period; these are aborted.
+// connections and the listener, and waits for the requests in progress. After the drain notice it refuses requests that it
+// might have to abort. It returns an error if requests were still in progress shortly before the end of the grace period;
+// these are aborted.
 func (s *Server) Stop(ctx context.Context) error {
 	startedAt := time.Now()
 	s.Log.Info("stopping")
@@ -383,12 +395,13 @@
 	if notice == 0 {
 		notice = defaultDrainNotice
 	}
+	end := startedAt.Add(s.settings().GracePeriod - finishMargin)
+	s.stop.Store(&stopTimes{noticeEnd: startedAt.Add(notice), end: end})
 	sleeper.Sleep(ctx, notice)
 	s.callerServer.CloseIdle()
 	sleeper.Sleep(ctx, notice/closeNoticeDivisor)
 	s.callerServer.CloseListener()
-	remaining := s.settings().GracePeriod - finishMargin - time.Since(startedAt)
-	ctx, cancel := context.WithTimeout(ctx, max(remaining, 0))
+	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	for s.callerServer.OpenConnections() > 0 && ctx.Err() == nil {
 		s.callerServer.CloseIdle()
--- a/internal/forwarder/identify.go
+++ b/internal/forwarder/identify.go
@@ -16,6 +16,8 @@
 	keyMargin = 400 * time.Millisecond
 	// staleRetryAfter is the advised retry delay if this instance cannot check API keys; a retry may reach another instance.
 	staleRetryAfter = 500 * time.Millisecond
+	// stopRetryAfter is the advised retry delay if this instance is stopping. The load balancer sends new connections to others.
+	stopRetryAfter = 20 * time.Millisecond
 )
 
 // identifyStep determines the route, the deadline and the account of a call.
@@ -34,6 +36,9 @@
 	}
 	c.Route = route
 	c.Deadline = deadline(c)
+	if st.s.stop.Load().mayAbort(c) {
+		return request.Refuse(http.StatusServiceUnavailable, request.CodeDraining, "", "the instance stops before the deadline").WithRetryAfter(stopRetryAfter)
+	}
 	if !cat.HasAccounts() || route.Public {
 		return nil
 	}
