test(demonstrator): run as many deployments at a time as the processors bear

Cause, traced: all twelve scripts ran at the same time, each a whole deployment with its stand-ins in one process, with the race detector. A read of the log then takes longer than the ledger allows before a call (2 s, or a quarter of its time), and the caller gets 504 unknown, as it should when the log does not answer; the script wants "answered".

Change: one deployment at a time for each four processors. Scripts, checks and time limits stay.

--- a/internal/demonstrator/scenario_test.go
+++ b/internal/demonstrator/scenario_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -55,7 +56,16 @@
 // deploymentCount is the number of deployments that all scripts have started.
 var deploymentCount atomic.Int32
 
+// processorsPerDeployment is the number of processors for each deployment that runs at the same time. All of a deployment, stand-ins
+// included, runs in this process, and its time limits are real.
+const processorsPerDeployment = 4
+
+// deploymentSlots limits the number of deployments that run at the same time.
+var deploymentSlots = make(chan struct{}, max(1, runtime.GOMAXPROCS(0)/processorsPerDeployment))
+
 func setupScenario(env *testscript.Env) error {
+	deploymentSlots <- struct{}{}
+	env.Defer(func() { <-deploymentSlots })
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &scenario{ctx: ctx, streams: map[string]chan error{}, conversations: map[string][]caller.Message{}}
 	env.Values[scenarioKey{}] = s
