fix(forwarder): a target counts as alive only if it accepts a connection

A body without framing would still be taken as complete if the call's deadline came before its target had been checked, or if the target neither accepted nor refused the connection. Found while reading the diff: the check failed open.

Now only an accepted connection proves that the process lives on.

--- a/internal/forwarder/crashes.go
+++ b/internal/forwarder/crashes.go
@@ -30,11 +30,12 @@
 	begun bool
 }
 
-// crashCheck checks whether a target has crashed. done is closed at its end; crashed is valid then.
+// crashCheck checks whether a target has crashed. done is closed at its end; crashed and alive are valid then. Both are false if the
+// target neither accepted nor refused a connection in time.
 type crashCheck struct {
-	done    chan struct{}
-	crashed bool
-	calls   []interruptedCall
+	done           chan struct{}
+	crashed, alive bool
+	calls          []interruptedCall
 }
 
 // crashDetector finds out whether calls were interrupted because their target crashed. It is safe for concurrent use.
@@ -54,12 +55,18 @@
 	return check
 }
 
-// hasEnded returns whether the process of a target, which has just closed a connection, has ended.
-func (d *crashDetector) hasEnded(ctx context.Context, t *cataloger.Target) bool {
+// isAlive reports whether a target that has just closed a connection still accepts others. It is false if that is not known before
+// ctx is done.
+func (d *crashDetector) isAlive(ctx context.Context, t *cataloger.Target) bool {
 	d.mu.Lock()
 	check := d.checkOf(t)
 	d.mu.Unlock()
-	return check.wait(ctx)
+	select {
+	case <-check.done:
+		return check.alive
+	case <-ctx.Done():
+		return false
+	}
 }
 
 // checkOf returns the pending check of a target, which it starts if necessary; d.mu is held.
@@ -85,7 +92,7 @@
 	}
 	d.mu.Lock()
 	delete(d.checks, p)
-	check.crashed = errors.Is(err, syscall.ECONNREFUSED)
+	check.crashed, check.alive = errors.Is(err, syscall.ECONNREFUSED), err == nil
 	calls := suspectCalls(check.calls)
 	d.mu.Unlock()
 	defer close(check.done)
--- a/internal/forwarder/deliver.go
+++ b/internal/forwarder/deliver.go
@@ -56,7 +56,7 @@
 			return err
 		}
 		t := c.Response.Target
-		if !errors.Is(err, errUnproven) {
+		if !errors.Is(err, errUnproven) { // the stream may have been complete
 			st.s.health.observe(t.ID, false, time.Now())
 		}
 		if c.Response.eventBytes == 0 && c.Service.Engine != nil {
@@ -149,7 +149,7 @@
 		return errNoEvent
 	case st.s.framings.framesStreams(res.Target):
 		return errUnproven
-	case st.s.crashes.hasEnded(ctx, res.Target):
+	case !st.s.crashes.isAlive(ctx, res.Target):
 		return errTargetEnded
 	}
 	return nil
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -92,7 +92,7 @@
 		c.MayHaveRun = true
 		return retrier.Unknown, fmt.Errorf("response of target %s is longer than %d bytes", x.t.ID, maxResponseBytes)
 	}
-	if err == nil && ex.Framing() == pooler.FramingNone && x.s.crashes.hasEnded(ctx, x.t) {
+	if err == nil && ex.Framing() == pooler.FramingNone && !x.s.crashes.isAlive(ctx, x.t) {
 		err = errTargetEnded
 	}
 	if err != nil {
