refactor(watcher): publish times of changes in a file of their own

The loop that reads a source had grown by the eras of the store. Its position is the cursor that reads take, and what follows from the times of reads is a type with the same rules. The tests of watcher and platform pass unchanged.

--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -48,13 +48,9 @@
 	recoveryCheckInterval = 100 * time.Millisecond
 	// maxRecoveryWait is how long the reads of another source are suspended for the operator's source to recover.
 	maxRecoveryWait = 2400 * time.Millisecond
-	// maxReadPause is the longest time between two reads in which a change is regarded as read when it was published.
-	maxReadPause = 200 * time.Millisecond
 	// reregistrationGrace is how long a target whose record expired during an outage may take to register again. Live
 	// targets do so within 2 s of the store's recovery.
 	reregistrationGrace = 2200 * time.Millisecond
-	// rewriteTime is how long after a restoration changes may be those that were published before it and are written again.
-	rewriteTime = 3 * time.Second
 )
 
 // Change is one published change: ConfigChange, DesiredVersionChange, TargetUpdated, TargetRemoved or InvalidRecord.
@@ -210,12 +206,12 @@
 
 // follow reads one source until ctx is done: the operator's by long polling, others with an interval between reads.
 func (w *Watcher) follow(ctx context.Context, name string, s Source, wait, interval time.Duration) {
-	var next, era int64
-	complete, rewrittenUntil := cataloger.UnknownTime, time.Duration(0)
-	synced, failing, retry := false, false, minRetryDelay
+	var pos cursor
+	times := publishTimes{complete: cataloger.UnknownTime}
+	failing, retry := false, minRetryDelay
 	for ctx.Err() == nil {
 		start, timeout := w.elapsed(), timeoutAfter(failing, wait)
-		b, err := w.read(ctx, s, cursor{synced: synced, offset: next, era: era}, timeout)
+		b, err := w.read(ctx, s, pos, timeout)
 		if err != nil {
 			if !failing && ctx.Err() == nil {
 				logger.WithError(w.Log, err).WithField("source", name).Warn("metadata store unreachable")
@@ -232,33 +228,15 @@
 		if failing {
 			w.Log.WithField("source", name).Info("metadata store reachable again")
 		}
-		restored := synced && b.Era != era
+		restored := pos.synced && b.Era != pos.era
 		if restored {
-			w.Log.WithField("source", name).WithField("era", b.Era).WithField("previousEra", era).Warn("metadata store restored from a copy")
+			w.Log.WithField("source", name).WithField("era", b.Era).WithField("previousEra", pos.era).Warn("metadata store restored from a copy")
 			if s == w.Operator && w.OnRestore != nil {
 				w.OnRestore()
 			}
 		}
-		era = b.Era
-		end := w.elapsed()
-		if restored {
-			rewrittenUntil = end + rewriteTime
-		}
-		empty, duringWait := b.NextOffset == next, end-start < timeout && !b.IsSnapshot
-		e := event{batch: b, publishedAt: complete, afterOutage: (failing || restored) && synced}
-		if end < rewrittenUntil {
-			// The changes may have been published at any time since the last read before the restoration.
-			duringWait = false
-		}
-		if duringWait && start-complete < maxReadPause && b.NextOffset == next+1 {
-			// The change ended the wait when it was published. Of several changes, the store may have missed the wake-up for all
-			// but the last one.
-			e.publishedAt, e.observed = end, true
-		}
-		if end >= rewrittenUntil {
-			complete = completeUntil(start, end, timeout, empty, duringWait)
-		}
-		next, retry = b.NextOffset, minRetryDelay
+		e := event{batch: b, afterOutage: (failing || restored) && pos.synced}
+		e.publishedAt, e.observed = times.add(finishedRead{start: start, end: w.elapsed(), timeout: timeout, from: pos.offset, restored: restored}, b)
 		if s == w.Operator {
 			// A response without changes may have been made at any time since the request, so only the time of the
 			// request is confirmed.
@@ -269,25 +247,13 @@
 		case <-ctx.Done():
 			return
 		}
-		synced, failing = true, false
+		pos = cursor{synced: true, offset: b.NextOffset, era: b.Era}
+		failing, retry = false, minRetryDelay
 		w.setUnreachable(s, false)
 		sleeper.Sleep(ctx, interval)
 	}
 }
 
-// completeUntil returns the time up to which all changes are known after a read. The store sends an empty response at the end
-// of the wait, but it may arrive later. A response with changes was sent as soon as there were any if it arrived during the
-// wait, and at an unknown time after the request otherwise.
-func completeUntil(start, end, timeout time.Duration, empty, duringWait bool) time.Duration {
-	switch {
-	case empty:
-		return min(end, start+timeout)
-	case duringWait:
-		return end
-	}
-	return start
-}
-
 // timeoutAfter returns the long-poll time-out of the next read. It is 0 after a failed read, so that the current
 // configuration is confirmed as soon as the store is reachable.
 func timeoutAfter(failing bool, wait time.Duration) time.Duration {
