--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -185,8 +185,8 @@
 	}
 }
 
-// sleep waits for d, or until c is triggered or ctx is done, and reports whether c was triggered.
-func sleep(ctx context.Context, d time.Duration, c <-chan struct{}) bool {
+// sleepUntilTriggered waits for d, or until c is triggered or ctx is done, and reports whether c was triggered.
+func sleepUntilTriggered(ctx context.Context, d time.Duration, c <-chan struct{}) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
@@ -385,7 +385,7 @@
 			sleeper.Sleep(ctx, retryDelay)
 			continue
 		}
-		sleep(ctx, registerInterval, a.registerNow)
+		sleepUntilTriggered(ctx, registerInterval, a.registerNow)
 	}
 }
 
@@ -408,8 +408,8 @@
 		if n < initialReads {
 			interval = initialReadInterval
 		}
-		if sleep(ctx, interval, a.discoverNow) {
-			next, n = 0, 0
+		if sleepUntilTriggered(ctx, interval, a.discoverNow) {
+			next, n = 0, 0 // other instances register again at the same time
 		}
 	}
 }
