--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -209,14 +209,18 @@
 	var pos cursor
 	times := publishTimes{complete: cataloger.UnknownTime}
 	failing, retry := false, minRetryDelay
+	var failedSince time.Duration
+	failedReads := 0
 	for ctx.Err() == nil {
 		start, timeout := w.elapsed(), timeoutAfter(failing, wait)
 		b, err := w.read(ctx, s, pos, timeout)
 		if err != nil {
 			if !failing && ctx.Err() == nil {
-				logger.WithError(w.Log, err).WithField("source", name).Warn("metadata store unreachable")
+				logger.WithError(w.Log, err).WithField("source", name).WithField("readMs", (w.elapsed() - start).Milliseconds()).Warn("metadata store unreachable")
+				failedSince, failedReads = start, 0
 			}
 			failing = true
+			failedReads++
 			w.setUnreachable(s, true)
 			sleeper.Sleep(ctx, retry)
 			retry = min(2*retry, maxRetryDelay)
@@ -226,7 +230,8 @@
 			continue
 		}
 		if failing {
-			w.Log.WithField("source", name).Info("metadata store reachable again")
+			w.Log.WithField("source", name).WithField("failedReads", failedReads).WithField("outageMs", (w.elapsed() - failedSince).Milliseconds()).
+				Info("metadata store reachable again")
 		}
 		restored := pos.synced && b.Era != pos.era
 		if restored {
