fix(watcher): an instance reads the configuration again if others have read further

Cause: each instance depends on its own long poll alone. If its connection is dead, it waits for up to 0.8 of config_apply_ms and 0.9 s more, whatever the others know.

Change: announcements carry how far the sender has read the operator's records, as era and offset. An instance that has been behind for 250 ms gives up its long poll and reads at once, over a new connection; once for each position, so that a wrong announcement costs one read. The records themselves still come from the metadata store alone.

--- a/internal/announcer/state.go
+++ b/internal/announcer/state.go
@@ -5,6 +5,7 @@
 
 	"github.com/papayaworks/papayaworks/internal/archiver"
 	"github.com/papayaworks/papayaworks/internal/quarantiner"
+	"github.com/papayaworks/papayaworks/internal/watcher"
 )
 
 // InFlight is the load of an instance's requests in flight at one target. It is encoded as an array, so the order of
@@ -58,6 +59,8 @@
 	// Crashes holds recent crashes of targets with the suspect blocks, Quarantined the state of blocks.
 	Crashes     []quarantiner.Crash `msgpack:"c,omitempty"`
 	Quarantined []quarantiner.Entry `msgpack:"q,omitempty"`
+	// Progress is how far this instance has read the operator's records.
+	Progress watcher.Progress `msgpack:"o"`
 }
 
 // announcement is the payload of a datagram. Announcements are ordered by the start of the sender's process, then by
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -245,6 +245,7 @@
 		}
 		st.Published = s.recentVersions()
 		st.Crashes, st.Quarantined = s.quarantine.Crashes(now), s.quarantine.Entries(now)
+		st.Progress = s.Watcher.Progress()
 		return st
 	}
 	if s.Archiver != nil {
@@ -259,6 +260,7 @@
 			s.Updater.Merge(st.Swapping)
 		}
 		s.mergePublishTimes(ctx, st.Published)
+		s.Watcher.MergeProgress(st.Progress)
 		if len(st.Crashes)+len(st.Quarantined) > 0 {
 			s.quarantine.Merge(st.Crashes, st.Quarantined, now)
 		}
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -20,6 +20,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -123,6 +124,9 @@
 	confirmedAt         atomic.Int64
 	operatorUnreachable atomic.Bool
 	events              chan event
+	// progress is the position of the operator's source; nil before the first read.
+	progress atomic.Pointer[Progress]
+	peers    *peerProgress
 	// expired holds the removal times of targets whose records expired during an outage.
 	expired map[string]time.Time
 	removed removals
@@ -148,7 +152,7 @@
 func New(operator, targets Source, log logger.Logger) *Watcher {
 	w := &Watcher{
 		Operator: operator, Targets: targets, Log: log, elapsed: clocker.SinceBoot,
-		events: make(chan event, 16), expired: map[string]time.Time{}, removed: removals{},
+		events: make(chan event, 16), peers: newPeerProgress(), expired: map[string]time.Time{}, removed: removals{},
 	}
 	w.view.Store(cataloger.NewView())
 	return w
@@ -213,7 +217,14 @@
 	failedReads := 0
 	for ctx.Err() == nil {
 		start, timeout := w.elapsed(), timeoutAfter(failing, wait)
+		if s == w.Operator && pos.synced && w.peers.startCatchUp(pos) {
+			timeout = 0
+		}
 		b, err := w.read(ctx, s, pos, timeout)
+		if errors.Is(err, errBehindPeers) {
+			w.Log.WithField("source", name).WithField("readMs", (w.elapsed() - start).Milliseconds()).Warn("long poll given up, as another instance has read further")
+			continue
+		}
 		if err != nil {
 			if !failing && ctx.Err() == nil {
 				logger.WithError(w.Log, err).WithField("source", name).WithField("readMs", (w.elapsed() - start).Milliseconds()).Warn("metadata store unreachable")
@@ -253,6 +264,9 @@
 			return
 		}
 		pos = cursor{synced: true, offset: b.NextOffset, era: b.Era}
+		if s == w.Operator {
+			w.progress.Store(&Progress{Era: b.Era, Offset: b.NextOffset})
+		}
 		failing, retry = false, minRetryDelay
 		w.setUnreachable(s, false)
 		sleeper.Sleep(ctx, interval)
@@ -291,10 +305,32 @@
 	offset, era int64
 }
 
-// read returns the changes after c, or a snapshot if c is not a position in the store's present history.
+// errBehindPeers is the error of a long poll that was given up because another instance has read further.
+var errBehindPeers = errors.New("another instance has read further")
+
+// read returns the changes after c, or a snapshot if c is not a position in the store's present history. It gives up a long poll of the
+// operator's source if another instance has read further.
 func (w *Watcher) read(ctx context.Context, s Source, c cursor, wait time.Duration) (Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
 	defer cancel()
+	if s != w.Operator || wait == 0 || !c.synced {
+		return readFrom(ctx, s, c, wait)
+	}
+	ctx, giveUp := context.WithCancelCause(ctx)
+	defer giveUp(nil)
+	go func() {
+		if w.peers.awaitLead(ctx, c) {
+			giveUp(errBehindPeers)
+		}
+	}()
+	b, err := readFrom(ctx, s, c, wait)
+	if err != nil && errors.Is(context.Cause(ctx), errBehindPeers) {
+		err = errBehindPeers
+	}
+	return b, err
+}
+
+func readFrom(ctx context.Context, s Source, c cursor, wait time.Duration) (Batch, error) {
 	if c.synced {
 		b, err := s.Changes(ctx, c.offset, wait)
 		if err != nil || b.Era == c.era || b.IsSnapshot {
