fix(forwarder): an outdated instance does not refuse unknown routes and keys for good

Callers of an instance that could not read the newest configuration got 404 or 401 for a route or a key that had been added, and did not try again.

Cause: a refusal took the configuration of the instance for the newest one, whatever the others have in force.

--- a/internal/forwarder/identify.go
+++ b/internal/forwarder/identify.go
@@ -14,7 +14,8 @@
 	// keyMargin is how long before the end of KeyTTL this instance stops accepting API keys, because a call reaches its target
 	// only some time after the check.
 	keyMargin = 400 * time.Millisecond
-	// staleRetryAfter is the advised retry delay if this instance cannot check API keys; a retry may reach another instance.
+	// staleRetryAfter is the advised retry delay if this instance cannot check API keys or has an old configuration; a retry may
+	// reach another instance.
 	staleRetryAfter = 500 * time.Millisecond
 	// stopRetryAfter is the advised retry delay if this instance is stopping. The load balancer sends new connections to others.
 	stopRetryAfter = 20 * time.Millisecond
@@ -32,7 +33,7 @@
 	path, _, _ := strings.Cut(c.HTTP.RequestURI, "?")
 	route, ok := cat.Match(hostOf(c.HTTP.Host), path)
 	if !ok {
-		return request.Refuse(http.StatusNotFound, request.CodeNotFound, "path", "no route for %q", path)
+		return st.refuseUnknown(c, request.Refuse(http.StatusNotFound, request.CodeNotFound, "path", "no route for %q", path))
 	}
 	c.Route = route
 	c.Deadline = deadline(c)
@@ -48,11 +49,21 @@
 			"keys cannot be checked: the configuration was last read %v ago", age.Round(time.Millisecond)).WithRetryAfter(staleRetryAfter)
 	}
 	if c.Account, ok = cat.Account(c.Headers.APIKey); !ok {
-		return request.Refuse(http.StatusUnauthorized, request.CodeUnauthorized, "authorization", "unknown API key")
+		return st.refuseUnknown(c, request.Refuse(http.StatusUnauthorized, request.CodeUnauthorized, "authorization", "unknown API key"))
 	}
 	return nil
 }
 
+// refuseUnknown returns the refusal of a call whose route or key is unknown. While the other instances have a newer configuration, in
+// which it may be known, it asks the caller to try again.
+func (st *identifyStep) refuseUnknown(c *Call, refusal *request.Error) error {
+	if !st.s.Watcher.IsOutdated(c.View.Catalog) {
+		return refusal
+	}
+	return request.Refuse(http.StatusServiceUnavailable, request.CodeNotRun, "", "%s, but other instances have a newer configuration", refusal.Message).
+		WithRetryAfter(staleRetryAfter)
+}
+
 // deadline returns the time by which the call must have its final response: the route's timeout, or the caller's if it is
 // shorter or the route has none.
 func deadline(c *Call) time.Time {
--- a/internal/watcher/progress.go
+++ b/internal/watcher/progress.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/papayaworks/papayaworks/internal/cataloger"
 	"github.com/papayaworks/papayaworks/internal/sleeper"
 )
 
@@ -121,3 +122,6 @@
 // MergeProgress applies the progress of another instance. If this instance is behind, it gives up its long poll, whose connection may
 // be dead, and reads again at once.
 func (w *Watcher) MergeProgress(p Progress) { w.peers.merge(p, time.Now()) }
+
+// IsOutdated reports whether another instance has a newer configuration in force than c.
+func (w *Watcher) IsOutdated(c *cataloger.Catalog) bool { return w.peers.versionInForce(time.Now()) > c.Version }
