fix(platform): one value that is not known does not hold back a whole configuration

A route of a kind that this version of the program does not know, or a timeout with a fraction of a millisecond, made the instance keep the older configuration for all routes.

Change: requests of an unknown kind are not repeated, the strictest of the known kinds, and the routes are logged.

--- a/internal/cataloger/catalog.go
+++ b/internal/cataloger/catalog.go
@@ -125,6 +125,8 @@
 	Services map[string]*Service
 	Accounts []Account
 	Limits   Limits
+	// UnknownKinds names the routes whose kind is unknown; their requests are not repeated.
+	UnknownKinds []string
 
 	routes map[string][]Route
 	keys   map[string]*Account
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -378,6 +378,9 @@
 	case ConfigChange:
 		n := v.WithCatalog(c.Catalog)
 		w.Log.WithField("version", c.Catalog.Version).WithField("taken", n != v).Info("configuration read")
+		if len(c.Catalog.UnknownKinds) > 0 {
+			w.Log.WithField("version", c.Catalog.Version).WithField("routes", c.Catalog.UnknownKinds).Warn("kinds of routes unknown")
+		}
 		return n
 	case DesiredVersionChange:
 		w.Log.WithField("model", c.Model).WithField("version", c.Version).WithField("publishTimeKnown", e.publishedAt != cataloger.UnknownTime).
