--- a/internal/watcher/progress.go
+++ b/internal/watcher/progress.go
@@ -124,4 +124,6 @@
 func (w *Watcher) MergeProgress(p Progress) { w.peers.merge(p, time.Now()) }
 
 // IsOutdated reports whether another instance has a newer configuration in force than c.
-func (w *Watcher) IsOutdated(c *cataloger.Catalog) bool { return w.peers.versionInForce(time.Now()) > c.Version }
+func (w *Watcher) IsOutdated(c *cataloger.Catalog) bool {
+	return w.peers.versionInForce(time.Now()) > c.Version
+}
