fix(forwarder): all instances together keep the limit that a target names

Cause: nothing read what a target says of the requests that it accepts. What comes near it, a recent refusal, is a preference: such a target is used again if no other is left.

Change: package throttler holds the limits. A limited target is no candidate, whatever else is left, unless this instance is one of its senders, chosen by rendezvous hashing over the members, and its interval has passed. Two senders and one more for each full request per second send at most 5.5 times the limit and 2 in 4 s; nothing is saved up. Announcements carry the statements to instances that have not been told. A response without a limit ends it, one that cannot be read changes nothing. If all targets are left out, the call is refused at once with the time after which one may get a request.

Each log line of a call names the targets that its last choice left out, a counter counts them, and a line says when a limit begins, changes or ends.

--- a/internal/announcer/state.go
+++ b/internal/announcer/state.go
@@ -5,6 +5,7 @@
 
 	"github.com/papayaworks/papayaworks/internal/archiver"
 	"github.com/papayaworks/papayaworks/internal/quarantiner"
+	"github.com/papayaworks/papayaworks/internal/throttler"
 	"github.com/papayaworks/papayaworks/internal/watcher"
 )
 
@@ -59,6 +60,8 @@
 	// Crashes holds recent crashes of targets with the suspect blocks, Quarantined the state of blocks.
 	Crashes     []quarantiner.Crash `msgpack:"c,omitempty"`
 	Quarantined []quarantiner.Entry `msgpack:"q,omitempty"`
+	// Statements holds what targets have recently said about the requests that they accept.
+	Statements []throttler.Announced `msgpack:"t,omitempty"`
 	// Progress is how far this instance has read the operator's records.
 	Progress watcher.Progress `msgpack:"o"`
 }
--- a/internal/exporter/forwarding.go
+++ b/internal/exporter/forwarding.go
@@ -15,6 +15,7 @@
 	CallSeconds     = "papayaworks_call_seconds"
 	Attempts        = "papayaworks_attempts_total"
 	StreamEnds      = "papayaworks_stream_ends_total"
+	LeftOut         = "papayaworks_targets_left_out_total"
 	ConfigAge       = "papayaworks_configuration_age_seconds"
 	CatalogVersion  = "papayaworks_catalog_version"
 	Targets         = "papayaworks_targets"
@@ -76,6 +77,11 @@
 	f.set.GetOrCreateCounter(fmt.Sprintf("%s{service=%q,framing=%q,end=%q}", StreamEnds, service, framing, end)).Inc()
 }
 
+// RecordLeftOut counts a target that a choice left out because of what it has said.
+func (f *ForwardingMetrics) RecordLeftOut(service, reason string) {
+	f.set.GetOrCreateCounter(fmt.Sprintf("%s{service=%q,reason=%q}", LeftOut, service, reason)).Inc()
+}
+
 // boundedLabel returns the value, or otherLabel if the label already has maxLabels other values.
 func (f *ForwardingMetrics) boundedLabel(label, value string) string {
 	f.mu.Lock()
@@ -98,6 +104,7 @@
 	{CallSeconds, "histogram", "route, le", "seconds from the arrival of a forwarded call to the first event or the whole answer"},
 	{Attempts, "counter", "service, outcome, reason", "sends of forwarded calls to targets by outcome (done, notRun, repeatable, unknown) and by why the target was chosen"},
 	{StreamEnds, "counter", "service, framing, end", "streams of targets by the framing of the response (length, chunked, none) and by how they ended (see streamEnd in docs/logs.md)"},
+	{LeftOut, "counter", "service, reason", "targets that a choice left out because of what they have said (see leftOut in docs/logs.md)"},
 	{ConfigAge, "gauge", "", "seconds since the operator's configuration was last known to be the newest; API keys are refused near the operator's bound"},
 	{CatalogVersion, "gauge", "", "version of the operator's configuration in force at the instance"},
 	{Targets, "gauge", "", "targets that are known, those that are leaving included"},
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -7,6 +7,7 @@
 	"github.com/papayaworks/papayaworks/internal/balancer"
 	"github.com/papayaworks/papayaworks/internal/cataloger"
 	"github.com/papayaworks/papayaworks/internal/pooler"
+	"github.com/papayaworks/papayaworks/internal/throttler"
 )
 
 // Block is a piece of a prompt whose KV cache can be reused. ID is the hash by which callers identify it.
@@ -93,6 +94,8 @@
 	// TargetID is the target that responded; empty if the response does not state it.
 	TargetID string
 	Load     *balancer.Load
+	// Statement is what the target says about the requests that it accepts.
+	Statement throttler.Statement
 	// WeightVersions are the target's weight versions by model; the empty name stands for the model of the call.
 	WeightVersions map[string]int64
 }
@@ -132,6 +135,8 @@
 	// TriedTargets are the IDs of the targets that were tried, Attempts the results for the log.
 	TriedTargets []string
 	Attempts     []Attempt
+	// LeftOut holds the targets that must not get the call, with the verdict of the last choice.
+	LeftOut map[string]throttler.Verdict
 	// MisdirectedCount is the number of tried targets that refused the call as misdirected.
 	MisdirectedCount int
 	// AssumedVersions holds the weight versions that targets are assumed to have because they refused an older one.
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -16,6 +16,7 @@
 	"github.com/papayaworks/papayaworks/internal/pooler"
 	"github.com/papayaworks/papayaworks/internal/request"
 	"github.com/papayaworks/papayaworks/internal/retrier"
+	"github.com/papayaworks/papayaworks/internal/throttler"
 )
 
 const (
@@ -137,8 +138,12 @@
 	case c.MayHaveRun:
 		return request.Fail(http.StatusBadGateway, request.CodeOutcomeUnknown, "%v", err)
 	}
+	retryAfter := max(refusedRetryAfter, c.ExpectedLatency)
+	if errors.Is(err, balancer.ErrNoTarget) {
+		retryAfter = max(retryAfter, c.leftOutWait())
+	}
 	return request.Refuse(http.StatusServiceUnavailable, request.CodeOverloaded, "", "no target accepted the call: %v", err).
-		WithRetryAfter(admitter.Jitter(max(refusedRetryAfter, c.ExpectedLatency), rand.Uint64()))
+		WithRetryAfter(admitter.Jitter(retryAfter, rand.Uint64()))
 }
 
 // attempt chooses a target and sends the call to it. If the outcome is Done, c.Response is set.
@@ -177,8 +182,20 @@
 	return out, err
 }
 
-// chooseTarget returns the decision of the balancer among the targets that can receive the call.
+// chooseTarget returns the decision of the balancer among the targets that can receive the call. It counts the call against the limit
+// of the target.
 func (s *Server) chooseTarget(c *Call, now time.Time) (balancer.Decision, error) {
+	for {
+		d, err := s.balance(c, now)
+		// Another call may have used up the limit meanwhile; the target is no candidate any more then.
+		if err != nil || s.throttle.Take(throttler.ProcessOf(d.Target), now) {
+			return d, err
+		}
+	}
+}
+
+// balance returns the decision of the balancer among the targets that can receive the call.
+func (s *Server) balance(c *Call, now time.Time) (balancer.Decision, error) {
 	targets := s.usableTargets(c, now)
 	mean := s.loads.MeanDuration(c.Service.Name)
 	in := balancer.Input{IsEngine: c.Service.Engine != nil, Seed: rand.Uint64()}
@@ -244,14 +261,17 @@
 }
 
 // usableTargets returns the targets of the call's service that may receive it. Targets that fail, refuse calls, do not
-// respond or swap weights are included only if there are no others.
+// respond or swap weights are included only if there are no others. Targets that have said that they accept no further requests
+// are never included, but recorded in c.LeftOut.
 func (s *Server) usableTargets(c *Call, now time.Time) []*cataloger.Target {
 	var out, failing []*cataloger.Target
 	limit := s.maxConnections(c.Service)
+	c.LeftOut = nil
 	for _, t := range s.Watcher.View().Targets(c.Service.Name) {
 		state := s.loads.Status(t.ID, now)
 		switch {
 		case t.Leaving, slices.Contains(c.TriedTargets, t.ID), !s.versionAllowed(c, t):
+		case s.leaveOut(c, t, now):
 		case limit > 0 && state.InFlight.Requests >= limit:
 		case s.Updater != nil && s.Updater.IsSwapping(t.ID):
 			failing = append(failing, t)
@@ -267,6 +287,31 @@
 	return out
 }
 
+// leaveOut reports whether a target must not get the call, and records why.
+func (s *Server) leaveOut(c *Call, t *cataloger.Target, now time.Time) bool {
+	v := s.throttle.Check(throttler.ProcessOf(t), now)
+	if v.Reason == "" {
+		return false
+	}
+	if c.LeftOut == nil {
+		c.LeftOut = map[string]throttler.Verdict{}
+	}
+	c.LeftOut[t.ID] = v
+	s.metrics.RecordLeftOut(c.Service.Name, string(v.Reason))
+	return true
+}
+
+// leftOutWait returns the time after which a target that was left out may get a request; 0 if none was left out.
+func (c *Call) leftOutWait() time.Duration {
+	var least time.Duration
+	for _, v := range c.LeftOut {
+		if least == 0 || v.Wait < least {
+			least = v.Wait
+		}
+	}
+	return least
+}
+
 // versionOf returns the newest known weight version of a target, from its registry record, its responses or the peers.
 func (s *Server) versionOf(t *cataloger.Target, model string) int64 {
 	return max(t.Versions[model], s.loads.Version(balancer.WeightsKeyOf(t, model)))
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -42,6 +42,7 @@
 	"github.com/papayaworks/papayaworks/internal/quarantiner"
 	"github.com/papayaworks/papayaworks/internal/request"
 	"github.com/papayaworks/papayaworks/internal/sleeper"
+	"github.com/papayaworks/papayaworks/internal/throttler"
 	"github.com/papayaworks/papayaworks/internal/updater"
 	"github.com/papayaworks/papayaworks/internal/watcher"
 )
@@ -149,6 +150,7 @@
 	retryBudgets *retryBudgets
 	pool         *pooler.Pool
 	waiting      waitingAttempts
+	throttle     *throttler.Table
 	quarantine   *quarantiner.Quarantine
 	crashes      crashDetector
 	framings     framingHistory
@@ -186,6 +188,11 @@
 	s.health = newHealth()
 	s.retryBudgets = newRetryBudgets()
 	s.pool = pooler.New()
+	s.throttle = throttler.New(s.Settings.Instance)
+	s.throttle.Log = s.Log
+	if s.Announcer == nil {
+		s.throttle.SetInstances([]string{s.Settings.Instance}, time.Now())
+	}
 	s.quarantine = quarantiner.New()
 	s.quarantine.Log = s.Log
 	s.crashes.s = s
@@ -245,7 +252,7 @@
 		}
 		st.Published = s.recentVersions()
 		st.Crashes, st.Quarantined = s.quarantine.Crashes(now), s.quarantine.Entries(now)
-		st.Progress = s.Watcher.Progress()
+		st.Progress, st.Statements = s.Watcher.Progress(), s.throttle.Announced(now)
 		return st
 	}
 	if s.Archiver != nil {
@@ -261,6 +268,7 @@
 		}
 		s.mergePublishTimes(ctx, st.Published)
 		s.Watcher.MergeProgress(st.Progress)
+		s.throttle.Merge(st.Statements, now)
 		if len(st.Crashes)+len(st.Quarantined) > 0 {
 			s.quarantine.Merge(st.Crashes, st.Quarantined, now)
 		}
@@ -269,6 +277,7 @@
 		}
 	}
 	a.OnMembersChanged = func(ids []string) {
+		s.throttle.SetInstances(ids, time.Now())
 		if s.Archiver != nil {
 			s.Archiver.SetInstances(ctx, ids)
 		}
@@ -308,6 +317,7 @@
 	s.loads.Retain(ids)
 	s.health.setTargets(v)
 	s.framings.retain(v)
+	s.throttle.Retain(v, time.Now())
 }
 
 func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/internal/forwarder/report.go
+++ b/internal/forwarder/report.go
@@ -14,6 +14,7 @@
 	"github.com/papayaworks/papayaworks/internal/logger"
 	"github.com/papayaworks/papayaworks/internal/pooler"
 	"github.com/papayaworks/papayaworks/internal/retrier"
+	"github.com/papayaworks/papayaworks/internal/throttler"
 )
 
 // Outcomes of calls, which are also the messages of their log lines, and other log messages.
@@ -78,6 +79,13 @@
 	if !c.Deadline.IsZero() {
 		log = log.WithField("budgetMs", c.Deadline.Sub(c.ReceivedAt).Milliseconds())
 	}
+	if len(c.LeftOut) > 0 {
+		leftOut := map[string]throttler.Reason{}
+		for id, v := range c.LeftOut {
+			leftOut[id] = v.Reason
+		}
+		log = log.WithField("leftOut", leftOut)
+	}
 	if err != nil {
 		log = logger.WithError(log, err).WithField("step", step)
 	}
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -15,6 +15,7 @@
 	"github.com/papayaworks/papayaworks/internal/cataloger"
 	"github.com/papayaworks/papayaworks/internal/pooler"
 	"github.com/papayaworks/papayaworks/internal/retrier"
+	"github.com/papayaworks/papayaworks/internal/throttler"
 )
 
 // fetchFraction is the fraction of a call's objective that a fetch of KV cache may take, in addition to the prefill time of the
@@ -178,6 +179,9 @@
 // recordResponse records the load, the weight versions and the cached blocks of the target from a response.
 func (x *targetRequest) recordResponse(r ResponseHeaders) {
 	now := time.Now()
+	if !r.Misdirected || r.TargetID == x.t.ID { // another target may have the address
+		x.s.throttle.Record(throttler.ProcessOf(x.t), r.Statement, now)
+	}
 	if r.Load != nil {
 		x.s.loads.RecordLoad(x.t.ID, *r.Load, now)
 	}
