feat(forwarder): a target that says it is leaving gets no further request

Targets may say in their responses that they are leaving. Nothing read that: until their record said so too, they got requests, which end with them.

Change: the statement binds the instance that has received it, and those to which it is announced, until the process of the target has ended: also if no other target is left, and if its record expires and is back, as after an outage of the metadata store.

--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -301,11 +301,11 @@
 	return true
 }
 
-// leftOutWait returns the time after which a target that was left out may get a request; 0 if none was left out.
+// leftOutWait returns the time after which a target that was left out may get a request; 0 if there is no such target.
 func (c *Call) leftOutWait() time.Duration {
 	var least time.Duration
 	for _, v := range c.LeftOut {
-		if least == 0 || v.Wait < least {
+		if v.Wait > 0 && (least == 0 || v.Wait < least) {
 			least = v.Wait
 		}
 	}
--- a/internal/throttler/throttler.go
+++ b/internal/throttler/throttler.go
@@ -1,9 +1,10 @@
 // Package throttler keeps to what targets say about the requests that they accept.
 //
 // A target may name a limit: the number of requests per second that it accepts from
-// all instances together, for as long as its responses say so. Such a statement is
-// a ban: a target that has named a limit gets no further request even if no other
-// target is left.
+// all instances together, for as long as its responses say so. It may say that it is
+// leaving, which holds until its process has ended, whatever its record in the
+// metadata store says. Such statements are bans: a target that accepts no request
+// gets none, even if no other target is left.
 //
 // # Sharing a limit
 //
@@ -79,6 +80,8 @@
 	Limit *float64 `msgpack:"l,omitempty"`
 	// LimitUnreadable reports that the response has a limit that cannot be read. What was said before holds on.
 	LimitUnreadable bool `msgpack:"-"`
+	// Leaving reports that the process will end. It does not withdraw that.
+	Leaving bool `msgpack:"e,omitempty"`
 }
 
 // Announced is a statement as it is sent to other instances.
@@ -98,12 +101,14 @@
 	ReasonLimit Reason = "limit"
 	// ReasonOtherSenders is that other instances use the target's limit.
 	ReasonOtherSenders Reason = "limitOfOthers"
+	// ReasonLeaving is that the target has said that it is leaving.
+	ReasonLeaving Reason = "leaving"
 )
 
 // Verdict says whether a target may get a request now.
 type Verdict struct {
 	Reason Reason
-	// Wait is the time after which an instance may send a request to the target.
+	// Wait is the time after which an instance may send a request to the target; 0 if there is no such time.
 	Wait time.Duration
 }
 
@@ -124,6 +129,7 @@
 	limit float64
 	// limited reports whether limit applies.
 	limited bool
+	leaving bool
 	// statedAt is when the newest statement was received by any instance, and receivedAt when by this one.
 	statedAt, receivedAt time.Time
 	// pacedFrom is when the interval before the next request of this instance begins: the last request, or the moment at which this
@@ -171,12 +177,16 @@
 func (t *Table) apply(p Process, s Statement, statedAt, now time.Time) *entry {
 	e := t.processes[p]
 	if e == nil {
-		if s.Limit == nil {
+		if s.Limit == nil && !s.Leaving {
 			return nil
 		}
 		e = &entry{pacedFrom: now}
 		t.processes[p] = e
 	}
+	if s.Leaving && !e.leaving {
+		e.leaving = true
+		t.log(p, "target says that it is leaving", logrus.Fields{})
+	}
 	if statedAt.Before(e.statedAt) || s.LimitUnreadable {
 		return e
 	}
@@ -235,7 +245,11 @@
 func (t *Table) check(p Process, now time.Time) Verdict {
 	e := t.processes[p]
 	switch {
-	case e == nil || !e.limited:
+	case e == nil:
+		return Verdict{}
+	case e.leaving:
+		return Verdict{Reason: ReasonLeaving}
+	case !e.limited:
 		return Verdict{}
 	case !e.isSender:
 		return Verdict{Reason: ReasonOtherSenders, Wait: e.interval() / time.Duration(max(1, e.senders))}
@@ -270,7 +284,7 @@
 		if !isRecent && !(e.limited && e.isSender) {
 			continue
 		}
-		a := Announced{Process: p, Age: now.Sub(e.statedAt)}
+		a := Announced{Process: p, Statement: Statement{Leaving: e.leaving}, Age: now.Sub(e.statedAt)}
 		if e.limited {
 			limit := e.limit
 			a.Statement.Limit = &limit
