feat(forwarder): a target that refuses a call with Retry-After gets none for that time

Targets may add Retry-After to a refusal. Nothing read that: a refusal was remembered for 0.2 s, and only as a preference.

Change: the instance that was refused sends that target nothing for the time, also if no other is left; calls are refused at once then, with the time that remains. It is announced: the others prefer other targets.

--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -275,6 +275,8 @@
 		case limit > 0 && state.InFlight.Requests >= limit:
 		case s.Updater != nil && s.Updater.IsSwapping(t.ID):
 			failing = append(failing, t)
+		case s.throttle.IsPausedElsewhere(throttler.ProcessOf(t), now):
+			failing = append(failing, t)
 		case state.RecentlyRefused, state.Unreachable, state.UnresponsiveFor > unresponsiveTimeout, !s.health.allows(t.ID, now):
 			failing = append(failing, t)
 		default:
--- a/internal/throttler/throttler.go
+++ b/internal/throttler/throttler.go
@@ -3,7 +3,8 @@
 // A target may name a limit: the number of requests per second that it accepts from
 // all instances together, for as long as its responses say so. It may say that it is
 // leaving, which holds until its process has ended, whatever its record in the
-// metadata store says. Such statements are bans: a target that accepts no request
+// metadata store says. When it refuses a request, it may say for how long it accepts
+// none of this instance. Such statements are bans: a target that accepts no request
 // gets none, even if no other target is left.
 //
 // # Sharing a limit
@@ -57,6 +58,8 @@
 	limitFraction = 0.9
 	// announceTime is how long a statement is announced after it was received.
 	announceTime = 10 * time.Second
+	// maxPause is the longest time for which a target gets no requests because it has refused one. It bounds the harm of a wrong value.
+	maxPause = time.Hour
 	// absenceTTL is how long the statements of a process that is not registered are kept, because records of targets are also missing
 	// after an outage of the metadata store.
 	absenceTTL = 10 * time.Minute
@@ -82,6 +85,8 @@
 	LimitUnreadable bool `msgpack:"-"`
 	// Leaving reports that the process will end. It does not withdraw that.
 	Leaving bool `msgpack:"e,omitempty"`
+	// RetryAfter is how long the target accepts no request of the instance that it has refused one; 0 if it has not said so.
+	RetryAfter time.Duration `msgpack:"r,omitempty"`
 }
 
 // Announced is a statement as it is sent to other instances.
@@ -103,6 +108,8 @@
 	ReasonOtherSenders Reason = "limitOfOthers"
 	// ReasonLeaving is that the target has said that it is leaving.
 	ReasonLeaving Reason = "leaving"
+	// ReasonRetryAfter is that the target has refused a request of this instance and said when the next one may come.
+	ReasonRetryAfter Reason = "retryAfter"
 )
 
 // Verdict says whether a target may get a request now.
@@ -130,6 +137,8 @@
 	// limited reports whether limit applies.
 	limited bool
 	leaving bool
+	// pausedUntil is when the target accepts requests of this instance again, and pausedElsewhereUntil the same for another instance.
+	pausedUntil, pausedElsewhereUntil time.Time
 	// statedAt is when the newest statement was received by any instance, and receivedAt when by this one.
 	statedAt, receivedAt time.Time
 	// pacedFrom is when the interval before the next request of this instance begins: the last request, or the moment at which this
@@ -159,8 +168,14 @@
 func (t *Table) Record(p Process, s Statement, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if e := t.apply(p, s, now, now); e != nil {
-		e.receivedAt = now
+	e := t.apply(p, s, now, now)
+	if e == nil {
+		return
+	}
+	e.receivedAt = now
+	if until := now.Add(min(s.RetryAfter, maxPause)); s.RetryAfter > 0 && until.After(e.pausedUntil) {
+		e.pausedUntil = until
+		t.log(p, "target accepts no requests for a time", logrus.Fields{"retryAfterMs": s.RetryAfter.Milliseconds()})
 	}
 }
 
@@ -169,7 +184,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, a := range as {
-		t.apply(a.Process, a.Statement, now.Add(-a.Age), now)
+		e := t.apply(a.Process, a.Statement, now.Add(-a.Age), now)
+		if until := now.Add(min(a.Statement.RetryAfter, maxPause)); e != nil && until.After(e.pausedElsewhereUntil) {
+			e.pausedElsewhereUntil = until
+		}
 	}
 }
 
@@ -177,7 +195,7 @@
 func (t *Table) apply(p Process, s Statement, statedAt, now time.Time) *entry {
 	e := t.processes[p]
 	if e == nil {
-		if s.Limit == nil && !s.Leaving {
+		if s.Limit == nil && !s.Leaving && s.RetryAfter <= 0 {
 			return nil
 		}
 		e = &entry{pacedFrom: now}
@@ -249,6 +267,8 @@
 		return Verdict{}
 	case e.leaving:
 		return Verdict{Reason: ReasonLeaving}
+	case now.Before(e.pausedUntil):
+		return Verdict{Reason: ReasonRetryAfter, Wait: e.pausedUntil.Sub(now)}
 	case !e.limited:
 		return Verdict{}
 	case !e.isSender:
@@ -260,6 +280,15 @@
 	return Verdict{}
 }
 
+// IsPausedElsewhere reports whether the process accepts no requests of another instance for a time. It would most likely refuse one of
+// this instance too.
+func (t *Table) IsPausedElsewhere(p Process, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.processes[p]
+	return e != nil && now.Before(e.pausedElsewhereUntil)
+}
+
 // Take counts a request that is about to be sent to a process. It returns false if the process must not get it.
 func (t *Table) Take(p Process, now time.Time) bool {
 	t.mu.Lock()
@@ -284,7 +313,7 @@
 		if !isRecent && !(e.limited && e.isSender) {
 			continue
 		}
-		a := Announced{Process: p, Statement: Statement{Leaving: e.leaving}, Age: now.Sub(e.statedAt)}
+		a := Announced{Process: p, Statement: Statement{Leaving: e.leaving, RetryAfter: max(0, e.pausedUntil.Sub(now))}, Age: now.Sub(e.statedAt)}
 		if e.limited {
 			limit := e.limit
 			a.Statement.Limit = &limit
--- a/internal/throttler/throttler_test.go
+++ b/internal/throttler/throttler_test.go
@@ -230,7 +230,18 @@
 		}, ReasonLeaving},
 		"leaving, announced":        {func(t *Table) { t.Merge([]Announced{{process, Statement{Leaving: true}, second}}, epoch) }, ReasonLeaving},
 		"process before is leaving": {func(t *Table) { t.Record(Process{"w-1", 6}, Statement{Leaving: true}, epoch) }, ""},
-		"members unknown":           {func(t *Table) { t.SetInstances(nil, epoch); t.Record(process, limitOf(0.5), epoch) }, ReasonOtherSenders},
+		"retry after":               {func(t *Table) { t.Record(process, Statement{RetryAfter: second + 1}, epoch) }, ReasonRetryAfter},
+		"retry after, over":         {func(t *Table) { t.Record(process, Statement{RetryAfter: second}, epoch) }, ""},
+		"retry after, shorter follows": {func(t *Table) {
+			t.Record(process, Statement{RetryAfter: 2 * second}, epoch)
+			t.Record(process, Statement{RetryAfter: 1}, epoch)
+		}, ReasonRetryAfter},
+		"retry after, answer follows": {func(t *Table) {
+			t.Record(process, Statement{RetryAfter: 2 * second}, epoch)
+			t.Record(process, Statement{}, epoch)
+		}, ReasonRetryAfter},
+		"retry after of another": {func(t *Table) { t.Merge([]Announced{{process, Statement{RetryAfter: 2 * second}, 0}}, epoch) }, ""},
+		"members unknown":        {func(t *Table) { t.SetInstances(nil, epoch); t.Record(process, limitOf(0.5), epoch) }, ReasonOtherSenders},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -244,3 +255,16 @@
 		})
 	}
 }
+
+// Guards against peers that do not know that a target refuses requests for a time, or that know it for longer.
+func TestPauseIsAnnounced(t *testing.T) {
+	refused, peer := New("a"), New("b")
+	refused.Record(process, Statement{RetryAfter: 3 * time.Second}, epoch)
+	now := epoch.Add(time.Second)
+	peer.Merge(refused.Announced(now), now)
+	require.True(t, peer.IsPausedElsewhere(process, epoch.Add(3*time.Second-1)))
+	require.False(t, peer.IsPausedElsewhere(process, epoch.Add(3*time.Second)))
+	require.False(t, refused.IsPausedElsewhere(process, now))
+	refused.Record(process, Statement{RetryAfter: 2 * maxPause}, now)
+	require.Equal(t, maxPause, refused.Check(process, now).Wait)
+}
