fix(watcher): a target whose newest record is odd is not removed

When an instance read the newest records, a sound target whose newest one could not be decoded was removed until its next heartbeat.

Cause: a record that cannot be decoded counted as missing.

Change: the target's state before holds on.

TestInvalidRecordInSnapshotRemovesTarget failed before in the case of a target with a sound one.

--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -402,6 +402,10 @@
 	case TargetRemoved:
 		w.removeTarget(d, c.ID, e.afterOutage, now)
 	case InvalidRecord:
+		if _, ok := d.Target(c.Key); ok {
+			// The target's state before holds on.
+			present[c.Key] = true
+		}
 		w.Log.WithField("key", c.Key).WithField("error", c.Err.Error()).Warn("invalid record ignored")
 	}
 	return v
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -81,6 +81,23 @@
 	require.Same(t, before, w.View())
 }
 
+// Guards against sound targets that are removed because the newest record of one, or the configuration, cannot be decoded in a snapshot.
+func TestInvalidRecordInSnapshotRemovesTarget(t *testing.T) {
+	tests := map[string][]Change{
+		"of a target":       {InvalidRecord{Key: "a", Err: errors.New("odd")}, registered("b")},
+		"of all targets":    {InvalidRecord{Key: "a", Err: errors.New("odd")}, InvalidRecord{Key: "b", Err: errors.New("odd")}},
+		"of the operator":   {InvalidRecord{Key: "config", Err: errors.New("odd")}},
+		"of another target": {InvalidRecord{Key: "c", Err: errors.New("odd")}, registered("a"), registered("b")},
+	}
+	for name, changes := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWatcher("a", "b")
+			w.handle(event{batch: Batch{Changes: changes, IsSnapshot: true}}, epoch)
+			require.Equal(t, []string{"a", "b"}, w.View().TargetIDs())
+		})
+	}
+}
+
 // scriptedSource is a source with changes at preset times that can be made unreachable.
 type scriptedSource struct {
 	reads atomic.Int64
