fix(watcher): an odd record does not hide the later records of its target

From the reports of other operators: an odd record among those of the targets. One with a high sequence, or a start in the future, made every later record of its target count as older: that it was leaving was missed, until the record was removed.

Three records in a row with rising sequences overrule a higher one before them; what the store applies late comes one at a time, between newer records. A target that is leaving does not take that back, and records of an earlier process overrule none.

TestOddRecordHidesLaterOnes failed before in the cases of the high sequence and the start in the future.

--- a/internal/cataloger/view.go
+++ b/internal/cataloger/view.go
@@ -36,9 +36,9 @@
 	WarmupRemaining time.Duration
 }
 
-// isOlderThan reports whether the record was written before another one of the same target. A process that has announced that it
+// IsOlderThan reports whether the record was written before another one of the same target. A process that has announced that it
 // is leaving does not withdraw that in a record with the same sequence.
-func (t *Target) isOlderThan(other *Target) bool {
+func (t *Target) IsOlderThan(other *Target) bool {
 	switch {
 	case t.StartedUnixMs != other.StartedUnixMs:
 		return t.StartedUnixMs < other.StartedUnixMs
@@ -190,9 +190,13 @@
 
 // Put adds or replaces a target. An older record of the same target is ignored.
 func (d *Draft) Put(t *Target) {
-	if old := d.targets[t.ID]; old != nil && t.isOlderThan(old) {
-		return
+	if old := d.targets[t.ID]; old == nil || !t.IsOlderThan(old) {
+		d.Replace(t)
 	}
+}
+
+// Replace adds or replaces a target, also by an older record.
+func (d *Draft) Replace(t *Target) {
 	d.edit()
 	d.targets[t.ID] = t
 }
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -26,6 +26,7 @@
 
 	"github.com/papayaworks/papayaworks/internal/cataloger"
 	"github.com/papayaworks/papayaworks/internal/clocker"
+	"github.com/papayaworks/papayaworks/internal/failer"
 	"github.com/papayaworks/papayaworks/internal/logger"
 	"github.com/papayaworks/papayaworks/internal/sleeper"
 )
@@ -128,8 +129,9 @@
 	progress atomic.Pointer[Progress]
 	peers    *peerProgress
 	// expired holds the removal times of targets whose records expired during an outage.
-	expired map[string]time.Time
-	removed removals
+	expired  map[string]time.Time
+	removed  removals
+	outliers outliers
 	// era is that of the last batch.
 	era int64
 }
@@ -152,7 +154,7 @@
 func New(operator, targets Source, log logger.Logger) *Watcher {
 	w := &Watcher{
 		Operator: operator, Targets: targets, Log: log, elapsed: clocker.SinceBoot,
-		events: make(chan event, 16), peers: newPeerProgress(), expired: map[string]time.Time{}, removed: removals{},
+		events: make(chan event, 16), peers: newPeerProgress(), expired: map[string]time.Time{}, removed: removals{}, outliers: outliers{},
 	}
 	w.view.Store(cataloger.NewView())
 	return w
@@ -391,14 +393,17 @@
 		}
 		return v.WithDesiredVersion(c.Model, d)
 	case TargetUpdated:
+		if c.Target.StartedUnixMs > now.Add(maxClockError).UnixMilli() {
+			err := failer.New("start of the target is %d, far in the future", c.Target.StartedUnixMs)
+			return w.applyChange(v, d, InvalidRecord{Key: c.Target.ID, Err: err}, e, now, present)
+		}
 		if w.removed.contains(c.Target, e.batch.Era) {
 			w.Log.WithField("target", c.Target.ID).Info("record of a removed target ignored")
 			return v
 		}
 		present[c.Target.ID] = true
 		delete(w.expired, c.Target.ID)
-		w.logTarget(d, c.Target)
-		d.Put(c.Target)
+		w.putTarget(d, c.Target)
 	case TargetRemoved:
 		w.removeTarget(d, c.ID, e.afterOutage, now)
 	case InvalidRecord:
@@ -411,6 +416,20 @@
 	return v
 }
 
+// putTarget adds or replaces a target, unless the record is older than the one in force.
+func (w *Watcher) putTarget(d *cataloger.Draft, t *cataloger.Target) {
+	inForce, ok := d.Target(t.ID)
+	switch {
+	case !ok || !t.IsOlderThan(inForce):
+		delete(w.outliers, t.ID)
+		w.logTarget(d, t)
+		d.Replace(t)
+	case w.outliers.overrules(t, inForce):
+		w.Log.WithField("target", t.ID).WithField("sequence", inForce.Sequence).Warn("odd record of a target overruled by later ones")
+		d.Replace(t)
+	}
+}
+
 func (w *Watcher) logTarget(d *cataloger.Draft, t *cataloger.Target) {
 	old, ok := d.Target(t.ID)
 	l := w.Log.WithField("target", t.ID)
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -98,6 +98,39 @@
 	}
 }
 
+// Guards against an odd record with a high sequence or start that hides all later records of its target, and against older records,
+// which the metadata store may apply late, that replace newer ones.
+func TestOddRecordHidesLaterOnes(t *testing.T) {
+	const born, now = 1_000_000, 2_000_000
+	rec := func(born, sequence int64, leaving bool) Change {
+		return TargetUpdated{&cataloger.Target{ID: "a", Service: "s", StartedUnixMs: born, Sequence: sequence, Leaving: leaving}}
+	}
+	tests := map[string]struct {
+		changes      []Change
+		wantSequence int64
+	}{
+		"high sequence":                     {[]Change{rec(born, 9000, false), rec(born, 5, false), rec(born, 6, false), rec(born, 7, true)}, 7},
+		"high sequence, fewer later ones":   {[]Change{rec(born, 9000, false), rec(born, 5, false), rec(born, 6, false)}, 9000},
+		"start in the future":               {[]Change{rec(now+maxClockError.Milliseconds()+1, 1, false), rec(born, 5, false)}, 5},
+		"applied late, in order":            {[]Change{rec(born, 8, true), rec(born, 5, false), rec(born, 6, false), rec(born, 9, true), rec(born, 7, false)}, 9},
+		"applied late, in reverse":          {[]Change{rec(born, 8, true), rec(born, 7, false), rec(born, 6, false), rec(born, 5, false), rec(born, 4, false)}, 8},
+		"of the process before":             {[]Change{rec(born, 1, false), rec(born-1, 5, false), rec(born-1, 6, false), rec(born-1, 7, false), rec(born-1, 8, false)}, 1},
+		"leaving, not taken back":           {[]Change{rec(born, 8, true), rec(born, 5, false), rec(born, 6, false), rec(born, 7, false)}, 8},
+		"leaving, record after the odd one": {[]Change{rec(born, 8, false), rec(born, 9000, false), rec(born, 9, true), rec(born, 10, true), rec(born, 11, true)}, 11},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWatcher()
+			for _, c := range tc.changes {
+				w.handle(event{batch: Batch{Changes: []Change{c}}}, time.UnixMilli(now))
+			}
+			got, ok := w.View().Target("a")
+			require.True(t, ok)
+			require.Equal(t, tc.wantSequence, got.Sequence)
+		})
+	}
+}
+
 // scriptedSource is a source with changes at preset times that can be made unreachable.
 type scriptedSource struct {
 	reads atomic.Int64
