fix(watcher): an odd record with an unknown service does not replace its target

A sound target got no requests after another writer had left a record with its ID and a service that does not exist, until its next heartbeat.

Change: such a record is invalid if the target has a service that exists. A target that was not known before is kept with its unknown service, as its configuration may follow.

TestRecordWithUnknownServiceReplacesTarget failed before.

--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -393,8 +393,7 @@
 		}
 		return v.WithDesiredVersion(c.Model, d)
 	case TargetUpdated:
-		if c.Target.StartedUnixMs > now.Add(maxClockError).UnixMilli() {
-			err := failer.New("start of the target is %d, far in the future", c.Target.StartedUnixMs)
+		if err := checkTarget(v, d, c.Target, now); err != nil {
 			return w.applyChange(v, d, InvalidRecord{Key: c.Target.ID, Err: err}, e, now, present)
 		}
 		if w.removed.contains(c.Target, e.batch.Era) {
@@ -416,6 +415,18 @@
 	return v
 }
 
+// checkTarget returns why a record cannot be that of its target, as far as this shows only from what else is known.
+func checkTarget(v *cataloger.View, d *cataloger.Draft, t *cataloger.Target, now time.Time) error {
+	if t.StartedUnixMs > now.Add(maxClockError).UnixMilli() {
+		return failer.New("start of the target is %d, far in the future", t.StartedUnixMs)
+	}
+	inForce, ok := d.Target(t.ID)
+	if ok && v.Catalog != nil && v.Catalog.Services[t.Service] == nil && v.Catalog.Services[inForce.Service] != nil {
+		return failer.New("service %q of the target does not exist; it was %q", t.Service, inForce.Service)
+	}
+	return nil
+}
+
 // putTarget adds or replaces a target, unless the record is older than the one in force.
 func (w *Watcher) putTarget(d *cataloger.Draft, t *cataloger.Target) {
 	inForce, ok := d.Target(t.ID)
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -131,6 +131,17 @@
 	}
 }
 
+// Guards against a target that gets no requests because an odd record of another writer names a service that does not exist.
+func TestRecordWithUnknownServiceReplacesTarget(t *testing.T) {
+	w := newWatcher("a")
+	service := func(name string) TargetUpdated { return TargetUpdated{&cataloger.Target{ID: "a", Service: name}} }
+	w.handle(event{batch: Batch{Changes: []Change{ConfigChange{cataloger.New(1, nil, []cataloger.Service{{Name: "s"}, {Name: "t"}}, nil, cataloger.Limits{})}}}}, epoch)
+	for name, want := range map[string]string{"odd": "s", "t": "t"} {
+		w.handle(event{batch: Batch{Changes: []Change{service("s"), service(name)}}}, epoch)
+		require.Len(t, w.View().Targets(want), 1, name)
+	}
+}
+
 // scriptedSource is a source with changes at preset times that can be made unreachable.
 type scriptedSource struct {
 	reads atomic.Int64
