fix(forwarder): a response that does not name its request is no promise

From the reports of other operators: a faulty target writes an earlier refusal once more on a kept connection. Here a call that may not be repeated ran at two targets, or its caller was told that it had not run, if the refusal did not name its request.

Cause: a response without a request ID was taken for the one to the current request. With another ID it was skipped before already.

Change: such a response is a failure of an attempt that may have run, and ends the connection. Targets name the request in all their responses.

--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -60,6 +60,11 @@
 	if err != nil {
 		return x.handleFailure(ctx, err)
 	}
+	if x.s.Codec.ResponseID(ex.Header) == "" {
+		// It may be the response to any earlier request on the connection, so what it says of this one cannot be trusted.
+		ex.Close()
+		return x.handleFailure(ctx, &pooler.Error{Err: fmt.Errorf("response with status %d does not name its request", ex.StatusCode), MaybeSent: true})
+	}
 	x.framing = ex.Framing()
 	x.s.loads.RecordConnected(x.t.ID)
 	if !isStream(ex) {
