fix(forwarder): a repeated refusal of superseded weights is not taken for the next response

A call that was refused because of superseded weights is sent to the same target again, with the same ID. A second copy of the refusal on that connection was taken for the response to it: the caller got 503, which says that the call has not run, while it ran.

Change: the connection of such a refusal is closed, so that the call is sent over another one.

--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -72,7 +72,12 @@
 	}
 	headers := x.s.Codec.ParseResponse(ex.StatusCode, ex.Header)
 	x.recordResponse(headers)
-	if headers.NotRun || headers.Misdirected {
+	if headers.Misdirected {
+		// The call may be sent to the same target again. A second copy of this response would be taken for the one to that.
+		ex.Close()
+		return x.handleNotRun(headers, ex.StatusCode)
+	}
+	if headers.NotRun {
 		ex.DiscardBody()
 		return x.handleNotRun(headers, ex.StatusCode)
 	}
