fix(deliverer): the error of a second engine does not get into the caller's stream

In the chat interface a stream that broke off and could not be continued ended with an error event whose text held the answers of the engines at which that had been tried, with their addresses.

Change: the event says that the stream was interrupted. The cause is in the log and in the event of the request, as before.

--- a/internal/server/deliverer/deliverer.go
+++ b/internal/server/deliverer/deliverer.go
@@ -109,7 +109,7 @@
 			return request.Fail(http.StatusBadGateway, request.CodeRunLost, "%v", err)
 		}
 		if err != nil {
-			writeErrorEvent(r, err)
+			writeErrorEvent(r)
 			flusher.Flush()
 			return err
 		}
@@ -197,9 +197,9 @@
 }
 
 // writeErrorEvent writes an error event to a stream that failed, so that the caller does not mistake the truncated
-// stream for a complete one.
-func writeErrorEvent(r *request.Request, cause error) {
-	body := request.NewErrorBody(request.Fail(http.StatusBadGateway, request.CodeRunLost, "%v", cause))
+// stream for a complete one. The cause may hold responses of engines, which do not belong in the stream; it is logged.
+func writeErrorEvent(r *request.Request) {
+	body := request.NewErrorBody(request.Fail(http.StatusBadGateway, request.CodeRunLost, "the stream was interrupted and could not be continued"))
 	data, err := json.Marshal(body)
 	if err == nil {
 		_, _ = fmt.Fprintf(r.W, "event: error\ndata: %s\n\n", data)
