fix(server): a broken stream of the chat interface ends as broken

A chat stream that could not be continued ended with an error event and then, as HTTP, as a complete response. Callers that do not know the event took the part for the whole.

Change: the connection is closed without the end of the response once the event is sent.

TestErrorOfSecondEngineInsideStream failed before (no error at the end of the body).

--- a/internal/server/dispatcher/resumed_error_test.go
+++ b/internal/server/dispatcher/resumed_error_test.go
@@ -12,7 +12,8 @@
 	"github.com/papayaworks/papayaworks/internal/emulator"
 )
 
-// Guards against the text of a second engine's refusal in the stream of a caller.
+// Guards against the text of a second engine's refusal in the stream of a caller, and against a broken stream whose response ends as
+// if it were complete.
 func TestErrorOfSecondEngineInsideStream(t *testing.T) {
 	tb := newTestbed(t, 3)
 	body, err := json.Marshal(chat(true, 7))
@@ -27,7 +28,8 @@
 	running := tb.runningEngine()
 	tb.setFaults(emulator.EngineFaults{RefuseRuns: true})
 	running.Kill()
-	got, _ := io.ReadAll(res.Body)
+	got, err := io.ReadAll(res.Body)
+	require.Error(t, err, "the response ends as if it were complete")
 	require.Contains(t, string(got), "event: error")
 	require.NotContains(t, string(got), "[DONE]")
 	for _, text := range []string{"503", "starting", "127.0.0.1"} {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -274,7 +274,12 @@
 	s.record(r, "failed", st.String(), err.Error())
 	s.recordMetrics(r, outcomeOf(r, re))
 	logger.WithError(s.Log, err).WithField("request", r.ID).WithField("step", st.String()).Info("request failed")
-	if r.ChunkCount > 0 || r.Finished || r.HTTP.Context().Err() != nil {
+	if r.ChunkCount > 0 && !r.Finished {
+		// A response that ended normally would look complete to callers that do not know the error event.
+		listener.Abort(r.W)
+		return
+	}
+	if r.Finished || r.HTTP.Context().Err() != nil {
 		return
 	}
 	h := r.W.Header()
