--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -49,9 +49,13 @@
 	// MaxBodyBytes is the body size above which the connection of a request is closed; handlers check smaller bounds of
 	// their own. 0 means 8 MiB.
 	MaxBodyBytes int
-	// WriteBufferBytes is the number of unsent bytes above which the connection of a slow reader is closed. 0 means 4 MiB.
+	// WriteBufferBytes bounds the unsent bytes of a connection. A handler waits once half of it is unsent, and the connection is
+	// closed if its reader takes no byte for a time. 0 means 4 MiB.
 	WriteBufferBytes int
 
+	// stallTimeout is how long a reader may take no byte while a handler waits for it; 0 means 5 s.
+	stallTimeout time.Duration
+
 	engine *nbhttp.Engine
 	socket net.Listener
 	done   chan struct{}
@@ -61,6 +65,8 @@
 	mu     sync.Mutex
 	active map[net.Conn]context.CancelFunc
 	conns  map[net.Conn]struct{}
+	// written holds the number of bytes that have been sent on each connection, by the library's connection.
+	written sync.Map
 	// closedIdle are the connections that CloseIdle has closed and the library has not yet reported as closed.
 	closedIdle map[net.Conn]bool
 	// runningTasks counts the library's tasks for requests: running handlers and the sending of their responses.
@@ -85,6 +91,9 @@
 	if s.WriteBufferBytes == 0 {
 		s.WriteBufferBytes = defaultWriteBufferBytes
 	}
+	if s.stallTimeout == 0 {
+		s.stallTimeout = defaultStallTimeout
+	}
 	s.active = map[net.Conn]context.CancelFunc{}
 	s.conns = map[net.Conn]struct{}{}
 	s.closedIdle = map[net.Conn]bool{}
@@ -110,6 +119,11 @@
 	// The library passes a connection from its accepting goroutine to a poller through epoll only, which is no
 	// synchronization in Go's memory model. The atomic counter orders the two goroutines.
 	s.engine.OnRequest = s.markActive
+	s.engine.OnWrittenSize(func(c *nbio.Conn, _ []byte, n int) {
+		if written, ok := s.written.Load(c); ok {
+			written.(*atomic.Int64).Add(int64(n))
+		}
+	})
 	s.engine.OnOpen(s.onOpen)
 	s.engine.OnClose(s.onClose)
 	s.engine.OnData(func(c *nbio.Conn, data []byte) {
@@ -134,12 +148,14 @@
 
 func (s *Server) onOpen(c net.Conn) {
 	s.openCount.Add(1)
+	s.written.Store(unwrap(c), &atomic.Int64{})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[c] = struct{}{}
 }
 
 func (s *Server) onClose(c net.Conn, _ error) {
+	s.written.Delete(unwrap(c))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
@@ -161,7 +177,7 @@
 	defer cancel()
 	if res, ok := w.(*nbhttp.Response); ok && res.Parser != nil {
 		conn := unwrap(res.Parser.Conn)
-		w = &responseWriter{res: res, req: r}
+		w = &responseWriter{res: res, req: r, flow: s.newFlow(conn)}
 		s.mu.Lock()
 		s.active[conn] = cancel
 		closing := s.closedIdle[conn]
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -100,3 +101,52 @@
 	}
 	wg.Wait()
 }
+
+// Guards against a response that is cut because its caller reads it more slowly than the handler writes it, and against handlers that
+// wait for ever for a caller that reads nothing.
+func TestSlowReaders(t *testing.T) {
+	t.Parallel()
+	body := bytes.Repeat([]byte("b"), 16<<20)
+	tests := map[string]struct {
+		read    func(c net.Conn) (int, error)
+		wantErr bool
+	}{
+		"pauses between reads": {func(c net.Conn) (int, error) {
+			n, buf := 0, make([]byte, 1<<20)
+			for {
+				m, err := c.Read(buf)
+				n += m
+				if err != nil || n >= len(body) {
+					return n, err
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+		}, false},
+		"reads nothing": {nil, true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			written := make(chan error, 1)
+			s := &Server{Addr: "127.0.0.1:0", WriteBufferBytes: 1 << 20, stallTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+				_, err := w.Write(body)
+				written <- err
+			})}
+			addr, err := s.Start()
+			require.NoError(t, err)
+			t.Cleanup(s.Kill)
+			c, err := net.Dial("tcp", addr)
+			require.NoError(t, err)
+			defer func() { _ = c.Close() }()
+			_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			require.NoError(t, err)
+			if tc.read != nil {
+				n, err := tc.read(c)
+				require.NoError(t, err)
+				require.GreaterOrEqual(t, n, len(body))
+			}
+			require.Equal(t, tc.wantErr, <-written != nil)
+		})
+	}
+}
--- a/internal/listener/writer.go
+++ b/internal/listener/writer.go
@@ -18,6 +18,7 @@
 	// req is the library's own request, whose Close field determines whether the connection is closed after the response.
 	req       *http.Request
 	unflushed int
+	flow      *flow
 }
 
 // Header implements http.ResponseWriter.
@@ -37,6 +38,9 @@
 		n, err := w.res.Write(chunk)
 		done += n
 		w.unflushed += n
+		if err == nil && w.flow != nil {
+			err = w.flow.wait(n)
+		}
 		if err != nil {
 			return max(0, done), err
 		}
