fix(forwarder): a reload applies to the long polls that confirm the configuration

After a reload with a lower revoke_ms valid keys were refused most of the time, as the configuration was confirmed only as often as the earlier value needed.

Cause: the timeout of long polls was derived at the start only.

Change: a reload replaces it. A long poll that may take longer ends, and the configuration is confirmed at once.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -170,12 +170,13 @@
 }
 
 // Reload replaces the settings; calls in progress continue. It is safe for concurrent use. What Start derives from the
-// settings changes only after a restart: the addresses, the name of the instance, the intervals at which the configuration
-// and the targets are read, and the guard interval of the updater.
+// settings changes only after a restart: the addresses, the name of the instance, the interval at which the targets are read, and
+// the guard interval of the updater.
 func (s *Server) Reload(set *Settings) {
 	previous := s.settings()
 	changed := *set != *previous
 	s.reloaded.Store(set)
+	s.Watcher.SetLongPollTimeout(set.longPollTimeout())
 	s.Log.WithField("changed", changed).WithField("addressesChanged", set.ListenAddress != previous.ListenAddress || set.ReadyAddress != previous.ReadyAddress).Info("settings reloaded")
 }
 
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -107,7 +107,7 @@
 type Watcher struct {
 	Operator, Targets Source
 	Log               logger.Logger
-	// LongPollTimeout is how long a read of the operator's source waits for changes. 0 and values above the default
+	// LongPollTimeout is how long a read of the operator's source waits for changes at first. 0 and values above the default
 	// mean the default.
 	LongPollTimeout time.Duration
 	// PollInterval is the time between two reads of the targets' source; 0 means the default.
@@ -119,9 +119,12 @@
 	OnRestore func()
 
 	// elapsed is a clock that includes time in which the machine is suspended; tests replace it.
-	elapsed             func() time.Duration
-	view                atomic.Pointer[cataloger.View]
-	confirmedAt         atomic.Int64
+	elapsed         func() time.Duration
+	view            atomic.Pointer[cataloger.View]
+	confirmedAt     atomic.Int64
+	longPollTimeout atomic.Int64
+	// shortened ends a long poll because the timeout has become shorter.
+	shortened           chan struct{}
 	operatorUnreachable atomic.Bool
 	events              chan event
 	// progress is the position of the operator's source; nil before the first read.
@@ -153,7 +156,7 @@
 func New(operator, targets Source, log logger.Logger) *Watcher {
 	w := &Watcher{
 		Operator: operator, Targets: targets, Log: log, elapsed: clocker.SinceBoot,
-		events: make(chan event, 16), peers: newPeerProgress(), expired: map[string]time.Time{}, removed: removals{}, outliers: outliers{},
+		events: make(chan event, 16), shortened: make(chan struct{}, 1), peers: newPeerProgress(), expired: map[string]time.Time{}, removed: removals{}, outliers: outliers{},
 	}
 	w.view.Store(cataloger.NewView())
 	return w
@@ -183,15 +186,13 @@
 
 // Run follows the sources until ctx is done.
 func (w *Watcher) Run(ctx context.Context) {
-	interval, wait := w.PollInterval, w.LongPollTimeout
+	interval := w.PollInterval
 	if interval == 0 {
 		interval = defaultPollInterval
 	}
-	if wait <= 0 || wait > defaultLongPollTimeout {
-		wait = defaultLongPollTimeout
-	}
-	go w.follow(ctx, "operator", w.Operator, wait, 0)
-	go w.follow(ctx, "targets", w.Targets, 0, interval)
+	w.longPollTimeout.CompareAndSwap(0, int64(w.LongPollTimeout))
+	go w.follow(ctx, "operator", w.Operator, w.operatorWait, 0)
+	go w.follow(ctx, "targets", w.Targets, func() time.Duration { return 0 }, interval)
 	t := time.NewTicker(expiryInterval)
 	defer t.Stop()
 	for {
@@ -209,19 +210,44 @@
 	}
 }
 
+// SetLongPollTimeout replaces LongPollTimeout. A long poll in progress ends if it may take longer. It may be called from any goroutine.
+func (w *Watcher) SetLongPollTimeout(d time.Duration) {
+	previous := w.operatorWait()
+	w.longPollTimeout.Store(int64(d))
+	if w.operatorWait() < previous {
+		select {
+		case w.shortened <- struct{}{}:
+		default: // already triggered
+		}
+	}
+}
+
+// operatorWait returns how long the next read of the operator's source waits for changes.
+func (w *Watcher) operatorWait() time.Duration {
+	if d := time.Duration(w.longPollTimeout.Load()); d > 0 && d <= defaultLongPollTimeout {
+		return d
+	}
+	return defaultLongPollTimeout
+}
+
 // follow reads one source until ctx is done: the operator's by long polling, others with an interval between reads.
-func (w *Watcher) follow(ctx context.Context, name string, s Source, wait, interval time.Duration) {
+func (w *Watcher) follow(ctx context.Context, name string, s Source, wait func() time.Duration, interval time.Duration) {
 	var pos cursor
 	times := publishTimes{complete: cataloger.UnknownTime}
 	failing, retry := false, minRetryDelay
 	var failedSince time.Duration
-	failedReads := 0
+	failedReads, confirmNow := 0, false
 	for ctx.Err() == nil {
-		start, timeout := w.elapsed(), timeoutAfter(failing, wait)
+		start, timeout := w.elapsed(), timeoutAfter(failing || confirmNow, wait())
 		if s == w.Operator && pos.synced && w.peers.startCatchUp(pos) {
 			timeout = 0
 		}
 		b, err := w.read(ctx, s, pos, timeout)
+		if errors.Is(err, errShortened) {
+			confirmNow = true
+			continue
+		}
+		confirmNow = false
 		if errors.Is(err, errBehindPeers) {
 			w.Log.WithField("source", name).WithField("readMs", (w.elapsed() - start).Milliseconds()).Warn("long poll given up, as another instance has read further")
 			continue
@@ -306,11 +332,14 @@
 	offset, era int64
 }
 
-// errBehindPeers is the error of a long poll that was given up because another instance has read further.
-var errBehindPeers = errors.New("another instance has read further")
+// Errors of long polls that were given up.
+var (
+	errBehindPeers = errors.New("another instance has read further")
+	errShortened   = errors.New("the timeout of long polls has become shorter")
+)
 
 // read returns the changes after c, or a snapshot if c is not a position in the store's present history. It gives up a long poll of the
-// operator's source if another instance has read further.
+// operator's source if another instance has read further or the timeout has become shorter.
 func (w *Watcher) read(ctx context.Context, s Source, c cursor, wait time.Duration) (Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
 	defer cancel()
@@ -324,9 +353,16 @@
 			giveUp(errBehindPeers)
 		}
 	}()
+	go func() {
+		select {
+		case <-w.shortened:
+			giveUp(errShortened)
+		case <-ctx.Done():
+		}
+	}()
 	b, err := readFrom(ctx, s, c, wait)
-	if err != nil && errors.Is(context.Cause(ctx), errBehindPeers) {
-		err = errBehindPeers
+	if cause := context.Cause(ctx); err != nil && (errors.Is(cause, errBehindPeers) || errors.Is(cause, errShortened)) {
+		err = cause
 	}
 	return b, err
 }
