fix(forwarder): a call that nothing limits is not refused

A call whose caller states no time on a route without a timeout was refused at once, as its deadline was the moment of its arrival.

Change: such a call has a minute.

TestRequestWithoutTimeLimitIsRefused failed before (503 instead of 200).

--- a/internal/forwarder/identify.go
+++ b/internal/forwarder/identify.go
@@ -19,6 +19,8 @@
 	staleRetryAfter = 500 * time.Millisecond
 	// stopRetryAfter is the advised retry delay if this instance is stopping. The load balancer sends new connections to others.
 	stopRetryAfter = 20 * time.Millisecond
+	// defaultTimeout limits a call that neither its caller nor its route limits, so that it does not hold its target for ever.
+	defaultTimeout = time.Minute
 )
 
 // identifyStep determines the route, the deadline and the account of a call.
@@ -65,12 +67,15 @@
 }
 
 // deadline returns the time by which the call must have its final response: the route's timeout, or the caller's if it is
-// shorter or the route has none.
+// shorter or the route has none, or a default if neither has.
 func deadline(c *Call) time.Time {
 	d := c.Route.Timeout
 	if b := c.Headers.Timeout; b > 0 && (d == 0 || b < d) {
 		d = b
 	}
+	if d == 0 {
+		d = defaultTimeout
+	}
 	return c.ReceivedAt.Add(d)
 }
 
