fix(listener): a request of a connection that was closed as idle is not in progress

Cause: the library may still read a request from a connection that a stopping instance has closed as idle. Such a request is not passed to the handler, but it counted as one in progress until that was noticed, while no connection was open.

Change: it does not count.

TestRequestOfClosedIdleConnectionIsActive failed before.

--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -165,10 +165,16 @@
 // markActive records that a complete request was read from a connection. It runs before the goroutine of the request, so
 // that CloseIdle does not close the connection in between.
 func (s *Server) markActive(w http.ResponseWriter, _ *http.Request) {
-	if res, ok := w.(*nbhttp.Response); ok && res.Parser != nil {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.active[unwrap(res.Parser.Conn)] = func() {}
+	res, ok := w.(*nbhttp.Response)
+	if !ok || res.Parser == nil {
+		return
+	}
+	conn := unwrap(res.Parser.Conn)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	// A request of a connection that was closed as idle is not passed to the handler.
+	if _, open := s.written.Load(conn); open && !s.closedIdle[conn] {
+		s.active[conn] = func() {}
 	}
 }
 
@@ -179,17 +185,21 @@
 		conn := unwrap(res.Parser.Conn)
 		w = &responseWriter{res: res, req: r, flow: s.newFlow(conn)}
 		s.mu.Lock()
-		s.active[conn] = cancel
-		closing := s.closedIdle[conn]
+		closing := s.closedIdle[conn] || isClosed(conn)
+		if closing {
+			delete(s.active, conn)
+		} else {
+			s.active[conn] = cancel
+		}
 		s.mu.Unlock()
+		if closing {
+			return // the response could not be delivered
+		}
 		defer func() {
 			s.mu.Lock()
 			delete(s.active, conn)
 			s.mu.Unlock()
 		}()
-		if closing || isClosed(conn) {
-			return // the response could not be delivered
-		}
 	}
 	s.Handler.ServeHTTP(w, r.WithContext(ctx))
 }
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/lesismal/nbio/nbhttp"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
@@ -150,3 +151,28 @@
 		})
 	}
 }
+
+// Guards against a stopping server that counts a request as interrupted which the library has read from a connection that was closed as
+// idle, and which is not passed to the handler.
+func TestRequestOfClosedIdleConnectionIsActive(t *testing.T) {
+	s := &Server{Addr: "127.0.0.1:0", Handler: http.NotFoundHandler()}
+	addr, err := s.Start()
+	require.NoError(t, err)
+	t.Cleanup(s.Kill)
+	c, err := net.Dial("tcp", addr)
+	require.NoError(t, err)
+	defer func() { _ = c.Close() }()
+	require.Eventually(t, func() bool { return s.OpenConnections() == 1 }, 10*time.Second, time.Millisecond)
+	var conn net.Conn
+	s.mu.Lock()
+	for conn = range s.conns {
+	}
+	s.mu.Unlock()
+	request := &nbhttp.Response{Parser: &nbhttp.Parser{Conn: conn}}
+	s.CloseIdle()
+	s.markActive(request, nil)
+	require.Zero(t, s.ActiveRequests(), "before the library has reported the end of the connection")
+	require.Eventually(t, func() bool { return s.OpenConnections() == 0 }, 10*time.Second, time.Millisecond)
+	s.markActive(request, nil)
+	require.Zero(t, s.ActiveRequests(), "after that")
+}
