fix(watcher): a version that follows a restoration is not taken for one that was lost

For three seconds after the metadata store was restored, a weight version that an instance read counted as published before the restoration, in case it was written again. Targets with the weights before were then excluded up to some seconds too early, and calls refused.

Change: an instance that had read everything, as far as the announcements of the others show since the outage began, takes versions as published when it reads them. If another one has read further, or none was heard, the earlier time counts as before.

TestPublishTimeOfVersionAfterRestore failed before in its first case; the cases of TestPublishTimeOfVersionReadLate are unchanged and pass.

--- a/internal/watcher/progress.go
+++ b/internal/watcher/progress.go
@@ -16,6 +16,8 @@
 	// peerVersionTTL is how long the version that another instance has in force is regarded as known. It covers several lost
 	// announcements in large deployments.
 	peerVersionTTL = 2 * time.Second
+	// maxEras is how many eras of the metadata store are remembered. All instances read a new one within seconds.
+	maxEras = 4
 )
 
 // Progress is how far an instance has read the operator's source. It is encoded as an array, so the order of the fields is part of
@@ -43,11 +45,21 @@
 	versionAt time.Time
 	// advanced is closed and replaced when latest advances.
 	advanced chan struct{}
+	// eras holds the highest offset announced in each of the last eras.
+	eras map[int64]eraProgress
 	// attempted is the position that this instance has tried to reach last.
 	attempted Progress
 }
 
-func newPeerProgress() *peerProgress { return &peerProgress{advanced: make(chan struct{})} }
+// eraProgress is the highest offset that was announced in an era, and when an offset in that era was last announced.
+type eraProgress struct {
+	offset  int64
+	heardAt time.Time
+}
+
+func newPeerProgress() *peerProgress {
+	return &peerProgress{advanced: make(chan struct{}), eras: map[int64]eraProgress{}}
+}
 
 // merge applies the announced progress of another instance.
 func (p *peerProgress) merge(in Progress, now time.Time) {
@@ -56,6 +68,9 @@
 	if in.Version >= p.version || now.Sub(p.versionAt) > peerVersionTTL {
 		p.version, p.versionAt = in.Version, now
 	}
+	e := p.eras[in.Era]
+	p.eras[in.Era] = eraProgress{offset: max(e.offset, in.Offset), heardAt: now}
+	delete(p.eras, in.Era-maxEras)
 	if in.isAfter(cursor{era: p.latest.Era, offset: p.latest.Offset}) {
 		p.latest = in
 		close(p.advanced)
@@ -63,6 +78,15 @@
 	}
 }
 
+// confirms reports whether c was the end of its era as far as the other instances know: one has announced a position in that era since
+// a time, and none has read further.
+func (p *peerProgress) confirms(c cursor, since time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e, ok := p.eras[c.era]
+	return ok && e.heardAt.After(since) && e.offset <= c.offset
+}
+
 // leads reports whether another instance has read further than c, and this one has not tried to reach that position. The channel is
 // closed when an instance reads further still.
 func (p *peerProgress) leads(c cursor) (bool, <-chan struct{}) {
--- a/internal/watcher/progress_test.go
+++ b/internal/watcher/progress_test.go
@@ -96,3 +96,41 @@
 	w.handle(event{batch: Batch{Changes: []Change{ConfigChange{cataloger.New(3, nil, nil, nil, cataloger.Limits{})}}}}, epoch)
 	require.EqualValues(t, 3, w.Progress().Version)
 }
+
+// Guards against weights that count as superseded long before a newer version was published, because the metadata store was restored
+// shortly before: an instance took every version that it read then for one that was lost and written again.
+func TestPublishTimeOfVersionAfterRestore(t *testing.T) {
+	tests := map[string]struct {
+		peer             Progress
+		heardUntil       time.Duration
+		earliest, latest time.Duration
+	}{
+		"no instance has read more":          {Progress{Era: 1, Offset: 0}, 9 * time.Second, 10 * time.Second, 10 * time.Second},
+		"another has read a lost version":    {Progress{Era: 1, Offset: 1}, 9 * time.Second, 2 * time.Second, 5 * time.Second},
+		"none was heard during the outage":   {Progress{Era: 1, Offset: 0}, 4 * time.Second, 2 * time.Second, 5 * time.Second},
+		"others were in the new era already": {Progress{Era: 2, Offset: 0}, 9 * time.Second, 2 * time.Second, 5 * time.Second},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				source := &versionSource{started: time.Now(), publishedAt: 10 * time.Second, restoredAt: 8 * time.Second, downFrom: 5 * time.Second, downFor: 4 * time.Second}
+				w := New(source, &scriptedSource{started: time.Now()}, logger.Discard())
+				w.elapsed = func() time.Duration { return time.Since(source.started) }
+				ctx, cancel := context.WithCancel(t.Context())
+				go w.Run(ctx)
+				for time.Since(source.started) < 20*time.Second {
+					if time.Since(source.started) < tc.heardUntil {
+						w.MergeProgress(tc.peer)
+					}
+					sleeper.Sleep(ctx, 300*time.Millisecond)
+				}
+				d, ok := w.View().DesiredVersion("m")
+				require.True(t, ok)
+				require.GreaterOrEqual(t, d.PublishedAt, tc.earliest)
+				require.LessOrEqual(t, d.PublishedAt, tc.latest)
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/internal/watcher/publish_times.go
+++ b/internal/watcher/publish_times.go
@@ -21,13 +21,14 @@
 type finishedRead struct {
 	start, end, timeout time.Duration
 	from                int64
-	// restored reports whether the store was restored since the read before.
-	restored bool
+	// mayHaveMissed reports whether the store was restored since the read before and may have lost changes that this instance has not
+	// read.
+	mayHaveMissed bool
 }
 
 // add returns when the changes of a read were published, and whether that was observed. Otherwise it is the earliest possible time.
 func (p *publishTimes) add(r finishedRead, b Batch) (publishedAt time.Duration, observed bool) {
-	if r.restored {
+	if r.mayHaveMissed {
 		p.rewrittenUntil = r.end + rewriteTime
 	}
 	previous := p.complete
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -236,8 +236,10 @@
 	times := publishTimes{complete: cataloger.UnknownTime}
 	failing, retry := false, minRetryDelay
 	var failedSince time.Duration
+	var failureNoticedAt time.Time
 	failedReads, confirmNow := 0, false
 	for ctx.Err() == nil {
+		startedAt := time.Now()
 		start, timeout := w.elapsed(), timeoutAfter(failing || confirmNow, wait())
 		if s == w.Operator && pos.synced && w.peers.startCatchUp(pos) {
 			timeout = 0
@@ -254,6 +256,7 @@
 		}
 		if err != nil {
 			if !failing && ctx.Err() == nil {
+				failureNoticedAt = time.Now()
 				logger.WithError(w.Log, err).WithField("source", name).WithField("readMs", (w.elapsed() - start).Milliseconds()).Warn("metadata store unreachable")
 				failedSince, failedReads = start, 0
 			}
@@ -278,8 +281,13 @@
 				w.OnRestore()
 			}
 		}
+		knownEnd := startedAt
+		if failing {
+			knownEnd = failureNoticedAt
+		}
+		missed := restored && !w.peers.confirms(pos, knownEnd)
 		e := event{batch: b, afterOutage: (failing || restored) && pos.synced}
-		e.publishedAt, e.observed = times.add(finishedRead{start: start, end: w.elapsed(), timeout: timeout, from: pos.offset, restored: restored}, b)
+		e.publishedAt, e.observed = times.add(finishedRead{start: start, end: w.elapsed(), timeout: timeout, from: pos.offset, mayHaveMissed: missed}, b)
 		if s == w.Operator {
 			// A response without changes may have been made at any time since the request, so only the time of the
 			// request is confirmed.
