refactor(watcher): the reader of a source in a file and a type of its own

The loop had grown by dead connections, progress and reloads. A follower has the position, the publish times and the outage of one source; its steps are methods. The tests of watcher, forwarder and those of platform about the metadata store pass unchanged.

--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -20,14 +20,12 @@
 
 import (
 	"context"
-	"errors"
 	"sync/atomic"
 	"time"
 
 	"github.com/papayaworks/papayaworks/internal/cataloger"
 	"github.com/papayaworks/papayaworks/internal/clocker"
 	"github.com/papayaworks/papayaworks/internal/logger"
-	"github.com/papayaworks/papayaworks/internal/sleeper"
 )
 
 const (
@@ -191,8 +189,8 @@
 		interval = defaultPollInterval
 	}
 	w.longPollTimeout.CompareAndSwap(0, int64(w.LongPollTimeout))
-	go w.follow(ctx, "operator", w.Operator, w.operatorWait, 0)
-	go w.follow(ctx, "targets", w.Targets, func() time.Duration { return 0 }, interval)
+	go (&follower{w: w, name: "operator", source: w.Operator, wait: w.operatorWait}).run(ctx)
+	go (&follower{w: w, name: "targets", source: w.Targets, wait: func() time.Duration { return 0 }, interval: interval}).run(ctx)
 	t := time.NewTicker(expiryInterval)
 	defer t.Stop()
 	for {
@@ -230,161 +228,6 @@
 	return defaultLongPollTimeout
 }
 
-// follow reads one source until ctx is done: the operator's by long polling, others with an interval between reads.
-func (w *Watcher) follow(ctx context.Context, name string, s Source, wait func() time.Duration, interval time.Duration) {
-	var pos cursor
-	times := publishTimes{complete: cataloger.UnknownTime}
-	failing, retry := false, minRetryDelay
-	var failedSince time.Duration
-	var failureNoticedAt time.Time
-	failedReads, confirmNow := 0, false
-	for ctx.Err() == nil {
-		startedAt := time.Now()
-		start, timeout := w.elapsed(), timeoutAfter(failing || confirmNow, wait())
-		if s == w.Operator && pos.synced && w.peers.startCatchUp(pos) {
-			timeout = 0
-		}
-		b, err := w.read(ctx, s, pos, timeout)
-		if errors.Is(err, errShortened) {
-			confirmNow = true
-			continue
-		}
-		confirmNow = false
-		if errors.Is(err, errBehindPeers) {
-			w.Log.WithField("source", name).WithField("readMs", (w.elapsed() - start).Milliseconds()).Warn("long poll given up, as another instance has read further")
-			continue
-		}
-		if err != nil {
-			if !failing && ctx.Err() == nil {
-				failureNoticedAt = time.Now()
-				logger.WithError(w.Log, err).WithField("source", name).WithField("readMs", (w.elapsed() - start).Milliseconds()).Warn("metadata store unreachable")
-				failedSince, failedReads = start, 0
-			}
-			failing = true
-			failedReads++
-			w.setUnreachable(s, true)
-			sleeper.Sleep(ctx, retry)
-			retry = min(2*retry, maxRetryDelay)
-			if s != w.Operator {
-				w.awaitRecovery(ctx)
-			}
-			continue
-		}
-		if failing {
-			w.Log.WithField("source", name).WithField("failedReads", failedReads).WithField("outageMs", (w.elapsed() - failedSince).Milliseconds()).
-				Info("metadata store reachable again")
-		}
-		restored := pos.synced && b.Era != pos.era
-		if restored {
-			w.Log.WithField("source", name).WithField("era", b.Era).WithField("previousEra", pos.era).Warn("metadata store restored from a copy")
-			if s == w.Operator && w.OnRestore != nil {
-				w.OnRestore()
-			}
-		}
-		knownEnd := startedAt
-		if failing {
-			knownEnd = failureNoticedAt
-		}
-		missed := restored && !w.peers.confirms(pos, knownEnd)
-		e := event{batch: b, afterOutage: (failing || restored) && pos.synced}
-		e.publishedAt, e.observed = times.add(finishedRead{start: start, end: w.elapsed(), timeout: timeout, from: pos.offset, mayHaveMissed: missed}, b)
-		if s == w.Operator {
-			// A response without changes may have been made at any time since the request, so only the time of the
-			// request is confirmed.
-			e.requestedAt = start
-		}
-		select {
-		case w.events <- e:
-		case <-ctx.Done():
-			return
-		}
-		pos = cursor{synced: true, offset: b.NextOffset, era: b.Era}
-		if s == w.Operator {
-			w.progress.Store(&Progress{Era: b.Era, Offset: b.NextOffset})
-		}
-		failing, retry = false, minRetryDelay
-		w.setUnreachable(s, false)
-		sleeper.Sleep(ctx, interval)
-	}
-}
-
-// timeoutAfter returns the long-poll time-out of the next read. It is 0 after a failed read, so that the current
-// configuration is confirmed as soon as the store is reachable.
-func timeoutAfter(failing bool, wait time.Duration) time.Duration {
-	if failing {
-		return 0
-	}
-	return wait
-}
-
-// setUnreachable records whether the last read of the operator's source failed; other sources are ignored.
-func (w *Watcher) setUnreachable(s Source, unreachable bool) {
-	if s == w.Operator {
-		w.operatorUnreachable.Store(unreachable)
-	}
-}
-
-// awaitRecovery waits until the operator's source is reachable, at most maxRecoveryWait.
-func (w *Watcher) awaitRecovery(ctx context.Context) {
-	for start := w.elapsed(); w.operatorUnreachable.Load() && w.elapsed()-start < maxRecoveryWait; {
-		if !sleeper.Sleep(ctx, recoveryCheckInterval) {
-			return
-		}
-	}
-}
-
-// cursor is how far a source has been read.
-type cursor struct {
-	// synced reports whether a snapshot has been read. offset is then the one after the last change, in the history of era.
-	synced      bool
-	offset, era int64
-}
-
-// Errors of long polls that were given up.
-var (
-	errBehindPeers = errors.New("another instance has read further")
-	errShortened   = errors.New("the timeout of long polls has become shorter")
-)
-
-// read returns the changes after c, or a snapshot if c is not a position in the store's present history. It gives up a long poll of the
-// operator's source if another instance has read further or the timeout has become shorter.
-func (w *Watcher) read(ctx context.Context, s Source, c cursor, wait time.Duration) (Batch, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
-	defer cancel()
-	if s != w.Operator || wait == 0 || !c.synced {
-		return readFrom(ctx, s, c, wait)
-	}
-	ctx, giveUp := context.WithCancelCause(ctx)
-	defer giveUp(nil)
-	go func() {
-		if w.peers.awaitLead(ctx, c) {
-			giveUp(errBehindPeers)
-		}
-	}()
-	go func() {
-		select {
-		case <-w.shortened:
-			giveUp(errShortened)
-		case <-ctx.Done():
-		}
-	}()
-	b, err := readFrom(ctx, s, c, wait)
-	if cause := context.Cause(ctx); err != nil && (errors.Is(cause, errBehindPeers) || errors.Is(cause, errShortened)) {
-		err = cause
-	}
-	return b, err
-}
-
-func readFrom(ctx context.Context, s Source, c cursor, wait time.Duration) (Batch, error) {
-	if c.synced {
-		b, err := s.Changes(ctx, c.offset, wait)
-		if err != nil || b.Era == c.era || b.IsSnapshot {
-			return b, err
-		}
-	}
-	return s.Snapshot(ctx)
-}
-
 // handle applies an event and publishes the resulting view.
 func (w *Watcher) handle(e event, now time.Time) {
 	old := w.view.Load()
