--- a/internal/throttler/throttler_test.go
+++ b/internal/throttler/throttler_test.go
@@ -268,3 +268,24 @@
 	refused.Record(process, Statement{RetryAfter: 2 * maxPause}, now)
 	require.Equal(t, maxPause, refused.Check(process, now).Wait)
 }
+
+// Guards against an instance that starts and does not know a limit, because no response has arrived for a time; and against as many
+// copies of each limit in the announcements as there are instances.
+func TestSendersAnnounceLimit(t *testing.T) {
+	ids := []string{"a", "b", "c", "d", "e", "f", "g"}
+	later := epoch.Add(announceTime + 1)
+	announcing := 0
+	for _, id := range ids {
+		tbl := New(id)
+		tbl.SetInstances(ids, epoch)
+		tbl.Record(process, limitOf(0.5), epoch)
+		require.Len(t, tbl.Announced(epoch.Add(announceTime)), 1, "a recent response")
+		for _, a := range tbl.Announced(later) {
+			announcing++
+			late := New("late")
+			late.Merge([]Announced{a}, later)
+			require.Equal(t, ReasonOtherSenders, late.Check(process, later).Reason)
+		}
+	}
+	require.Equal(t, baseSenders, announcing)
+}
