fix(platform): one odd number does not end a process or drop a configuration

Cause: numbers of the settings file, of records and of headers were decoded as integers. A decimal slack ended every process of the small deployments at its start ("line 57: incompatible types: TOML value has type float64"), a decimal count dropped a whole configuration, and a decimal deadline refused the request. Change: settings without a value that can be used are reported in the log and replaced by strict defaults; only text that is not TOML or lacks a required key is an error. Counts and times of configurations keep their whole part, what cannot be read counts as zero and is logged. Versions that are not whole stay invalid. The slack of retries keeps its fraction when it is divided by the number of instances.

--- a/cmd/papayaworks/forward.go
+++ b/cmd/papayaworks/forward.go
@@ -61,6 +61,7 @@
 	out := logger.NewAsyncWriter(os.Stdout)
 	defer out.Close(logFlushTimeout)
 	log := logger.New(out, set.Instance.Instance, level)
+	logFaults(log, set)
 	ctx, stop := signalContext()
 	defer stop()
 	s := set.Server(log)
@@ -96,6 +97,14 @@
 			logger.WithError(log, err).Error("settings rejected; previous settings stay in force")
 			continue
 		}
+		logFaults(log, set)
 		s.Reload(set.Instance)
 	}
 }
+
+// logFaults logs the values of the settings file that could not be used.
+func logFaults(log logger.Logger, set *platform.Settings) {
+	for _, f := range set.Faults {
+		log.WithField("key", f.Key).WithField("value", f.Value).WithField("allowed", f.Allowed).Warn("setting cannot be used")
+	}
+}
--- a/internal/cataloger/catalog.go
+++ b/internal/cataloger/catalog.go
@@ -127,6 +127,8 @@
 	Limits   Limits
 	// UnknownKinds names the routes whose kind is unknown; their requests are not repeated.
 	UnknownKinds []string
+	// UnreadableNumbers names the numbers that could not be read and count as zero.
+	UnreadableNumbers []string
 
 	routes map[string][]Route
 	keys   map[string]*Account
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -103,7 +103,7 @@
 // holds for the sum over all instances; the slack is divided among them.
 func (s *Server) retryWindow() retrier.WindowLimits {
 	set := s.settings()
-	slack := int(retryFraction * float64(set.RetrySlack) / float64(s.instanceCount()))
+	slack := retryFraction * set.RetrySlack / float64(s.instanceCount())
 	return retrier.WindowLimits{Share: retryFraction * set.RetryShare, Slack: slack, Length: set.RetryWindow}
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -97,7 +97,7 @@
 	// In each window of the length RetryWindow, all instances together may retry the share RetryShare of the calls, and
 	// RetrySlack calls more.
 	RetryShare  float64
-	RetrySlack  int
+	RetrySlack  float64
 	RetryWindow time.Duration
 	// SupersededGrace is how long calls may start on superseded weights after a newer version was desired.
 	SupersededGrace time.Duration
--- a/internal/retrier/window.go
+++ b/internal/retrier/window.go
@@ -7,8 +7,8 @@
 type WindowLimits struct {
 	// Share is the number of retries per request.
 	Share float64
-	// Slack is the number of additional retries in a window.
-	Slack int
+	// Slack is the number of additional retries in a window. Its fraction adds to that of the share.
+	Slack float64
 	// Length is the length of the window.
 	Length time.Duration
 }
@@ -26,7 +26,7 @@
 // TryRetry reports whether a retry is within the limits, and counts it if so.
 func (c *WindowCounter) TryRetry(w WindowLimits, now time.Time) bool {
 	c.requests, c.retries = dropExpired(c.requests, w, now), dropExpired(c.retries, w, now)
-	if float64(len(c.retries)+1) > w.Share*float64(len(c.requests))+float64(w.Slack) {
+	if float64(len(c.retries)+1) > w.Share*float64(len(c.requests))+w.Slack {
 		return false
 	}
 	c.retries = append(c.retries, now)
--- a/internal/retrier/window_test.go
+++ b/internal/retrier/window_test.go
@@ -13,7 +13,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 8).Draw(t, "instances")
 		const slack = 16
-		w := WindowLimits{Share: 0.2, Slack: slack / n, Length: 10 * time.Second}
+		w := WindowLimits{Share: 0.2, Slack: slack / float64(n), Length: 10 * time.Second}
 		counters := make([]WindowCounter, n)
 		now := epoch
 		var requests, retries []time.Time
@@ -37,3 +37,18 @@
 		}
 	})
 }
+
+// Guards against the slack of many instances being rounded away: one instance's part of it may be less than one retry.
+func TestFractionOfSlackIsKept(t *testing.T) {
+	w := WindowLimits{Share: 0.16, Slack: 0.8, Length: 10 * time.Second}
+	var c WindowCounter
+	for range 3 {
+		c.RecordRequest(w, epoch)
+	}
+	if !c.TryRetry(w, epoch) {
+		t.Fatal("three requests and a slack of 0.8 allow one retry")
+	}
+	if c.TryRetry(w, epoch) {
+		t.Fatal("they do not allow a second one")
+	}
+}
--- a/pkg/configurer/decode.go
+++ b/pkg/configurer/decode.go
@@ -81,7 +81,7 @@
 // parse decodes a text into v and merges the faults of the decoding with those that check finds in v.
 func parse(file, text string, v any, lenient bool, check func() Faults) error {
 	fs := decode(file, text, v, lenient)
-	if !fs.syntax() {
+	if !fs.IsSyntaxError() {
 		fs = fs.merge(locate(check(), text))
 	}
 	if len(fs) > 0 {
@@ -102,8 +102,8 @@
 // Locate sets the line numbers of faults from the TOML text that they refer to.
 func Locate(fs Faults, text string) Faults { return locate(fs, text) }
 
-// syntax reports whether the text is not valid TOML, in which case it cannot be validated.
-func (fs Faults) syntax() bool {
+// IsSyntaxError reports whether the text is not valid TOML, in which case nothing was decoded.
+func (fs Faults) IsSyntaxError() bool {
 	return slices.ContainsFunc(fs, func(f Fault) bool { return f.syntax })
 }
 
@@ -131,7 +131,8 @@
 	}
 	c := &checker{file: file, lenient: lenient}
 	wellTyped := c.table("", raw, reflect.TypeOf(v).Elem())
-	if len(c.faults) > 0 {
+	// The TOML library refuses integers that a float64 cannot represent; the checked table holds them as floats.
+	if lenient || len(c.faults) > 0 {
 		b, err := toml.Marshal(wellTyped)
 		if err != nil {
 			return syntaxFault(file, err)
