feat(announcer): load by data centre, with digests between data centres

Cause: each instance sent its whole state to each other one, every 4 ms a peer. At 295 instances the load in a decision was 1.2 s old on average, plain services got none of it (its age is above their limit), and a request of 6,000 tokens was announced to 294 peers. Change: above an interval of 100 ms, load is announced within the data centre every 4 ms a local peer, and between data centres as digests: the sum of a data centre's load and the signs of life of its instances, sent by its instances in turn, two to each instance elsewhere in an interval. The sums by target are kept up to date as announcements arrive. A member that is gone is noticed within 2 s. Full announcements keep their interval and carry the rest of the state as before, and the load as well for programs that do not state their data centre. A load that is too old for a decision is said to be unknown in its reason, and widens the random part of the choice.

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -16,6 +16,13 @@
 // The interval grows with the number of instances, so that the send and receive
 // rates of an instance are bounded in deployments of any size.
 //
+// In larger deployments the load would be too old by that. It is then announced
+// separately: by each instance to the others of its data centre, and between data
+// centres as digests, which contain the sum of a data centre's load and when each
+// of its instances was last heard of. The instances of a data centre send its
+// digest in turn. The rate of these datagrams at one instance depends on the size
+// of its data centre and on the number of data centres alone.
+//
 // Instances discover each other through a [Registry] in the metadata store. The
 // members of the deployment are the instances with recent announcements. If they
 // are fewer than half of the known instances, this instance is assumed to be
@@ -32,7 +39,6 @@
 import (
 	"cmp"
 	"context"
-	"maps"
 	"net"
 	"slices"
 	"sync"
@@ -90,8 +96,11 @@
 type Peer struct {
 	ID      string `json:"id"`
 	Address string `json:"address"`
+	// DataCentre is empty if the instance does not state it.
+	DataCentre string `json:"dataCentre,omitempty"`
 
 	addr *net.UDPAddr
+	hash uint64
 }
 
 // Registry is the list of instances in the metadata store.
@@ -109,6 +118,9 @@
 	Registry Registry
 	// LocalState returns the state to announce. It is called once for each full announcement.
 	LocalState func() State
+	// LocalLoad returns the load in flight at this instance by target; the announcer may change the map. If it is nil, load is sent in
+	// full announcements only.
+	LocalLoad func() map[string]InFlight
 	// ShouldSend reports whether the updates of a KV store are sent to a peer; if it is nil, all peers receive them.
 	ShouldSend func(store uint64, peer string) bool
 	// OnState is called with the state in each full announcement received. It runs with the announcer locked and must not
@@ -128,28 +140,29 @@
 	// startLimiter bounds the rate of start announcements.
 	startLimiter *rate.Limiter
 
-	mu    sync.RWMutex
-	peers map[string]*peer
+	mu     sync.RWMutex
+	peers  map[string]*peer
+	byHash map[uint64]*peer
+	plan   loadPlan
+	// digests holds the load of the other data centres.
+	digests map[string]*loadReport
+	// totals holds the sum of the loads of peers and digests that are not too old; expiredAt is when old ones were last removed.
+	totals    loadTotals
+	expiredAt time.Time
 }
 
 // peer is the state received from one other instance.
 type peer struct {
 	Peer
-	registeredAt     time.Time
-	receivedAt       time.Time
-	startedUnixNano  int64
-	sequence         uint64
-	inFlightByTarget map[string]InFlight
-	// started holds the start announcements received since the last full one.
-	started []startedRequest
-}
-
-// startedRequest is the load of a request received in a start announcement. The next full announcement includes it if
-// the request is still in flight.
-type startedRequest struct {
-	sequence uint64
-	target   string
-	inFlight InFlight
+	registeredAt time.Time
+	// receivedAt is when this instance, or another one that sent a digest, last heard of the peer.
+	receivedAt      time.Time
+	startedUnixNano int64
+	// sequence is that of the last full announcement, loadSequence that of the last one with the load.
+	sequence, loadSequence uint64
+	// isRegional reports whether the peer sends its load to its data centre only.
+	isRegional bool
+	load       loadReport
 }
 
 // Start binds the local address. It must be called before any other method.
@@ -162,12 +175,18 @@
 		return failer.Wrap(err, "listen on", a.Self.Address, "announce")
 	}
 	a.startedUnixNano = time.Now().UnixNano()
-	a.peers = map[string]*peer{}
+	a.reset()
 	a.announceNow, a.registerNow, a.discoverNow = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{}, 1)
 	a.startLimiter = rate.NewLimiter(startsPerSecond, startsBurst)
 	return nil
 }
 
+// reset removes all peers.
+func (a *Announcer) reset() {
+	a.peers, a.byHash, a.digests, a.totals = map[string]*peer{}, map[uint64]*peer{}, map[string]*loadReport{}, loadTotals{}
+	a.replan()
+}
+
 // AnnounceNow triggers the next announcement without waiting for the interval to elapse.
 func (a *Announcer) AnnounceNow() { trigger(a.announceNow) }
 
@@ -202,19 +221,26 @@
 // send to the target before the next announcement would have to wait behind it. Above a rate limit the request is
 // announced only by the next announcement.
 func (a *Announcer) AnnounceStart(target string, f InFlight) {
-	peers := a.peerList()
+	peers := a.startReceivers()
 	if a.startLimiter.SetLimit(startsPerSecond / rate.Limit(max(1, len(peers)))); len(peers) == 0 || !a.startLimiter.Allow() {
 		return
 	}
-	an := announcement{ID: a.Self.ID, Sequence: a.sequence.Add(1), StartedUnixNano: a.startedUnixNano, State: State{Started: map[string]InFlight{target: f}}}
-	data, err := msgpack.Marshal(an)
-	if err != nil {
-		logger.WithError(a.Log, err).Error("could not encode announcement")
-		return
-	}
-	for _, p := range peers {
-		a.send(p, data)
+	a.sendEncoded(peers, announcement{State: State{Started: map[string]InFlight{target: f}}})
+}
+
+// startReceivers returns the peers that receive start announcements: those of the own data centre, and the others unless they get
+// digests.
+func (a *Announcer) startReceivers() []Peer {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	regional := a.plan.isRegional
+	out := make([]Peer, 0, len(a.peers))
+	for _, p := range a.peers {
+		if !regional || p.DataCentre == "" || p.DataCentre == a.Self.DataCentre {
+			out = append(out, p.Peer)
+		}
 	}
+	return out
 }
 
 // Run sends and receives announcements until ctx is done.
@@ -222,6 +248,8 @@
 	go a.receive()
 	go a.register(ctx)
 	go a.discover(ctx)
+	go a.runRegional(ctx)
+	go a.expire(ctx)
 	var members []string
 	start := time.Now()
 	immediate := false
@@ -282,13 +310,16 @@
 	return max(minInterval, time.Duration(peers)*intervalPerPeer)
 }
 
-// members returns the sorted IDs of the instances with a recent full announcement, this one included. It returns nil if they
+// members returns the sorted IDs of the instances that were recently heard of, this one included. It returns nil if they
 // are fewer than half of the known instances: this instance is then assumed to be isolated and must not take over work
 // that the others still do.
 func (a *Announcer) members(now time.Time) []string {
 	a.mu.RLock()
 	defer a.mu.RUnlock()
 	timeout := max(memberTimeout, timeoutIntervals*intervalFor(len(a.peers)))
+	if a.plan.isRegional {
+		timeout = regionalMemberTimeout
+	}
 	ids := []string{a.Self.ID}
 	for id, p := range a.peers {
 		if now.Sub(p.receivedAt) < timeout {
@@ -306,15 +337,46 @@
 // others in the order of their IDs.
 func (a *Announcer) activePeers(now time.Time) []Peer {
 	a.mu.Lock()
-	maps.DeleteFunc(a.peers, func(_ string, p *peer) bool {
-		return now.Sub(p.registeredAt) > peerTTL && now.Sub(p.receivedAt) > peerTTL
-	})
+	for _, p := range a.peers {
+		if now.Sub(p.registeredAt) > peerTTL && now.Sub(p.receivedAt) > peerTTL {
+			a.removePeer(p)
+		}
+	}
 	a.mu.Unlock()
 	out := a.peerList()
 	slices.SortFunc(out, func(x, y Peer) int { return cmp.Compare(x.ID, y.ID) })
 	return out
 }
 
+// addPeer adds a peer or replaces the one with the same ID; a.mu is held.
+func (a *Announcer) addPeer(p Peer, registeredAt time.Time) *peer {
+	if old := a.peers[p.ID]; old != nil {
+		a.removePeer(old)
+	}
+	p.hash = hashOf(p.ID)
+	out := &peer{Peer: p, registeredAt: registeredAt}
+	a.peers[p.ID], a.byHash[p.hash] = out, out
+	a.replan()
+	return out
+}
+
+// removePeer removes a peer and its load; a.mu is held.
+func (a *Announcer) removePeer(p *peer) {
+	a.totals.remove(&p.load)
+	delete(a.peers, p.ID)
+	delete(a.byHash, p.hash)
+	a.replan()
+}
+
+// expire removes loads that are too old until ctx is done.
+func (a *Announcer) expire(ctx context.Context) {
+	for sleeper.Sleep(ctx, expiryInterval) {
+		a.mu.Lock()
+		a.expireLoads(time.Now())
+		a.mu.Unlock()
+	}
+}
+
 // peerList returns all peers in any order.
 func (a *Announcer) peerList() []Peer {
 	a.mu.RLock()
@@ -343,7 +405,7 @@
 	}
 }
 
-// apply merges an announcement. Older announcements than the last one of the same peer are ignored; an unknown sender
+// apply merges an announcement. Older announcements than the last one of the same peer and kind are ignored; an unknown sender
 // is added as a peer.
 func (a *Announcer) apply(in announcement, from *net.UDPAddr, now time.Time) {
 	if in.ID == a.Self.ID {
@@ -353,25 +415,54 @@
 	defer a.mu.Unlock()
 	p := a.peers[in.ID]
 	if p == nil {
-		p = &peer{Peer: Peer{ID: in.ID, Address: from.String(), addr: from}, registeredAt: now}
-		a.peers[in.ID] = p
+		p = a.addPeer(Peer{ID: in.ID, Address: from.String(), addr: from}, now)
 	}
-	if in.StartedUnixNano < p.startedUnixNano || in.StartedUnixNano == p.startedUnixNano && in.Sequence <= p.sequence {
+	if in.StartedUnixNano < p.startedUnixNano {
 		return
 	}
+	if in.DataCentre != p.DataCentre && in.DataCentre != "" {
+		p.DataCentre = in.DataCentre
+		a.replan()
+	}
 	if in.StartedUnixNano > p.startedUnixNano {
-		p.started = nil
+		p.startedUnixNano, p.sequence, p.loadSequence = in.StartedUnixNano, 0, 0
+		a.totals.remove(&p.load)
+		p.load = loadReport{}
 	}
-	if len(in.State.Started) > 0 {
-		p.startedUnixNano = in.StartedUnixNano
-		for target, f := range in.State.Started {
-			p.started = append(p.started, startedRequest{sequence: in.Sequence, target: target, inFlight: f})
+	switch {
+	case in.Digest != nil:
+		p.receivedAt = now
+		a.applyDigest(in.DataCentre, in.Digest, now)
+	case len(in.State.Started) > 0:
+		if in.Sequence > p.loadSequence {
+			a.totals.update(&p.load, func(r *loadReport) {
+				for target, f := range in.State.Started {
+					r.started = append(r.started, startedRequest{sequence: in.Sequence, target: target, inFlight: f})
+				}
+			})
+		}
+	case in.Load != nil:
+		p.receivedAt = now
+		a.applyLoad(p, in.Load.InFlightByTarget, in.Sequence, true, now)
+	case in.Sequence > p.sequence:
+		p.sequence, p.receivedAt = in.Sequence, now
+		if !in.State.LoadSeparate {
+			a.applyLoad(p, in.State.InFlightByTarget, in.Sequence, false, now)
 		}
+		a.OnState(in.State)
+	}
+}
+
+// applyLoad replaces the load of a peer, unless a newer one is known; a.mu is held.
+func (a *Announcer) applyLoad(p *peer, inFlight map[string]InFlight, sequence uint64, regional bool, now time.Time) {
+	if sequence <= p.loadSequence {
 		return
 	}
-	p.startedUnixNano, p.sequence, p.receivedAt, p.inFlightByTarget = in.StartedUnixNano, in.Sequence, now, in.State.InFlightByTarget
-	p.started = slices.DeleteFunc(p.started, func(s startedRequest) bool { return s.sequence < in.Sequence })
-	a.OnState(in.State)
+	p.loadSequence, p.isRegional = sequence, regional
+	a.totals.update(&p.load, func(r *loadReport) {
+		r.receivedAt, r.inFlight = now, inFlight
+		r.started = slices.DeleteFunc(r.started, func(s startedRequest) bool { return s.sequence < sequence })
+	})
 }
 
 // register writes the local address to the registry at registerInterval until ctx is done.
@@ -427,7 +518,7 @@
 		return
 	}
 	p.addr = addr
-	a.peers[p.ID] = &peer{Peer: p, registeredAt: now}
+	a.addPeer(p, now)
 	a.Log.WithField("peer", p.ID).WithField("address", p.Address).Info("instance discovered")
 }
 
@@ -438,26 +529,13 @@
 	return len(a.peers)
 }
 
-// RemoteInFlight returns the load that all other instances have in flight at a target. It returns zero if the
-// announcement interval is longer than maxAge: all instances would act on the same outdated load and send their
-// requests to the same target.
-func (a *Announcer) RemoteInFlight(target string, maxAge time.Duration, now time.Time) InFlight {
+// RemoteInFlight returns the load that all other instances have in flight at a target. It returns false, and no load, if the
+// announced loads are older than maxAge on average: instances that all act on the same outdated load send their requests to the same target.
+func (a *Announcer) RemoteInFlight(target string, maxAge time.Duration) (InFlight, bool) {
 	a.mu.RLock()
 	defer a.mu.RUnlock()
-	interval := intervalFor(len(a.peers))
-	var sum InFlight
-	if interval > maxAge {
-		return sum
-	}
-	for _, p := range a.peers {
-		if now.Sub(p.receivedAt) <= timeoutIntervals*interval {
-			sum = sum.Add(p.inFlightByTarget[target])
-			for _, s := range p.started {
-				if s.target == target {
-					sum = sum.Add(s.inFlight)
-				}
-			}
-		}
+	if a.plan.interval > maxAge {
+		return InFlight{}, false
 	}
-	return sum
+	return a.totals[target], true
 }
--- a/internal/announcer/announcer_test.go
+++ b/internal/announcer/announcer_test.go
@@ -36,6 +36,13 @@
 	return append([]Peer(nil), r.peers[from:]...), int64(len(r.peers)), nil
 }
 
+// unstarted returns an announcer that has no socket.
+func unstarted(dataCentre string) *Announcer {
+	a := &Announcer{Self: Peer{ID: "self", DataCentre: dataCentre}, OnState: func(State) {}, LocalLoad: func() map[string]InFlight { return map[string]InFlight{} }}
+	a.reset()
+	return a
+}
+
 // Guards against instances that do not discover each other, and against counting requests that have ended or belong to
 // an instance that has stopped.
 func TestAnnounce(t *testing.T) {
@@ -62,12 +69,18 @@
 		go a.Run(ctx)
 		all = append(all, a)
 	}
-	inFlight := func() InFlight { return all[0].RemoteInFlight("t", time.Second, time.Now()) }
+	inFlight := func() InFlight {
+		f, known := all[0].RemoteInFlight("t", time.Second)
+		require.True(t, known)
+		return f
+	}
 	want := InFlight{Requests: 2, Tokens: 20, PrefillTokens: 10}
 	require.Eventually(t, func() bool { return inFlight() == want }, 10*time.Second, 10*time.Millisecond)
 	cancels[2]()
 	require.Eventually(t, func() bool { return inFlight() == InFlight{Requests: 1, Tokens: 10, PrefillTokens: 5} }, 10*time.Second, 10*time.Millisecond)
-	require.Zero(t, all[0].RemoteInFlight("t", time.Millisecond, time.Now()), "announcement interval longer than maxAge")
+	f, known := all[0].RemoteInFlight("t", time.Millisecond)
+	require.Zero(t, f, "announcement interval longer than maxAge")
+	require.False(t, known)
 }
 
 // Guards against truncating, and so losing, an announcement with many store updates, and against sending updates to
@@ -122,27 +135,34 @@
 // Guards against replacing a state by one of an earlier process, or by one that arrives out of order.
 func TestOutdatedAnnouncements(t *testing.T) {
 	now := time.Now()
-	a := &Announcer{Self: Peer{ID: "self"}, peers: map[string]*peer{}, OnState: func(State) {}}
+	a := unstarted("")
 	apply := func(startedUnixNano int64, sequence uint64, requests int) {
 		a.apply(announcement{ID: "x", StartedUnixNano: startedUnixNano, Sequence: sequence, State: State{InFlightByTarget: map[string]InFlight{"t": {Requests: requests}}}}, &net.UDPAddr{}, now)
 	}
+	requests := func() int {
+		f, _ := a.RemoteInFlight("t", time.Second)
+		return f.Requests
+	}
 	apply(2, 5, 7)
 	apply(2, 4, 1)
 	apply(1, 9, 1)
-	require.Equal(t, 7, a.RemoteInFlight("t", time.Second, now).Requests)
+	require.Equal(t, 7, requests())
 	apply(3, 1, 2)
-	require.Equal(t, 2, a.RemoteInFlight("t", time.Second, now).Requests)
+	require.Equal(t, 2, requests())
 }
 
 // Guards against start announcements of long prefills that are ignored until the next full announcement, counted twice
 // after it, or retained if they arrive after it or the instance has restarted.
 func TestStartAnnouncements(t *testing.T) {
 	now := time.Now()
-	a := &Announcer{Self: Peer{ID: "self"}, peers: map[string]*peer{}, OnState: func(State) {}}
+	a := unstarted("")
 	apply := func(startedUnixNano int64, sequence uint64, st State) {
 		a.apply(announcement{ID: "x", StartedUnixNano: startedUnixNano, Sequence: sequence, State: st}, &net.UDPAddr{}, now)
 	}
-	prefill := func() int { return a.RemoteInFlight("t", time.Second, now).PrefillTokens }
+	prefill := func() int {
+		f, _ := a.RemoteInFlight("t", time.Second)
+		return f.PrefillTokens
+	}
 	long := map[string]InFlight{"t": {Requests: 1, PrefillTokens: 9000}}
 	apply(1, 1, State{})
 	apply(1, 3, State{Started: long})
--- a/internal/announcer/encoder.go
+++ b/internal/announcer/encoder.go
@@ -10,24 +10,29 @@
 	"github.com/papayaworks/papayaworks/internal/logger"
 )
 
-// encoder encodes one announcement for several peers. The datagrams differ only in the store updates, and in the ages of
-// published versions if they are sent at different times.
+// encoder encodes one announcement for several peers. The datagrams differ only in the store updates, in the load, which some peers
+// get separately, and in the ages of published versions if they are sent at different times.
 type encoder struct {
 	a         *Announcer
 	an        announcement
 	updates   []archiver.StoreUpdate
 	published []PublishedVersion
+	inFlight  map[string]InFlight
+	regional  bool
 	createdAt time.Time
-	// encoded holds the datagrams by the selection of store updates.
+	// encoded holds the datagrams by the selection of store updates and load.
 	encoded map[string][]byte
 }
 
 // newEncoder returns an encoder for the current state.
 func (a *Announcer) newEncoder(now time.Time) *encoder {
 	st := a.LocalState()
+	a.mu.RLock()
+	regional := a.plan.isRegional
+	a.mu.RUnlock()
 	return &encoder{
-		a: a, an: announcement{ID: a.Self.ID, Sequence: a.sequence.Add(1), StartedUnixNano: a.startedUnixNano, State: st},
-		updates: st.StoreUpdates, published: st.Published, createdAt: now, encoded: map[string][]byte{},
+		a: a, an: announcement{ID: a.Self.ID, DataCentre: a.Self.DataCentre, Sequence: a.sequence.Add(1), StartedUnixNano: a.startedUnixNano, State: st},
+		updates: st.StoreUpdates, published: st.Published, inFlight: st.InFlightByTarget, regional: regional, createdAt: now, encoded: map[string][]byte{},
 	}
 }
 
@@ -47,8 +52,13 @@
 
 // encode returns the datagram for a peer; nil if it cannot be encoded.
 func (e *encoder) encode(p Peer) []byte {
-	selection := make([]byte, len(e.updates))
+	selection := make([]byte, len(e.updates)+1)
 	e.an.State.StoreUpdates = nil
+	e.an.State.InFlightByTarget, e.an.State.LoadSeparate = e.inFlight, false
+	if e.regional && p.DataCentre != "" {
+		e.an.State.InFlightByTarget, e.an.State.LoadSeparate = nil, true
+		selection[len(e.updates)] = 1
+	}
 	for k, u := range e.updates {
 		if e.a.ShouldSend == nil || e.a.ShouldSend(u.Store, p.ID) {
 			selection[k] = 1
--- a/internal/announcer/published_age_test.go
+++ b/internal/announcer/published_age_test.go
@@ -28,12 +28,13 @@
 			others, last, conn := listen(), listen(), listen()
 			published := time.Now()
 			shortfall := make(chan time.Duration, 1)
-			receiver := &Announcer{Self: Peer{ID: "last"}, Log: logger.Discard(), peers: map[string]*peer{}, conn: last, OnState: func(s State) {
+			receiver := &Announcer{Self: Peer{ID: "last"}, Log: logger.Discard(), conn: last, OnState: func(s State) {
 				select {
 				case shortfall <- time.Since(published) - s.Published[0].Age:
 				default:
 				}
 			}}
+			receiver.reset()
 			go receiver.receive()
 			a := &Announcer{Self: Peer{ID: "a"}, Log: logger.Discard(), conn: conn, LocalState: func() State {
 				return State{Published: []PublishedVersion{{Model: "m", Version: 2, Age: time.Since(published)}}}
--- a/internal/announcer/state.go
+++ b/internal/announcer/state.go
@@ -9,23 +9,6 @@
 	"github.com/papayaworks/papayaworks/internal/watcher"
 )
 
-// InFlight is the load of an instance's requests in flight at one target. It is encoded as an array, so the order of
-// the fields is part of the format.
-type InFlight struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
-
-	Requests int
-	// Tokens is the sum of the prompt tokens and the expected output tokens.
-	Tokens int
-	// PrefillTokens is the sum of the prompt tokens of requests without a first response event.
-	PrefillTokens int
-}
-
-// Add returns the sum of both loads.
-func (f InFlight) Add(o InFlight) InFlight {
-	return InFlight{Requests: f.Requests + o.Requests, Tokens: f.Tokens + o.Tokens, PrefillTokens: f.PrefillTokens + o.PrefillTokens}
-}
-
 // TargetVersion is the weight version that a process of a target reported for a model.
 type TargetVersion struct {
 	Target        string `msgpack:"t"`
@@ -45,6 +28,8 @@
 // State is the content of an announcement.
 type State struct {
 	InFlightByTarget map[string]InFlight `msgpack:"f"`
+	// LoadSeparate reports whether InFlightByTarget is left out, because load announcements and digests carry the load.
+	LoadSeparate bool `msgpack:"l,omitempty"`
 	// Versions holds the weight versions that targets recently reported to this instance.
 	Versions []TargetVersion `msgpack:"v,omitempty"`
 	// StoreUpdates holds the updates of KV stores that this instance follows.
@@ -72,5 +57,9 @@
 	ID              string `msgpack:"i"`
 	Sequence        uint64 `msgpack:"n"`
 	StartedUnixNano int64  `msgpack:"b"`
+	DataCentre      string `msgpack:"z,omitempty"`
 	State           State  `msgpack:"s"`
+	// Load is set in load announcements and Digest in digests; State is then empty.
+	Load   *load   `msgpack:"l,omitempty"`
+	Digest *digest `msgpack:"d,omitempty"`
 }
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -70,6 +70,9 @@
 	// costJitter is the largest random increase of a cost, as a fraction of it; it keeps instances with the same view from
 	// all choosing the same target.
 	costJitter = 0.1
+	// unknownLoadJitter replaces costJitter if the load of the other instances is not known. It is above the weight of a remote data
+	// centre, so that the targets of all data centres share the load.
+	unknownLoadJitter = 0.25
 )
 
 // Candidate is one target with its load as estimated by this instance.
@@ -110,6 +113,8 @@
 	// request occupies its share of it.
 	CapacityTokens int
 	MeanHoldTime   time.Duration
+	// LoadUnknown reports whether the loads of the candidates leave out the requests of other instances.
+	LoadUnknown bool
 	// Seed seeds the jitter, so that equal inputs give equal decisions.
 	Seed uint64
 }
@@ -132,6 +137,8 @@
 const (
 	ReasonPreferred    = "home of the conversation"
 	ReasonLeastLatency = "least expected time"
+	// ReasonLoadUnknown is appended to the others if the load of the other instances is not known.
+	ReasonLoadUnknown = ", load of other instances unknown"
 )
 
 // Choose returns the candidate with the lowest cost. It returns [ErrNoTarget] if there is no candidate, and the candidate
@@ -142,15 +149,22 @@
 	r := rand.New(rand.NewPCG(in.Seed, 1))
 	best := Decision{}
 	least := time.Duration(math.MaxInt64)
+	jitter := costJitter
+	if in.LoadUnknown {
+		jitter = unknownLoadJitter
+	}
 	for _, c := range in.Candidates {
 		d := in.estimate(c)
-		if jittered := time.Duration(float64(d.Cost) * (1 + costJitter*r.Float64())); jittered < least {
+		if jittered := time.Duration(float64(d.Cost) * (1 + jitter*r.Float64())); jittered < least {
 			least, best = jittered, d
 		}
 	}
 	if best.Target == nil {
 		return Decision{}, ErrNoTarget
 	}
+	if in.LoadUnknown {
+		best.Reason += ReasonLoadUnknown
+	}
 	if in.IsEngine && in.Objective > 0 && best.Cost > in.Objective {
 		return best, ErrObjectiveMissed
 	}
--- a/internal/balancer/load_table.go
+++ b/internal/balancer/load_table.go
@@ -347,12 +347,7 @@
 func (t *LoadTable) LocalState(now time.Time) announcer.State {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := announcer.State{InFlightByTarget: map[string]announcer.InFlight{}}
-	for id, e := range t.targets {
-		if e.inFlight.Requests > 0 {
-			out.InFlightByTarget[id] = e.inFlight
-		}
-	}
+	out := announcer.State{InFlightByTarget: t.inFlightByTarget()}
 	for w, v := range t.versions {
 		if now.Sub(v.reportedAt) < versionReportTTL {
 			out.Versions = append(out.Versions, announcer.TargetVersion{Target: w.Target, StartedUnixMs: w.StartedUnixMs, Model: w.Model, Version: v.version})
@@ -360,3 +355,21 @@
 	}
 	return out
 }
+
+// InFlightByTarget returns the load of this instance's requests in flight by target.
+func (t *LoadTable) InFlightByTarget() map[string]announcer.InFlight {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.inFlightByTarget()
+}
+
+// inFlightByTarget returns the load of this instance's requests in flight by target; t.mu is held.
+func (t *LoadTable) inFlightByTarget() map[string]announcer.InFlight {
+	out := map[string]announcer.InFlight{}
+	for id, e := range t.targets {
+		if e.inFlight.Requests > 0 {
+			out[id] = e.inFlight
+		}
+	}
+	return out
+}
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -200,7 +200,8 @@
 	mean := s.loads.MeanDuration(c.Service.Name)
 	in := balancer.Input{IsEngine: c.Service.Engine != nil, Seed: rand.Uint64()}
 	for _, t := range targets {
-		load := s.load(t.ID, loadTTL(in.IsEngine, mean), now)
+		load, known := s.load(t.ID, loadTTL(in.IsEngine, mean), now)
+		in.LoadUnknown = in.LoadUnknown || !known
 		in.Candidates = append(in.Candidates, balancer.Candidate{
 			Target: t, Remote: t.DataCentre != s.settings().DataCentre, HashRank: 1, MeanDuration: mean, Superseded: s.isSuperseded(c, t),
 			Outstanding: load.Requests, Tokens: load.Tokens, QueuedPrefillTokens: load.PrefillTokens,
@@ -250,14 +251,16 @@
 }
 
 // load returns the load in flight at a target: that of this instance plus the load that its peers have announced. The
-// number of calls is at least the one that the target itself has reported.
-func (s *Server) load(id string, maxAge time.Duration, now time.Time) announcer.InFlight {
-	sum := s.loads.InFlight(id)
+// number of calls is at least the one that the target itself has reported. It returns false if the load of the peers is not known.
+func (s *Server) load(id string, maxAge time.Duration, now time.Time) (announcer.InFlight, bool) {
+	sum, known := s.loads.InFlight(id), true
 	if s.Announcer != nil {
-		sum = sum.Add(s.Announcer.RemoteInFlight(id, maxAge, now))
+		var remote announcer.InFlight
+		remote, known = s.Announcer.RemoteInFlight(id, maxAge)
+		sum = sum.Add(remote)
 	}
 	sum.Requests = max(sum.Requests, s.loads.Outstanding(id, maxAge, now))
-	return sum
+	return sum, known
 }
 
 // usableTargets returns the targets of the call's service that may receive it. Targets that fail, refuse calls, do not
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -245,6 +245,7 @@
 // connectAnnouncer connects the announcer to the parts of the server whose state is sent to and received from the peers.
 func (s *Server) connectAnnouncer(ctx context.Context) {
 	a := s.Announcer
+	a.LocalLoad = s.loads.InFlightByTarget
 	a.LocalState = func() announcer.State {
 		now := time.Now()
 		st := s.loads.LocalState(now)
