feat(watcher): few instances read the store often, the others when it has changed

Change: in deployments whose load is announced by data centre, ten instances by rendezvous read as before. Load announcements and digests say how far each has read, and of the targets' topic since which offset nothing has changed beside heartbeats. The others read at once when a reader has seen a change, the configuration at least each 0.55 of the time for which keys are valid, and the targets at least each 15 s, or as before if they hear of no recent read. Only an instance's own reads make keys valid.

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -118,9 +118,11 @@
 	Registry Registry
 	// LocalState returns the state to announce. It is called once for each full announcement.
 	LocalState func() State
-	// LocalLoad returns the load in flight at this instance by target; the announcer may change the map. If it is nil, load is sent in
-	// full announcements only.
-	LocalLoad func() map[string]InFlight
+	// LocalLoad returns the load of this instance; the announcer may change its map. If it is nil, load is sent in full announcements
+	// only.
+	LocalLoad func() Load
+	// OnLoad is called with each load announcement and digest received, like OnState; it may be nil.
+	OnLoad func(Load)
 	// ShouldSend reports whether the updates of a KV store are sent to a peer; if it is nil, all peers receive them.
 	ShouldSend func(store uint64, peer string) bool
 	// OnState is called with the state in each full announcement received. It runs with the announcer locked and must not
@@ -433,6 +435,7 @@
 	case in.Digest != nil:
 		p.receivedAt = now
 		a.applyDigest(in.DataCentre, in.Digest, now)
+		a.onLoad(in.Digest.Load)
 	case len(in.State.Started) > 0:
 		if in.Sequence > p.loadSequence {
 			a.totals.update(&p.load, func(r *loadReport) {
@@ -444,6 +447,7 @@
 	case in.Load != nil:
 		p.receivedAt = now
 		a.applyLoad(p, in.Load.InFlightByTarget, in.Sequence, true, now)
+		a.onLoad(*in.Load)
 	case in.Sequence > p.sequence:
 		p.sequence, p.receivedAt = in.Sequence, now
 		if !in.State.LoadSeparate {
@@ -453,6 +457,12 @@
 	}
 }
 
+func (a *Announcer) onLoad(l Load) {
+	if a.OnLoad != nil {
+		a.OnLoad(l)
+	}
+}
+
 // applyLoad replaces the load of a peer, unless a newer one is known; a.mu is held.
 func (a *Announcer) applyLoad(p *peer, inFlight map[string]InFlight, sequence uint64, regional bool, now time.Time) {
 	if sequence <= p.loadSequence {
--- a/internal/announcer/announcer_test.go
+++ b/internal/announcer/announcer_test.go
@@ -38,7 +38,7 @@
 
 // unstarted returns an announcer that has no socket.
 func unstarted(dataCentre string) *Announcer {
-	a := &Announcer{Self: Peer{ID: "self", DataCentre: dataCentre}, OnState: func(State) {}, LocalLoad: func() map[string]InFlight { return map[string]InFlight{} }}
+	a := &Announcer{Self: Peer{ID: "self", DataCentre: dataCentre}, OnState: func(State) {}, LocalLoad: func() Load { return Load{} }}
 	a.reset()
 	return a
 }
--- a/internal/announcer/regional.go
+++ b/internal/announcer/regional.go
@@ -11,6 +11,7 @@
 	"github.com/papayaworks/papayaworks/internal/hasher"
 	"github.com/papayaworks/papayaworks/internal/logger"
 	"github.com/papayaworks/papayaworks/internal/sleeper"
+	"github.com/papayaworks/papayaworks/internal/watcher"
 )
 
 const (
@@ -26,16 +27,18 @@
 	expiryInterval = 50 * time.Millisecond
 )
 
-// load is the load of one instance in a load announcement.
-type load struct {
-	InFlightByTarget map[string]InFlight `msgpack:"f"`
+// Load is the load of one instance, or in a digest that of all instances of a data centre, with how far the sender has read its sources.
+type Load struct {
+	InFlightByTarget map[string]InFlight     `msgpack:"f"`
+	Progress         watcher.Progress        `msgpack:"o"`
+	Targets          watcher.TargetsProgress `msgpack:"t"`
 }
 
 // digest is the load of all instances of one data centre, with their signs of life. Its size depends on the numbers of targets and of
 // instances of the data centre, not on that of all instances.
 type digest struct {
-	InFlightByTarget map[string]InFlight `msgpack:"f"`
-	Alive            []signOfLife        `msgpack:"a"`
+	Load
+	Alive []signOfLife `msgpack:"a"`
 }
 
 // signOfLife is when an instance was last heard of. It is encoded as an array.
@@ -160,7 +163,8 @@
 	if len(peers) == 0 {
 		return
 	}
-	a.sendEncoded(peers, announcement{Load: &load{InFlightByTarget: a.LocalLoad()}})
+	l := a.LocalLoad()
+	a.sendEncoded(peers, announcement{Load: &l})
 }
 
 // sendDigest sends the load of the own data centre to peers elsewhere.
@@ -169,7 +173,7 @@
 		return
 	}
 	now := time.Now()
-	d := &digest{InFlightByTarget: a.LocalLoad()}
+	d := &digest{Load: a.LocalLoad()}
 	a.mu.RLock()
 	for _, p := range a.peers {
 		if p.DataCentre != a.Self.DataCentre {
--- a/internal/announcer/regional_test.go
+++ b/internal/announcer/regional_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"testing"
 	"time"
@@ -117,12 +118,12 @@
 		return f.Requests
 	}
 	one := map[string]InFlight{"t": {Requests: 1}}
-	a.apply(announcement{ID: "i-0003", Sequence: 1, DataCentre: "dc-0", Load: &load{one}}, from, now)
+	a.apply(announcement{ID: "i-0003", Sequence: 1, DataCentre: "dc-0", Load: &Load{InFlightByTarget: one}}, from, now)
 	require.Equal(t, 1, requests(), "the own data centre")
 	a.apply(announcement{ID: "i-0003", Sequence: 2, DataCentre: "dc-0", State: State{LoadSeparate: true}}, from, now)
 	require.Equal(t, 1, requests(), "a full announcement without the load")
 	digest := func(id string, sequence uint64, n int) {
-		a.apply(announcement{ID: id, Sequence: sequence, DataCentre: "dc-1", Digest: &digest{InFlightByTarget: map[string]InFlight{"t": {Requests: n}}}}, from, now)
+		a.apply(announcement{ID: id, Sequence: sequence, DataCentre: "dc-1", Digest: &digest{Load: Load{InFlightByTarget: map[string]InFlight{"t": {Requests: n}}}}}, from, now)
 	}
 	digest("i-0001", 1, 5)
 	require.Equal(t, 6, requests())
@@ -132,7 +133,7 @@
 	require.Equal(t, 9, requests(), "an instance that does not state its data centre announces its load itself")
 	a.apply(announcement{ID: "i-0003", Sequence: 3, DataCentre: "dc-0", State: State{Started: one}}, from, now)
 	require.Equal(t, 10, requests(), "a start")
-	a.apply(announcement{ID: "i-0003", Sequence: 4, DataCentre: "dc-0", Load: &load{map[string]InFlight{"t": {Requests: 2}}}}, from, now)
+	a.apply(announcement{ID: "i-0003", Sequence: 4, DataCentre: "dc-0", Load: &Load{InFlightByTarget: map[string]InFlight{"t": {Requests: 2}}}}, from, now)
 	require.Equal(t, 10, requests(), "the next load includes it")
 	a.apply(announcement{ID: "i-0003", StartedUnixNano: 1, Sequence: 1, DataCentre: "dc-0", State: State{LoadSeparate: true}}, from, now)
 	require.Equal(t, 8, requests(), "a new process has no load yet")
@@ -154,7 +155,7 @@
 			switch {
 			case p.DataCentre != fmt.Sprint("dc-", dc), id == fmt.Sprintf("i-%04d", dc): // that one sends the digest
 			case dc == 0:
-				a.apply(announcement{ID: id, Sequence: 1, DataCentre: p.DataCentre, Load: &load{}}, from, now)
+				a.apply(announcement{ID: id, Sequence: 1, DataCentre: p.DataCentre, Load: &Load{}}, from, now)
 			default:
 				s := signOfLife{Hash: p.hash}
 				if id == "i-0006" {
@@ -198,9 +199,9 @@
 			case 2:
 				an.State.Started = in
 			case 3:
-				an.Load = &load{in}
+				an.Load = &Load{InFlightByTarget: in}
 			case 4:
-				an.Digest = &digest{InFlightByTarget: in}
+				an.Digest = &digest{Load: Load{InFlightByTarget: in}}
 			case 5:
 				a.mu.Lock()
 				if p := a.peers[an.ID]; p != nil {
@@ -252,14 +253,8 @@
 		members[i] = make(chan int, 64)
 		a := &Announcer{
 			Self: Peer{ID: fmt.Sprint("i-", i), Address: addr, DataCentre: fmt.Sprint("dc-", i%dataCentres)}, Registry: reg, Log: logger.Discard(),
-			LocalState: func() State { return State{InFlightByTarget: inFlight} },
-			LocalLoad: func() map[string]InFlight {
-				out := map[string]InFlight{}
-				for id, f := range inFlight {
-					out[id] = f
-				}
-				return out
-			},
+			LocalState:       func() State { return State{InFlightByTarget: inFlight} },
+			LocalLoad:        func() Load { return Load{InFlightByTarget: maps.Clone(inFlight)} },
 			OnState:          func(State) {},
 			OnMembersChanged: func(ids []string) { members[i] <- len(ids) },
 		}
@@ -311,7 +306,7 @@
 			}
 			from := &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)}
 			for i := 1; i < n; i++ {
-				l := load{InFlightByTarget: map[string]InFlight{}}
+				l := Load{InFlightByTarget: map[string]InFlight{}}
 				for k := range 10 {
 					l.InFlightByTarget[targets[(i*7+k*13)%len(targets)]] = InFlight{Requests: 1, Tokens: 900}
 				}
--- a/internal/announcer/state.go
+++ b/internal/announcer/state.go
@@ -60,6 +60,6 @@
 	DataCentre      string `msgpack:"z,omitempty"`
 	State           State  `msgpack:"s"`
 	// Load is set in load announcements and Digest in digests; State is then empty.
-	Load   *load   `msgpack:"l,omitempty"`
+	Load   *Load   `msgpack:"l,omitempty"`
 	Digest *digest `msgpack:"d,omitempty"`
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -57,6 +57,9 @@
 	// keys are accepted. The age of the configuration counts from the time at which the last answered request was sent, so it
 	// can reach two such waits.
 	longPollFraction = 0.43
+	// sharedReadFraction is the time between two reads of the configuration by an instance that others tell of changes, as a fraction of
+	// KeyTTL. It is below readyFraction.
+	sharedReadFraction = 0.55
 	// configApplyFraction is the longest wait of a long poll as a fraction of ConfigApplyTimeout: a store that misses the
 	// wake-up of a read returns a new configuration only at the end of the wait.
 	configApplyFraction = 0.8
@@ -124,6 +127,16 @@
 	return out
 }
 
+// sharedReadInterval returns the time between two reads of the configuration by an instance to which others say when it has changed. Only
+// its own reads make API keys valid, and it must stay ready between them. It is 0 if there are no bounds.
+func (set *Settings) sharedReadInterval() time.Duration {
+	out := time.Duration(sharedReadFraction * float64(set.KeyTTL))
+	if apply := time.Duration(configApplyFraction * float64(set.ConfigApplyTimeout)); apply > 0 && (out == 0 || apply < out) {
+		out = apply
+	}
+	return out
+}
+
 // Server is one entry instance. The exported fields are set before Run or Start.
 type Server struct {
 	Settings *Settings
@@ -176,6 +189,7 @@
 	previous := s.settings()
 	changed := *set != *previous
 	s.reloaded.Store(set)
+	s.Watcher.SetSharedReadInterval(set.sharedReadInterval())
 	s.Watcher.SetLongPollTimeout(set.longPollTimeout())
 	s.Log.WithField("changed", changed).WithField("addressesChanged", set.ListenAddress != previous.ListenAddress || set.ReadyAddress != previous.ReadyAddress).Info("settings reloaded")
 }
@@ -214,6 +228,7 @@
 	if s.Updater != nil {
 		s.Watcher.OnRecover = s.Updater.Refresh
 	}
+	s.Watcher.SetSharedReadInterval(s.Settings.sharedReadInterval())
 	s.Watcher.LongPollTimeout = s.Settings.longPollTimeout()
 	s.Watcher.PollInterval = time.Duration(pollFraction * float64(s.Settings.LeaveDetectionTimeout))
 	go s.Watcher.Run(ctx)
@@ -245,7 +260,13 @@
 // connectAnnouncer connects the announcer to the parts of the server whose state is sent to and received from the peers.
 func (s *Server) connectAnnouncer(ctx context.Context) {
 	a := s.Announcer
-	a.LocalLoad = s.loads.InFlightByTarget
+	a.LocalLoad = func() announcer.Load {
+		return announcer.Load{InFlightByTarget: s.loads.InFlightByTarget(), Progress: s.Watcher.Progress(), Targets: s.Watcher.TargetsProgress()}
+	}
+	a.OnLoad = func(l announcer.Load) {
+		s.Watcher.MergeProgress(l.Progress)
+		s.Watcher.MergeTargetsProgress(l.Targets)
+	}
 	a.LocalState = func() announcer.State {
 		now := time.Now()
 		st := s.loads.LocalState(now)
@@ -283,6 +304,7 @@
 	}
 	a.OnMembersChanged = func(ids []string) {
 		s.throttle.SetInstances(ids, time.Now())
+		s.Watcher.SetInstances(s.Settings.Instance, ids)
 		if s.Archiver != nil {
 			s.Archiver.SetInstances(ctx, ids)
 		}
--- a/internal/watcher/follower.go
+++ b/internal/watcher/follower.go
@@ -24,6 +24,8 @@
 	outage outage
 	// confirmNow makes the next read return at once, because a long poll has become too long.
 	confirmNow bool
+	// readAt is when the last successful read was sent.
+	readAt time.Duration
 	// gaveUp reports whether the last read was a long poll that was given up because another instance had read further.
 	gaveUp bool
 }
@@ -62,7 +64,7 @@
 	f.times.complete = cataloger.UnknownTime
 	for ctx.Err() == nil {
 		startedAt, start, timeout := time.Now(), f.w.elapsed(), f.nextTimeout()
-		b, err := f.w.read(ctx, f.source, f.pos, timeout)
+		b, err := f.w.read(ctx, f.source, f.positionToRead(start), timeout)
 		f.confirmNow = errors.Is(err, errShortened)
 		switch {
 		case f.confirmNow:
@@ -73,7 +75,7 @@
 			f.retryLater(ctx, start, err)
 		default:
 			f.deliver(ctx, b, startedAt, start, timeout)
-			sleeper.Sleep(ctx, f.interval)
+			f.pause(ctx, start)
 		}
 	}
 }
@@ -88,6 +90,9 @@
 	if f.outage.active() || f.confirmNow || f.isOperator() && f.pos.synced && f.w.peers.startCatchUp(f.pos) {
 		return 0
 	}
+	if f.isOperator() && f.w.sharing.isShared.Load() {
+		return 0
+	}
 	return f.wait()
 }
 
@@ -124,7 +129,7 @@
 		w.OnRecover()
 	}
 	f.gaveUp = false
-	e := event{batch: b, afterOutage: (f.outage.active() || restored) && f.pos.synced}
+	e := event{batch: b, fromTargets: !f.isOperator(), isFirst: !f.pos.synced, sentAt: start, afterOutage: (f.outage.active() || restored) && f.pos.synced}
 	e.publishedAt, e.observed = f.times.add(finishedRead{
 		start: start, end: w.elapsed(), timeout: timeout, from: f.pos.offset, mayHaveMissed: restored && !w.peers.confirms(f.pos, startedAt),
 	}, b)
@@ -138,6 +143,7 @@
 	case <-ctx.Done():
 		return
 	}
+	f.readAt = start
 	f.pos, f.outage = cursor{synced: true, offset: b.NextOffset, era: b.Era}, outage{}
 	if f.isOperator() {
 		w.progress.Store(&Progress{Era: b.Era, Offset: b.NextOffset})
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -131,6 +131,9 @@
 	// progress is the position of the operator's source; nil before the first read.
 	progress atomic.Pointer[Progress]
 	peers    *peerProgress
+	sharing  sharing
+	// sharedReadInterval is the time between two reads of the operator's source by an instance that is no reader.
+	sharedReadInterval atomic.Int64
 	// expired holds the removal times of targets whose records expired during an outage.
 	expired  map[string]time.Time
 	removed  removals
@@ -142,6 +145,10 @@
 // event is a message to the control goroutine: a batch, or a function to apply.
 type event struct {
 	batch Batch
+	// fromTargets reports whether the batch is one of the targets' source, and isFirst whether it is the first one. sentAt is when it was
+	// requested.
+	fromTargets, isFirst bool
+	sentAt               time.Duration
 	// requestedAt is when the batch was requested from the operator's source; 0 for other sources.
 	requestedAt time.Duration
 	// publishedAt is when the changes of the batch were published; if it was not observed, the earliest possible time or
@@ -241,7 +248,7 @@
 	if e.apply == nil {
 		w.era = e.batch.Era
 	}
-	present, d := map[string]bool{}, v.Draft()
+	present, d, expired := map[string]bool{}, v.Draft(), len(w.expired)
 	for _, c := range e.batch.Changes {
 		v = w.applyChange(v, d, c, e, now, present)
 	}
@@ -249,9 +256,18 @@
 	if e.batch.IsSnapshot && len(present) > 0 {
 		w.removeMissing(d, present, e.afterOutage, now)
 	}
-	w.publish(old, v.WithDraft(d))
+	v = v.WithDraft(d)
+	w.publish(old, v)
+	if e.fromTargets {
+		changed := !isSameTargets(old, v) || len(w.expired) != expired
+		w.sharing.targets.recordRead(e.batch.Era, e.batch.NextOffset, e.sentAt, changed, e.isFirst)
+	}
 }
 
+// SetSharedReadInterval sets the time between two reads of the operator's source by an instance that is no reader; 0 means the default.
+// It may be called from any goroutine.
+func (w *Watcher) SetSharedReadInterval(d time.Duration) { w.sharedReadInterval.Store(int64(d)) }
+
 func (w *Watcher) publish(old, v *cataloger.View) {
 	if v == old {
 		return
