test(pooler): a response that is cut at any byte is an error

Operators reported a worker that stopped in the middle of its answer's head, for which callers got a complete 200.

--- a/internal/pooler/pooler_test.go
+++ b/internal/pooler/pooler_test.go
@@ -23,6 +23,8 @@
 type target struct {
 	address, response string
 	respond           chan struct{}
+	// closes is whether the connection ends after the first response.
+	closes bool
 }
 
 func startTarget(t *testing.T, response string) *target {
@@ -51,7 +53,7 @@
 			return
 		}
 		<-s.respond
-		if _, err := c.Write([]byte(s.response)); err != nil {
+		if _, err := c.Write([]byte(s.response)); err != nil || s.closes {
 			return
 		}
 	}
--- /dev/null
+++ b/internal/pooler/truncated_test.go
@@ -0,0 +1,58 @@
+package pooler
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a response that looks complete although its target stopped anywhere before its end and closed the connection: in the
+// middle of the header, of a field that decides about the length, of a chunk or of a trailer.
+func TestResponseCutAtEachByte(t *testing.T) {
+	tests := map[string]struct {
+		response, wantBody string
+	}{
+		"length":             {"HTTP/1.1 200 OK\r\nUpstream-Signature: s\r\nContent-Length: 12\r\n\r\nhello, world", "hello, world"},
+		"length, first":      {"HTTP/1.1 200 OK\r\nContent-Length: 12\r\nUpstream-Signature: s\r\n\r\nhello, world", "hello, world"},
+		"line feeds alone":   {"HTTP/1.1 200 OK\nContent-Length: 12\nUpstream-Signature: s\n\nhello, world", "hello, world"},
+		"chunks":             {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n7\r\n, world\r\n0\r\n\r\n", "hello, world"},
+		"chunks and trailer": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: T\r\n\r\nc\r\nhello, world\r\n0\r\nT: 1\r\n\r\n", "hello, world"},
+		"after a continue":   {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\nhello, world", "hello, world"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			for n := range len(tc.response) + 1 {
+				s := startTarget(t, tc.response[:n])
+				s.closes = true
+				close(s.respond)
+				ex, err := New().Do(t.Context(), Peer{Address: s.address}, http.MethodPost, []byte(testRequest), func(http.Header) bool { return true })
+				if err == nil {
+					var body []byte
+					body, err = io.ReadAll(ex.Body)
+					if err == nil {
+						require.Equal(t, tc.wantBody, string(body), "cut after %q", tc.response[:n])
+					}
+					ex.Close()
+				}
+				require.Equal(t, n == len(tc.response), err == nil, "cut after %q: %v", tc.response[:n], err)
+			}
+		})
+	}
+}
+
+// Guards against the same in a response without a length, whose header is cut: it must not pass for one with an empty body.
+func TestUnframedResponseCutInHeader(t *testing.T) {
+	const response = "HTTP/1.1 200 OK\r\nUpstream-Signature: s\r\nContent-Type: text/event-stream\r\n\r\n"
+	for n := range len(response) {
+		s := startTarget(t, response[:n])
+		s.closes = true
+		close(s.respond)
+		_, err := New().Do(t.Context(), Peer{Address: s.address}, http.MethodPost, []byte(testRequest), func(http.Header) bool { return true })
+		var e *Error
+		require.ErrorAs(t, err, &e, "cut after %q", strings.TrimSpace(response[:n]))
+		require.True(t, e.MaybeSent, "the request may have run")
+	}
+}
