perf(forwarder): a decision reads the clock once, not three times a target

Cause: IsSwapping and two reads of the age of superseded weights each called CLOCK_BOOTTIME, a system call in Go, for every target: 489 system calls a decision at 163 targets. Change: one reading a decision; targets that are not swapping need none. Ranks by sorting instead of comparing all with all; slices of the known size.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -29,9 +29,11 @@
 package balancer
 
 import (
+	"cmp"
 	"errors"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/papayaworks/papayaworks/internal/cataloger"
@@ -216,16 +218,14 @@
 // the keys that prefer that target move.
 func HashRanks(key string, targets []*cataloger.Target) []int {
 	scores := make([]uint64, len(targets))
+	order := make([]int, len(targets))
 	for i, t := range targets {
-		scores[i] = hasher.Hash(key, t.ID)
+		scores[i], order[i] = hasher.Hash(key, t.ID), i
 	}
+	slices.SortFunc(order, func(i, j int) int { return cmp.Compare(scores[j], scores[i]) })
 	ranks := make([]int, len(targets))
-	for i, score := range scores {
-		for _, other := range scores {
-			if other > score {
-				ranks[i]++
-			}
-		}
+	for rank, i := range order {
+		ranks[i] = rank
 	}
 	return ranks
 }
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -163,7 +163,7 @@
 		return retrier.Unknown, errors.New("remaining time is too short to send the call")
 	}
 	c.WeightVersion, c.Scope = s.versionAndScope(c, t)
-	superseded := s.supersededFor(c, t)
+	superseded := s.supersededFor(c, t, clocker.SinceBoot())
 	c.TriedTargets = append(c.TriedTargets, t.ID)
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	load := announcer.InFlight{Requests: 1, Tokens: c.Headers.Prompt.InputTokens + c.Headers.Prompt.expectedOutputTokens(), PrefillTokens: d.PrefillTokens}
@@ -196,14 +196,16 @@
 
 // balance returns the decision of the balancer among the targets that can receive the call.
 func (s *Server) balance(c *Call, now time.Time) (balancer.Decision, error) {
-	targets := s.usableTargets(c, now)
+	// The clock is read once for all targets: reading it is a system call.
+	sinceBoot := clocker.SinceBoot()
+	targets := s.usableTargets(c, now, sinceBoot)
 	mean := s.loads.MeanDuration(c.Service.Name)
-	in := balancer.Input{IsEngine: c.Service.Engine != nil, Seed: rand.Uint64()}
+	in := balancer.Input{IsEngine: c.Service.Engine != nil, Seed: rand.Uint64(), Candidates: make([]balancer.Candidate, 0, len(targets))}
 	for _, t := range targets {
 		load, known := s.load(t.ID, loadTTL(in.IsEngine, mean), now)
 		in.LoadUnknown = in.LoadUnknown || !known
 		in.Candidates = append(in.Candidates, balancer.Candidate{
-			Target: t, Remote: t.DataCentre != s.settings().DataCentre, HashRank: 1, MeanDuration: mean, Superseded: s.isSuperseded(c, t),
+			Target: t, Remote: t.DataCentre != s.settings().DataCentre, HashRank: 1, MeanDuration: mean, Superseded: s.supersededFor(c, t, sinceBoot) > supersededPenaltyDelay,
 			Outstanding: load.Requests, Tokens: load.Tokens, QueuedPrefillTokens: load.PrefillTokens,
 		})
 	}
@@ -225,19 +227,20 @@
 		return
 	}
 	// The candidates have one weight version, or two during a weight update, each with its own scope.
-	stored, keys := map[string]int{}, map[string][]string{}
+	stored, keys := map[int64]int{}, map[int64][]string{}
 	ranks := balancer.HashRanks(ids[len(ids)-1], targets)
 	for i, t := range targets {
 		cand := &in.Candidates[i]
-		_, scope := s.versionAndScope(c, t)
-		if keys[scope] == nil {
-			keys[scope] = scopedKeys(scope, ids)
+		version := s.callVersion(c, t)
+		if keys[version] == nil {
+			_, scope := s.versionAndScope(c, t)
+			keys[version] = scopedKeys(scope, ids)
 			if s.Archiver != nil {
-				stored[scope] = tokenCount(p.Blocks[:s.Archiver.Lookup(scope, ids, now)])
+				stored[version] = tokenCount(p.Blocks[:s.Archiver.Lookup(scope, ids, now)])
 			}
 		}
-		cand.HashRank, cand.StoredTokens = ranks[i], stored[scope]
-		cand.RecentlySentTokens = tokenCount(p.Blocks[:s.loads.RecentlySentBlocks(t.ID, keys[scope], now)])
+		cand.HashRank, cand.StoredTokens = ranks[i], stored[version]
+		cand.RecentlySentTokens = tokenCount(p.Blocks[:s.loads.RecentlySentBlocks(t.ID, keys[version], now)])
 	}
 }
 
@@ -266,14 +269,16 @@
 // usableTargets returns the targets of the call's service that may receive it. Targets that fail, refuse calls, do not
 // respond or swap weights are included only if there are no others. Targets that have said that they accept no further requests
 // are never included, but recorded in c.LeftOut.
-func (s *Server) usableTargets(c *Call, now time.Time) []*cataloger.Target {
-	var out, failing []*cataloger.Target
+func (s *Server) usableTargets(c *Call, now time.Time, sinceBoot time.Duration) []*cataloger.Target {
+	all := s.Watcher.View().Targets(c.Service.Name)
+	var failing []*cataloger.Target
+	out := make([]*cataloger.Target, 0, len(all))
 	limit := s.maxConnections(c.Service)
 	c.LeftOut = nil
-	for _, t := range s.Watcher.View().Targets(c.Service.Name) {
+	for _, t := range all {
 		state := s.loads.Status(t.ID, now)
 		switch {
-		case t.Leaving, slices.Contains(c.TriedTargets, t.ID), !s.versionAllowed(c, t):
+		case t.Leaving, slices.Contains(c.TriedTargets, t.ID), !s.versionAllowed(c, t, sinceBoot):
 		case s.leaveOut(c, t, now):
 		case limit > 0 && state.InFlight.Requests >= limit:
 		case s.Updater != nil && s.Updater.IsSwapping(t.ID):
@@ -322,14 +327,10 @@
 	return max(t.Versions[model], s.loads.Version(balancer.WeightsKeyOf(t, model)))
 }
 
-// isSuperseded reports whether the target's weights have been superseded for so long that other targets are preferred.
-func (s *Server) isSuperseded(c *Call, t *cataloger.Target) bool {
-	return s.supersededFor(c, t) > supersededPenaltyDelay
-}
-
-// supersededFor returns how long ago the target's weights were superseded; 0 if they have the desired version.
-func (s *Server) supersededFor(c *Call, t *cataloger.Target) time.Duration {
-	return s.Watcher.View().SupersededFor(c.Headers.Prompt.Model, s.callVersion(c, t), clocker.SinceBoot())
+// supersededFor returns how long ago the target's weights were superseded; 0 if they have the desired version. sinceBoot is the time of
+// [clocker.SinceBoot].
+func (s *Server) supersededFor(c *Call, t *cataloger.Target, sinceBoot time.Duration) time.Duration {
+	return s.Watcher.View().SupersededFor(c.Headers.Prompt.Model, s.callVersion(c, t), sinceBoot)
 }
 
 // callVersion returns the weight version with which the call is sent to the target.
@@ -345,11 +346,11 @@
 }
 
 // versionAllowed reports whether calls may still start on the target's weights.
-func (s *Server) versionAllowed(c *Call, t *cataloger.Target) bool {
+func (s *Server) versionAllowed(c *Call, t *cataloger.Target, sinceBoot time.Duration) bool {
 	if c.Service.Engine == nil {
 		return true
 	}
-	return !isPast(s.supersededFor(c, t), s.settings().SupersededGrace-supersededMargin)
+	return !isPast(s.supersededFor(c, t, sinceBoot), s.settings().SupersededGrace-supersededMargin)
 }
 
 // versionAndScope returns the weight version on which the target runs the call, and the scope of the call's KV cache. The scope
--- a/internal/updater/updater.go
+++ b/internal/updater/updater.go
@@ -153,6 +153,9 @@
 func (u *Updater) IsSwapping(id string) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if _, ok := u.swapping[id]; !ok {
+		return false // without a system call for the clock
+	}
 	return u.swapping.Contains(id, clocker.SinceBoot())
 }
 
