perf(announcer): full announcements that say nothing are not sent

Cause: on the large site each instance still sent and received 250 full announcements a second beside those of the load, almost all of them without content. Change: where load, progress and signs of life are announced by data centre, a full announcement with nothing else is left out, but for peers that do not state their data centre and in the first 4 s after a start, by which others discover an instance.

--- a/internal/announcer/encoder.go
+++ b/internal/announcer/encoder.go
@@ -19,6 +19,8 @@
 	published []PublishedVersion
 	inFlight  map[string]InFlight
 	regional  bool
+	// skipEmpty reports whether peers that learn of load, progress and signs of life otherwise get nothing if there is nothing else.
+	skipEmpty bool
 	createdAt time.Time
 	// encoded holds the datagrams by the selection of store updates and load.
 	encoded map[string][]byte
@@ -30,9 +32,10 @@
 	a.mu.RLock()
 	regional := a.plan.isRegional
 	a.mu.RUnlock()
+	isNew := now.UnixNano()-a.startedUnixNano < int64(helloTime)
 	return &encoder{
 		a: a, an: announcement{ID: a.Self.ID, DataCentre: a.Self.DataCentre, Sequence: a.sequence.Add(1), StartedUnixNano: a.startedUnixNano, State: st},
-		updates: st.StoreUpdates, published: st.Published, inFlight: st.InFlightByTarget, regional: regional, createdAt: now, encoded: map[string][]byte{},
+		updates: st.StoreUpdates, published: st.Published, inFlight: st.InFlightByTarget, regional: regional, skipEmpty: regional && !isNew && st.isEmpty(), createdAt: now, encoded: map[string][]byte{},
 	}
 }
 
@@ -50,7 +53,7 @@
 	clear(e.encoded)
 }
 
-// encode returns the datagram for a peer; nil if it cannot be encoded.
+// encode returns the datagram for a peer; nil if there is nothing to send or it cannot be encoded.
 func (e *encoder) encode(p Peer) []byte {
 	selection := make([]byte, len(e.updates)+1)
 	e.an.State.StoreUpdates = nil
@@ -65,6 +68,9 @@
 			e.an.State.StoreUpdates = append(e.an.State.StoreUpdates, u)
 		}
 	}
+	if e.skipEmpty && e.an.State.LoadSeparate && len(e.an.State.StoreUpdates) == 0 {
+		return nil
+	}
 	data, ok := e.encoded[string(selection)]
 	if !ok {
 		var err error
--- a/internal/announcer/regional.go
+++ b/internal/announcer/regional.go
@@ -23,6 +23,9 @@
 	// regionalMemberTimeout is how long an instance remains a member after the last sign of life, where digests carry those of other
 	// data centres.
 	regionalMemberTimeout = 2 * time.Second
+	// helloTime is how long after its start an instance sends full announcements to all peers even if they are empty, so that those of
+	// other data centres discover it.
+	helloTime = 4 * time.Second
 	// expiryInterval is the time between two checks for loads that are too old.
 	expiryInterval = 50 * time.Millisecond
 )
--- a/internal/announcer/regional_test.go
+++ b/internal/announcer/regional_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/papayaworks/papayaworks/internal/archiver"
 	"github.com/papayaworks/papayaworks/internal/logger"
 )
 
@@ -174,6 +175,41 @@
 	require.NotContains(t, members, "i-0006", "heard of 2.05 s ago, by the digest of another instance")
 }
 
+// Guards against full announcements that take most of the processor time of a large deployment although they say nothing, and against
+// ones that are left out although they say something or the peer needs them.
+func TestEmptyAnnouncementsAreLeftOut(t *testing.T) {
+	now := time.Now()
+	updates := []archiver.StoreUpdate{{Store: 1, Blocks: []uint64{1}}}
+	local, remote, older := Peer{ID: "i-0005", DataCentre: "dc-0"}, Peer{ID: "i-0001", DataCentre: "dc-1"}, Peer{ID: "older"}
+	tests := map[string]struct {
+		instances int
+		age       time.Duration
+		state     State
+		peer      Peer
+		want      bool
+	}{
+		"nothing to say":                    {295, time.Minute, State{}, remote, false},
+		"load alone":                        {295, time.Minute, State{InFlightByTarget: map[string]InFlight{"t": {Requests: 1}}}, local, false},
+		"just started":                      {295, helloTime / 2, State{}, remote, true},
+		"small deployment":                  {7, time.Minute, State{}, remote, true},
+		"peer that states no data centre":   {295, time.Minute, State{}, older, true},
+		"weight version":                    {295, time.Minute, State{Versions: []TargetVersion{{Target: "t"}}}, remote, true},
+		"publish time":                      {295, time.Minute, State{Published: []PublishedVersion{{Model: "m"}}}, remote, true},
+		"target that swaps weights":         {295, time.Minute, State{Swapping: map[string]time.Duration{"t": 1}}, local, true},
+		"updates of a KV store":             {295, time.Minute, State{StoreUpdates: updates}, remote, true},
+		"updates that others send the peer": {295, time.Minute, State{StoreUpdates: updates}, local, false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			a := deployment(tc.instances, 5, now)
+			a.startedUnixNano = now.Add(-tc.age).UnixNano()
+			a.LocalState = func() State { return tc.state }
+			a.ShouldSend = func(_ uint64, peer string) bool { return peer == remote.ID }
+			require.Equal(t, tc.want, len(a.newEncoder(now).encode(tc.peer)) > 0)
+		})
+	}
+}
+
 // Guards against totals that drift from the loads that they add up.
 func TestRandomTotals(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/announcer/state.go
+++ b/internal/announcer/state.go
@@ -51,6 +51,11 @@
 	Progress watcher.Progress `msgpack:"o"`
 }
 
+// isEmpty reports whether the state holds nothing beside load, progress and the updates of KV stores.
+func (s *State) isEmpty() bool {
+	return len(s.Versions)+len(s.Swapping)+len(s.Published)+len(s.Crashes)+len(s.Quarantined)+len(s.Statements) == 0
+}
+
 // announcement is the payload of a datagram. Announcements are ordered by the start of the sender's process, then by
 // sequence number.
 type announcement struct {
