feat(forwarder): callers of an instance that alone cannot read the store go to others at once

Cause: where the store turns some instances away, these refuse callers once they cannot check keys any more, and told them to come back after 0.5 s, which is the whole objective of a request, although any other instance could have served them. Change: instances state how old their last read of the configuration is. One whose own reads fail while another has read since advises 20 ms instead of 500 ms, and is not ready from 0.3 of the time for which keys are valid, so that the load balancer moves callers before keys cannot be checked. If the store is down for all, 500 ms stay. The word of another instance makes no key valid.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -51,6 +51,9 @@
 	// defaultDrainNotice is how long after the start of a stop the load balancer may still open new connections: it checks
 	// the readiness once a second and removes an instance after two failed checks.
 	defaultDrainNotice = 2500 * time.Millisecond
+	// elsewhereReadyFraction is the same while other instances can read the configuration and this one cannot: the load balancer needs two
+	// checks to move callers before keys cannot be checked here.
+	elsewhereReadyFraction = 0.3
 	// readyFraction is the age of the configuration above which an instance is not ready, as a fraction of KeyTTL.
 	readyFraction = 0.62
 	// longPollFraction is the longest wait of a long poll for a new configuration, as a fraction of the time for which API
@@ -366,6 +369,9 @@
 		return false, "stopping"
 	case v.Catalog == nil:
 		return false, "no configuration yet"
+	case s.settings().KeyTTL > 0 && s.Watcher.ConfigAge() > time.Duration(elsewhereReadyFraction*float64(s.settings().KeyTTL)) &&
+		s.Watcher.IsReadElsewhere(time.Duration(readyFraction*float64(s.settings().KeyTTL))):
+		return false, "other instances can read the configuration, this one cannot"
 	case s.settings().KeyTTL > 0 && s.Watcher.ConfigAge() > time.Duration(readyFraction*float64(s.settings().KeyTTL)):
 		return false, "configuration is too old to check API keys"
 	}
--- a/internal/forwarder/identify.go
+++ b/internal/forwarder/identify.go
@@ -14,9 +14,10 @@
 	// keyMargin is how long before the end of KeyTTL this instance stops accepting API keys, because a call reaches its target
 	// only some time after the check.
 	keyMargin = 400 * time.Millisecond
-	// staleRetryAfter is the advised retry delay if this instance cannot check API keys or has an old configuration; a retry may
-	// reach another instance.
+	// staleRetryAfter is the advised retry delay if this instance cannot check API keys and others cannot either, as far as it knows.
 	staleRetryAfter = 500 * time.Millisecond
+	// elsewhereRetryAfter is the advised retry delay if other instances can serve the call now: a retry reaches one of them.
+	elsewhereRetryAfter = 20 * time.Millisecond
 	// stopRetryAfter is the advised retry delay if this instance is stopping. The load balancer sends new connections to others.
 	stopRetryAfter = 20 * time.Millisecond
 	// defaultTimeout limits a call that neither its caller nor its route limits, so that it does not hold its target for ever.
@@ -48,7 +49,7 @@
 	ttl := st.s.settings().KeyTTL
 	if age := st.s.Watcher.ConfigAge(); ttl > 0 && age > ttl-keyMargin {
 		return request.Refuse(http.StatusServiceUnavailable, request.CodeNotRun, "",
-			"keys cannot be checked: the configuration was last read %v ago", age.Round(time.Millisecond)).WithRetryAfter(staleRetryAfter)
+			"keys cannot be checked: the configuration was last read %v ago", age.Round(time.Millisecond)).WithRetryAfter(st.s.staleRetryAfter(ttl))
 	}
 	if c.Account, ok = cat.Account(c.Headers.APIKey); !ok {
 		return st.refuseUnknown(c, request.Refuse(http.StatusUnauthorized, request.CodeUnauthorized, "authorization", "unknown API key"))
@@ -63,7 +64,16 @@
 		return refusal
 	}
 	return request.Refuse(http.StatusServiceUnavailable, request.CodeNotRun, "", "%s, but other instances have a newer configuration", refusal.Message).
-		WithRetryAfter(staleRetryAfter)
+		WithRetryAfter(elsewhereRetryAfter)
+}
+
+// staleRetryAfter returns when a caller should return whose key cannot be checked here. If the metadata store has gone for this instance
+// alone, the caller is served by another one at once; if it has gone for all, retries only add load.
+func (s *Server) staleRetryAfter(ttl time.Duration) time.Duration {
+	if s.Watcher.IsReadElsewhere(time.Duration(readyFraction * float64(ttl))) {
+		return elsewhereRetryAfter
+	}
+	return staleRetryAfter
 }
 
 // deadline returns the time by which the call must have its final response: the route's timeout, or the caller's if it is
--- /dev/null
+++ b/internal/forwarder/stale_test.go
@@ -0,0 +1,41 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/papayaworks/papayaworks/internal/logger"
+	"github.com/papayaworks/papayaworks/internal/watcher"
+)
+
+// noStore is a source that cannot be read.
+type noStore struct{}
+
+// Snapshot implements [watcher.Source].
+func (noStore) Snapshot(context.Context) (watcher.Batch, error) {
+	return watcher.Batch{}, errors.New("503")
+}
+
+// Changes implements [watcher.Source].
+func (noStore) Changes(context.Context, int64, time.Duration) (watcher.Batch, error) {
+	return watcher.Batch{}, errors.New("503")
+}
+
+// Guards against callers that wait until their response is late although another instance could serve them at once: the store turns a third
+// of the instances away for 9 s, and they refuse the callers whose keys they cannot check any more.
+func TestCallersOfInstanceWithoutStoreReturnAtOnce(t *testing.T) {
+	const ttl = 5 * time.Second
+	s := &Server{Watcher: watcher.New(noStore{}, noStore{}, logger.Discard())}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go s.Watcher.Run(ctx)
+	require.Equal(t, staleRetryAfter, s.staleRetryAfter(ttl), "nothing is known of other instances")
+	require.Eventually(t, func() bool {
+		s.Watcher.MergeProgress(watcher.Progress{Version: 1, ConfirmedAgeMs: 1})
+		return s.staleRetryAfter(ttl) == elsewhereRetryAfter
+	}, 5*time.Second, 5*time.Millisecond, "another instance reads the store")
+}
--- a/internal/watcher/follower.go
+++ b/internal/watcher/follower.go
@@ -103,6 +103,7 @@
 	}
 	f.outage = f.outage.withFailure(start, time.Now())
 	if f.isOperator() {
+		f.w.unreachableSince.Store(f.outage.noticedAt.UnixNano())
 		f.w.operatorUnreachable.Store(true)
 	}
 	sleeper.Sleep(ctx, f.outage.retryDelay)
--- a/internal/watcher/progress.go
+++ b/internal/watcher/progress.go
@@ -16,6 +16,8 @@
 	// peerVersionTTL is how long the version that another instance has in force is regarded as known. It covers several lost
 	// announcements in large deployments.
 	peerVersionTTL = 2 * time.Second
+	// maxConfirmedAgeMs bounds the age of a read that another instance states.
+	maxConfirmedAgeMs = 3_600_000
 	// maxEras is how many eras of the metadata store are remembered. All instances read a new one within seconds.
 	maxEras = 4
 )
@@ -29,6 +31,8 @@
 	Era, Offset int64
 	// Version is that of the configuration in force; 0 if there is none.
 	Version int64
+	// ConfirmedAgeMs is how long ago the read was sent that last confirmed the configuration; 0 if it is not stated.
+	ConfirmedAgeMs int64
 }
 
 // isAfter reports whether p is a later position than that of c. Offsets of different eras cannot be compared.
@@ -43,6 +47,8 @@
 	// version is the highest version in force elsewhere, last announced at versionAt.
 	version   int64
 	versionAt time.Time
+	// confirmedAt is when another instance last read the operator's source.
+	confirmedAt time.Time
 	// advanced is closed and replaced when latest advances.
 	advanced chan struct{}
 	// eras holds the highest offset announced in each of the last eras.
@@ -68,6 +74,11 @@
 	if in.Version >= p.version || now.Sub(p.versionAt) > peerVersionTTL {
 		p.version, p.versionAt = in.Version, now
 	}
+	if in.ConfirmedAgeMs > 0 {
+		if at := now.Add(-time.Duration(min(in.ConfirmedAgeMs, maxConfirmedAgeMs)) * time.Millisecond); at.After(p.confirmedAt) {
+			p.confirmedAt = at
+		}
+	}
 	e := p.eras[in.Era]
 	p.eras[in.Era] = eraProgress{offset: max(e.offset, in.Offset), heardAt: now}
 	delete(p.eras, in.Era-maxEras)
@@ -139,6 +150,7 @@
 	}
 	if c := w.View().Catalog; c != nil {
 		p.Version = c.Version
+		p.ConfirmedAgeMs = max(1, w.ConfigAge().Milliseconds())
 	}
 	return p
 }
@@ -147,6 +159,17 @@
 // be dead, and reads again at once.
 func (w *Watcher) MergeProgress(p Progress) { w.peers.merge(p, time.Now()) }
 
+// IsReadElsewhere reports whether the operator's source cannot be read here, while another instance has read it within maxAge and since
+// this one has failed to. The callers of this instance are then better served by the others.
+func (w *Watcher) IsReadElsewhere(maxAge time.Duration) bool {
+	if !w.operatorUnreachable.Load() {
+		return false
+	}
+	w.peers.mu.Lock()
+	defer w.peers.mu.Unlock()
+	return time.Since(w.peers.confirmedAt) < maxAge && w.peers.confirmedAt.UnixNano() > w.unreachableSince.Load()
+}
+
 // IsOutdated reports whether another instance has a newer configuration in force than c.
 func (w *Watcher) IsOutdated(c *cataloger.Catalog) bool {
 	return w.peers.versionInForce(time.Now()) > c.Version
--- a/internal/watcher/progress_test.go
+++ b/internal/watcher/progress_test.go
@@ -134,3 +134,43 @@
 		})
 	}
 }
+
+// Guards against callers that are sent to other instances although these cannot read the store either, and against callers that wait
+// although others can serve them.
+func TestIsReadElsewhere(t *testing.T) {
+	const maxAge = 3 * time.Second
+	tests := map[string]struct {
+		unreachable bool
+		merged      []Progress
+		want        bool
+	}{
+		"reachable here":               {false, []Progress{{ConfirmedAgeMs: 100}}, false},
+		"nothing heard":                {true, nil, false},
+		"read elsewhere since":         {true, []Progress{{ConfirmedAgeMs: 100}}, true},
+		"read elsewhere before":        {true, []Progress{{ConfirmedAgeMs: 1500}}, false},
+		"age not stated":               {true, []Progress{{Version: 3}}, false},
+		"one of several":               {true, []Progress{{ConfirmedAgeMs: 1500}, {ConfirmedAgeMs: 100}, {ConfirmedAgeMs: 9000}}, true},
+		"age that cannot be expressed": {true, []Progress{{ConfirmedAgeMs: 1 << 62}}, false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := New(&quietSource{}, &quietSource{}, logger.Discard())
+				time.Sleep(10 * time.Second)
+				if tc.unreachable {
+					f := &follower{w: w, source: w.Operator}
+					ctx, cancel := context.WithCancel(t.Context())
+					cancel()
+					f.retryLater(ctx, 0, context.DeadlineExceeded)
+				}
+				time.Sleep(time.Second)
+				for _, p := range tc.merged {
+					w.MergeProgress(p)
+				}
+				require.Equal(t, tc.want, w.IsReadElsewhere(maxAge))
+				time.Sleep(maxAge)
+				require.False(t, w.IsReadElsewhere(maxAge), "nothing heard for a long time")
+			})
+		})
+	}
+}
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -127,7 +127,9 @@
 	// shortened ends a long poll because the timeout has become shorter.
 	shortened           chan struct{}
 	operatorUnreachable atomic.Bool
-	events              chan event
+	// unreachableSince is the Unix time in nanoseconds at which the first read of the current outage failed.
+	unreachableSince atomic.Int64
+	events           chan event
 	// progress is the position of the operator's source; nil before the first read.
 	progress atomic.Pointer[Progress]
 	peers    *peerProgress
