fix(announcer): programs of the build before decode announcements of this one

Cause: the age of the last read was a fourth element of an array that earlier programs expect to have three ("number of fields in array-encoded struct has changed"), so that they would have dropped every announcement during a rolling update. Change: the age is a field of its own in states and loads.

--- a/internal/announcer/regional.go
+++ b/internal/announcer/regional.go
@@ -34,6 +34,7 @@
 type Load struct {
 	InFlightByTarget map[string]InFlight     `msgpack:"f"`
 	Progress         watcher.Progress        `msgpack:"o"`
+	ConfirmedAgeMs   int64                   `msgpack:"y,omitempty"`
 	Targets          watcher.TargetsProgress `msgpack:"t"`
 }
 
--- a/internal/announcer/state.go
+++ b/internal/announcer/state.go
@@ -49,6 +49,8 @@
 	Statements []throttler.Announced `msgpack:"t,omitempty"`
 	// Progress is how far this instance has read the operator's records.
 	Progress watcher.Progress `msgpack:"o"`
+	// ConfirmedAgeMs is [watcher.Progress.ConfirmedAgeMs].
+	ConfirmedAgeMs int64 `msgpack:"y,omitempty"`
 }
 
 // isEmpty reports whether the state holds nothing beside load, progress and the updates of KV stores.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -264,9 +264,13 @@
 func (s *Server) connectAnnouncer(ctx context.Context) {
 	a := s.Announcer
 	a.LocalLoad = func() announcer.Load {
-		return announcer.Load{InFlightByTarget: s.loads.InFlightByTarget(), Progress: s.Watcher.Progress(), Targets: s.Watcher.TargetsProgress()}
+		p := s.Watcher.Progress()
+		return announcer.Load{
+			InFlightByTarget: s.loads.InFlightByTarget(), Progress: p, ConfirmedAgeMs: p.ConfirmedAgeMs, Targets: s.Watcher.TargetsProgress(),
+		}
 	}
 	a.OnLoad = func(l announcer.Load) {
+		l.Progress.ConfirmedAgeMs = l.ConfirmedAgeMs
 		s.Watcher.MergeProgress(l.Progress)
 		s.Watcher.MergeTargetsProgress(l.Targets)
 	}
@@ -282,6 +286,7 @@
 		st.Published = s.recentVersions()
 		st.Crashes, st.Quarantined = s.quarantine.Crashes(now), s.quarantine.Entries(now)
 		st.Progress, st.Statements = s.Watcher.Progress(), s.throttle.Announced(now)
+		st.ConfirmedAgeMs = st.Progress.ConfirmedAgeMs
 		return st
 	}
 	if s.Archiver != nil {
@@ -296,6 +301,7 @@
 			s.Updater.Merge(st.Swapping)
 		}
 		s.mergePublishTimes(ctx, st.Published)
+		st.Progress.ConfirmedAgeMs = st.ConfirmedAgeMs
 		s.Watcher.MergeProgress(st.Progress)
 		s.throttle.Merge(st.Statements, now)
 		if len(st.Crashes)+len(st.Quarantined) > 0 {
--- a/internal/watcher/progress.go
+++ b/internal/watcher/progress.go
@@ -31,8 +31,9 @@
 	Era, Offset int64
 	// Version is that of the configuration in force; 0 if there is none.
 	Version int64
-	// ConfirmedAgeMs is how long ago the read was sent that last confirmed the configuration; 0 if it is not stated.
-	ConfirmedAgeMs int64
+	// ConfirmedAgeMs is how long ago the read was sent that last confirmed the configuration; 0 if it is not stated. It is not part of
+	// the array, which programs before it could not decode then.
+	ConfirmedAgeMs int64 `msgpack:"-"`
 }
 
 // isAfter reports whether p is a later position than that of c. Offsets of different eras cannot be compared.
