test(forwarder): the interval of shared reads keeps the bounds of keys and configurations

Cause: the interval decides how long an instance that hears of no reader keeps an old configuration; nothing tested it. Change: a table of bounds, two of them together.

--- a/internal/forwarder/stale_test.go
+++ b/internal/forwarder/stale_test.go
@@ -39,3 +39,30 @@
 		return s.staleRetryAfter(ttl) == elsewhereRetryAfter
 	}, 5*time.Second, 5*time.Millisecond, "another instance reads the store")
 }
+
+// Guards against an instance that reads rarely because others tell it of changes, and is then not ready, refuses valid keys or has a
+// configuration too late if they are silent.
+func TestSharedReadIntervalKeepsBounds(t *testing.T) {
+	tests := map[string]struct {
+		set  Settings
+		want time.Duration
+	}{
+		"no bounds":             {Settings{}, 0},
+		"keys":                  {Settings{KeyTTL: 5 * time.Second}, 2750 * time.Millisecond},
+		"configuration":         {Settings{ConfigApplyTimeout: 2 * time.Second}, 1600 * time.Millisecond},
+		"keys are stricter":     {Settings{KeyTTL: 2 * time.Second, ConfigApplyTimeout: 4 * time.Second}, 1100 * time.Millisecond},
+		"the other is stricter": {Settings{KeyTTL: 5 * time.Second, ConfigApplyTimeout: 3 * time.Second}, 2400 * time.Millisecond},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			got := tc.set.sharedReadInterval()
+			require.Equal(t, tc.want, got.Round(time.Microsecond))
+			if ttl := tc.set.KeyTTL; ttl > 0 {
+				require.Less(t, got, time.Duration(readyFraction*float64(ttl)))
+			}
+			if apply := tc.set.ConfigApplyTimeout; apply > 0 {
+				require.Less(t, got, apply)
+			}
+		})
+	}
+}
