refactor(announcer): the receivers of digests are chosen only where there are digests

Cause: read as a newcomer, the loop sorted all peers each 60 ms also where load is not announced by data centre. Change: the plan is checked first; a comment in watcher is reworded. Result: tests of announcer and watcher pass.

--- a/internal/announcer/regional.go
+++ b/internal/announcer/regional.go
@@ -100,10 +100,12 @@
 		return
 	}
 	for ctx.Err() == nil {
-		now := time.Now()
 		a.mu.RLock()
 		plan := a.plan
-		local, receivers := a.regionalPeers(now, plan.interval)
+		var local, receivers []Peer
+		if plan.isRegional {
+			local, receivers = a.regionalPeers(time.Now(), plan.interval)
+		}
 		a.mu.RUnlock()
 		if !plan.isRegional {
 			sleeper.Sleep(ctx, minInterval)
--- a/internal/watcher/sharing.go
+++ b/internal/watcher/sharing.go
@@ -70,7 +70,8 @@
 	}
 }
 
-// merge applies what another instance states. Its word postpones reads of the targets' source only up to its own read.
+// merge applies what another instance states. It postpones the next read of this instance at most as if this one had read when the other
+// did.
 func (c *targetsCoverage) merge(in TargetsProgress, now time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
