--- a/review/platform/case_isolation.go
+++ b/review/platform/case_isolation.go
@@ -118,14 +118,13 @@
 		}
 	}
 	in.noteLog("configuration read")
-	if !e.trouble {
-		return nil // tenants that are not isolated may share parts
-	}
+	// Tenants may share parts while none of them is isolated.
+	isolated := e.trouble
 	n := 0
 	mu.Lock()
 	defer mu.Unlock()
 	for _, r := range late {
-		if len(foreign[r.id]) > 0 {
+		if isolated && len(foreign[r.id]) > 0 {
 			n++
 		}
 	}
--- a/review/platform/case_stop.go
+++ b/review/platform/case_stop.go
@@ -81,8 +81,8 @@
 			r := order(key)
 			a, err := c.do(r)
 			e.note("client %d sends %s on a kept connection: status %d, %d of %d bytes, error %v", i, r.id, a.status, len(a.body), len(document), err)
-			refused := err == nil && (a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests)
-			if !refused && (err != nil || len(a.body) != len(document)) {
+			// Any complete answer is one, also a refusal or a failure. Only orders that were passed on to the worker count.
+			if err != nil && w.hasRun(r.id) {
 				mu.Lock()
 				cut++
 				mu.Unlock()
--- a/review/platform/worker.go
+++ b/review/platform/worker.go
@@ -172,6 +172,16 @@
 	w.e.note("worker %s gets %s %s %s (tenant %q, salt %q), runs it: %v", w.id, a.id, a.method, a.uri, a.header.Get("Tenant"), a.header.Get("Cache-Salt"), a.ran)
 }
 
+// hasRun reports whether the worker has run a request.
+func (w *worker) hasRun(id string) bool {
+	for _, a := range w.all() {
+		if a.id == id && a.ran {
+			return true
+		}
+	}
+	return false
+}
+
 // all returns the arrivals so far.
 func (w *worker) all() []arrival {
 	w.mu.Lock()
