fix(platform): a configuration without valid accounts still checks API keys

Seen by callers: once the operator had withdrawn the last client account, its key and keys that never existed were served, on every route. Cause: an absent and an empty list of accounts were decoded to the same value, and a catalog without accounts checks no keys. Neither the age of the configuration nor the key was looked at then.

--- a/internal/cataloger/catalog.go
+++ b/internal/cataloger/catalog.go
@@ -123,6 +123,7 @@
 type Catalog struct {
 	Version  int64
 	Services map[string]*Service
+	// Accounts is nil if the deployment has no accounts. If it is empty, all accounts have been withdrawn and no API key is valid.
 	Accounts []Account
 	Limits   Limits
 	// UnknownKinds names the routes whose kind is unknown; their requests are not repeated.
@@ -134,7 +135,8 @@
 	keys   map[string]*Account
 }
 
-// New returns an immutable catalog; it takes ownership of the slices.
+// New returns an immutable catalog; it takes ownership of the slices. Nil accounts stand for a deployment without accounts, an empty
+// slice for one whose accounts were all withdrawn.
 func New(version int64, routes []Route, services []Service, accounts []Account, limits Limits) *Catalog {
 	c := &Catalog{
 		Version: version, Services: map[string]*Service{}, Accounts: accounts, Limits: limits,
@@ -175,8 +177,8 @@
 }
 
 // HasAccounts reports whether the deployment has accounts; callers must then send an API key on routes that are not
-// public.
-func (c *Catalog) HasAccounts() bool { return len(c.Accounts) > 0 }
+// public. This remains true once all accounts have been withdrawn.
+func (c *Catalog) HasAccounts() bool { return c.Accounts != nil }
 
 // Stores returns the KV stores in the order of their names.
 func (c *Catalog) Stores() []*Service {
