fix(cataloger): an empty API key is no key

Cause: a configuration with an empty text among an account's keys put it into the index of keys, and a request without an Authorization header has an empty key, so it was served as that account's. Change: empty keys are left out. TestEmptyKeyIsNone failed before.

--- a/internal/cataloger/catalog.go
+++ b/internal/cataloger/catalog.go
@@ -153,7 +153,9 @@
 	}
 	for i := range accounts {
 		for _, k := range accounts[i].Keys {
-			c.keys[k] = &accounts[i]
+			if k != "" { // an empty key would admit requests that carry none
+				c.keys[k] = &accounts[i]
+			}
 		}
 	}
 	return c
