--- a/internal/balancer/load_table.go
+++ b/internal/balancer/load_table.go
@@ -33,6 +33,10 @@
 // Load is the load that a target reports in its response headers.
 type Load struct {
 	Running, Waiting, Slots int
+	// Slowdown is the time that work currently takes on the target as a multiple of the usual time. SlowdownStated reports whether the
+	// target has stated it.
+	Slowdown       float64
+	SlowdownStated bool
 }
 
 // LoadTable holds what this instance knows of targets: from its own traffic the requests in flight, reported load, failures,
