feat(balancer): choose targets by learned rates

Requests that look alike cost different amounts of work and targets differ in speed, but the balancer compared all targets by fixed rates. While targets of a service state a slowdown, it now uses the learned rates and the speed of each target. The objective is compared with the time of the request alone, and the prefill of own requests counts as computed once it should be.

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -555,3 +555,10 @@
 	}
 	return a.totals[TargetHashOf(target)], true
 }
+
+// LoadAge returns the mean age of the announced loads of the other instances.
+func (a *Announcer) LoadAge() time.Duration {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	return a.plan.interval
+}
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -23,6 +23,12 @@
 // conversation has a preferred target by rendezvous hashing, which all instances
 // compute alike, so that its blocks are cached on few engines.
 //
+// Where requests that look alike cost different amounts of work and targets differ in
+// speed, [Input.Rates] holds what was learned of them. Each candidate then has an
+// expected time for the request alone, which is compared with the objective, and a
+// cost, which adds what the prefill does to the requests behind it. The jitter of the
+// costs grows with the age of what is known of the other instances.
+//
 // # Usage
 //
 //	d, err := balancer.Choose(balancer.Input{Candidates: cs, IsEngine: true, Objective: objective, Seed: rand.Uint64()})
@@ -37,6 +43,7 @@
 	"time"
 
 	"github.com/papayaworks/papayaworks/internal/cataloger"
+	"github.com/papayaworks/papayaworks/internal/estimator"
 	"github.com/papayaworks/papayaworks/internal/hasher"
 )
 
@@ -50,12 +57,10 @@
 const (
 	// crossDataCentreRTT is the extra round-trip time of a request to another data centre.
 	crossDataCentreRTT = 3 * time.Millisecond
-	// prefillTokensPerSec is the prefill rate of a lightly loaded engine.
-	prefillTokensPerSec = 90_000
-	// fetchTokensPerSec is the rate at which an engine fetches stored KV cache.
-	fetchTokensPerSec = 400_000
-	// slowdownPerRun is the fraction by which each running request slows an engine down.
-	slowdownPerRun = 0.03
+	// prefillTokensPerSec, fetchTokensPerSec and slowdownPerRun are used where nothing is learned.
+	prefillTokensPerSec = estimator.InitialPrefillTokensPerSec
+	fetchTokensPerSec   = estimator.InitialFetchTokensPerSec
+	slowdownPerRun      = estimator.InitialSlowdownPerRun
 	// prefillCostWeight weighs a request's own prefill time against its queueing time, because later requests queue behind
 	// the prefill. It keeps conversations on their preferred targets while load shifts.
 	prefillCostWeight = 3
@@ -96,6 +101,8 @@
 	StoredTokens int
 	// MeanDuration is the mean duration of a request to the service.
 	MeanDuration time.Duration
+	// Slowdown is how long work takes on the target as a multiple of the usual time of the service. It counts only with learned rates.
+	Slowdown float64
 	// Superseded reports whether the target still has older weights some time after the operator requested newer ones.
 	Superseded bool
 }
@@ -117,6 +124,12 @@
 	MeanHoldTime   time.Duration
 	// LoadUnknown reports whether the loads of the candidates leave out the requests of other instances.
 	LoadUnknown bool
+	// Rates are the learned rates of the service; nil means that targets are compared by fixed ones.
+	Rates *estimator.Rates
+	// Duration is the expected duration of this request to a plain service, 0 if it is not known; it counts only with learned rates.
+	Duration time.Duration
+	// LoadAge is the mean age of what is known of the other instances' requests; it counts only with learned rates.
+	LoadAge time.Duration
 	// Seed seeds the jitter, so that equal inputs give equal decisions.
 	Seed uint64
 }
@@ -129,10 +142,15 @@
 	// Cost is the expected time to the first event (engines) or to the response (plain services), with prefillCostWeight and
 	// supersededPenalty applied.
 	Cost time.Duration
+	// Expected is the expected time to the first event (engines) or to the response (plain services) of this request alone, Wait the part of
+	// it before the target works on the request. Without learned rates, Expected is Cost and Wait is QueueDelay.
+	Expected, Wait time.Duration
 	// PrefillTokens is the number of prompt tokens that the target is expected to compute. Outstanding is that of the
 	// candidate.
 	PrefillTokens, Outstanding int
-	Reason                     string
+	// IsFetched reports whether a part of the prompt is expected to be fetched from a KV store; it is set only with learned rates.
+	IsFetched bool
+	Reason    string
 }
 
 // Values of [Decision.Reason].
@@ -148,6 +166,9 @@
 // requests than they can serve on time evict cached blocks, preempt requests and recompute prompts, so that all responses
 // are late until the load falls far below what the engines can sustain.
 func Choose(in Input) (Decision, error) {
+	if in.Rates != nil {
+		return in.chooseLearned()
+	}
 	r := rand.New(rand.NewPCG(in.Seed, 1))
 	best := Decision{}
 	least := time.Duration(math.MaxInt64)
@@ -164,6 +185,7 @@
 	if best.Target == nil {
 		return Decision{}, ErrNoTarget
 	}
+	best.Expected, best.Wait = best.Cost, best.QueueDelay
 	if in.LoadUnknown {
 		best.Reason += ReasonLoadUnknown
 	}
@@ -197,10 +219,7 @@
 	if excess := c.Tokens + in.SharedTokens + in.UniqueTokens + in.OutputTokens - int(maxFillRatio*float64(in.CapacityTokens)); in.CapacityTokens > 0 && excess > 0 {
 		d.QueueDelay = max(d.QueueDelay, time.Duration(float64(in.MeanHoldTime)*float64(excess)/float64(in.CapacityTokens)))
 	}
-	cached := recentHitRate * float64(c.RecentlySentTokens)
-	if c.HashRank == 0 {
-		cached = max(cached, preferredHitRate*float64(in.SharedTokens))
-	}
+	cached := in.cachedTokens(c)
 	fetch := max(0, float64(c.StoredTokens)-cached) / fetchTokensPerSec
 	d.PrefillTokens = in.SharedTokens + in.UniqueTokens - int(max(cached, float64(c.StoredTokens)))
 	slowdown := 1 + slowdownPerRun*float64(c.Outstanding)
@@ -209,6 +228,15 @@
 	return d
 }
 
+// cachedTokens returns the expected number of prompt tokens that are cached on a candidate.
+func (in Input) cachedTokens(c Candidate) float64 {
+	cached := recentHitRate * float64(c.RecentlySentTokens)
+	if c.HashRank == 0 {
+		cached = max(cached, preferredHitRate*float64(in.SharedTokens))
+	}
+	return cached
+}
+
 // PrefillTime returns how long a lightly loaded engine takes to prefill a number of prompt tokens.
 func PrefillTime(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / prefillTokensPerSec * float64(time.Second))
--- a/internal/balancer/load_table.go
+++ b/internal/balancer/load_table.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -72,6 +73,8 @@
 	inFlightAtReport int
 	reportedAt       time.Time
 	recentBlocks     map[string]time.Time
+	// expected holds the requests without a first event whose prefill has an expected time.
+	expected []*InFlightRequest
 }
 
 // WeightsKey identifies the weights of one model in one process of a target.
@@ -144,6 +147,8 @@
 	entry          *entry
 	inFlight       announcer.InFlight
 	started, ended bool
+	// prefillFrom and prefillUntil are when the target is expected to prefill the prompt; zero if it is not known.
+	prefillFrom, prefillUntil time.Time
 }
 
 // ResponseStarted records that the target has started its response, so the prefill of the prompt is done.
@@ -159,6 +164,7 @@
 	if !r.started {
 		r.started = true
 		r.entry.unanswered--
+		r.entry.expected = slices.DeleteFunc(r.entry.expected, func(o *InFlightRequest) bool { return o == r })
 		r.entry.inFlight.PrefillTokens -= r.inFlight.PrefillTokens
 	}
 }
@@ -351,7 +357,7 @@
 func (t *LoadTable) LocalState(now time.Time) announcer.State {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := announcer.State{InFlightByTarget: t.inFlightByTarget()}
+	out := announcer.State{InFlightByTarget: t.inFlightByTarget(now)}
 	for w, v := range t.versions {
 		if now.Sub(v.reportedAt) < versionReportTTL {
 			out.Versions = append(out.Versions, announcer.TargetVersion{Target: w.Target, StartedUnixMs: w.StartedUnixMs, Model: w.Model, Version: v.version})
@@ -360,19 +366,21 @@
 	return out
 }
 
-// InFlightByTarget returns the load of this instance's requests in flight by target.
-func (t *LoadTable) InFlightByTarget() map[string]announcer.InFlight {
+// InFlightByTarget returns the load of this instance's requests in flight by target, less what is expected to be computed by now.
+func (t *LoadTable) InFlightByTarget(now time.Time) map[string]announcer.InFlight {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.inFlightByTarget()
+	return t.inFlightByTarget(now)
 }
 
-// inFlightByTarget returns the load of this instance's requests in flight by target; t.mu is held.
-func (t *LoadTable) inFlightByTarget() map[string]announcer.InFlight {
+// inFlightByTarget is InFlightByTarget; t.mu is held.
+func (t *LoadTable) inFlightByTarget(now time.Time) map[string]announcer.InFlight {
 	out := map[string]announcer.InFlight{}
 	for id, e := range t.targets {
 		if e.inFlight.Requests > 0 {
-			out[id] = e.inFlight
+			f := e.inFlight
+			f.PrefillTokens -= e.computedTokens(now)
+			out[id] = f
 		}
 	}
 	return out
--- a/internal/exporter/forwarding.go
+++ b/internal/exporter/forwarding.go
@@ -21,6 +21,11 @@
 	Targets         = "papayaworks_targets"
 	DroppedLogLines = "papayaworks_log_lines_lost_total"
 	Peers           = "papayaworks_instances_heard"
+	SlowdownTargets = "papayaworks_targets_with_slowdown"
+	PrefillRate     = "papayaworks_learned_prefill_tokens_per_second"
+	StepSeconds     = "papayaworks_learned_step_seconds"
+	SlowdownPerRun  = "papayaworks_learned_slowdown_per_run"
+	RequestSeconds  = "papayaworks_learned_request_seconds"
 )
 
 const (
@@ -35,7 +40,7 @@
 
 // ForwardingGauges are functions that are called whenever the metrics are written; a gauge whose function is nil is omitted.
 type ForwardingGauges struct {
-	ConfigAge, CatalogVersion, Targets, DroppedLogLines, Peers func() float64
+	ConfigAge, CatalogVersion, Targets, DroppedLogLines, Peers, SlowdownTargets func() float64
 }
 
 // ForwardingMetrics are the metrics of an instance that forwards calls. The methods are safe for concurrent use.
@@ -49,7 +54,7 @@
 // NewForwardingMetrics returns the metrics of an instance that forwards calls.
 func NewForwardingMetrics(g ForwardingGauges) *ForwardingMetrics {
 	f := &ForwardingMetrics{set: metrics.NewSet(), labels: map[string]map[string]bool{"route": {}, "account": {}}}
-	for name, read := range map[string]func() float64{ConfigAge: g.ConfigAge, CatalogVersion: g.CatalogVersion, Targets: g.Targets, DroppedLogLines: g.DroppedLogLines, Peers: g.Peers} {
+	for name, read := range map[string]func() float64{ConfigAge: g.ConfigAge, CatalogVersion: g.CatalogVersion, Targets: g.Targets, DroppedLogLines: g.DroppedLogLines, Peers: g.Peers, SlowdownTargets: g.SlowdownTargets} {
 		if read != nil {
 			f.set.NewGauge(name, read)
 		}
@@ -82,6 +87,21 @@
 	f.set.GetOrCreateCounter(fmt.Sprintf("%s{service=%q,reason=%q}", LeftOut, service, reason)).Inc()
 }
 
+// RecordEstimates sets what was learned of a service: for engines the prefill rate, the time of a step and the slowdown by each running
+// request, for plain services the mean duration of a request; it is 0 for engines.
+func (f *ForwardingMetrics) RecordEstimates(service string, prefillTokensPerSec float64, step time.Duration, slowdownPerRun float64, duration time.Duration) {
+	set := func(name string, v float64) {
+		f.set.GetOrCreateGauge(fmt.Sprintf("%s{service=%q}", name, service), nil).Set(v)
+	}
+	if duration > 0 {
+		set(RequestSeconds, duration.Seconds())
+		return
+	}
+	set(PrefillRate, prefillTokensPerSec)
+	set(StepSeconds, step.Seconds())
+	set(SlowdownPerRun, slowdownPerRun)
+}
+
 // boundedLabel returns the value, or otherLabel if the label already has maxLabels other values.
 func (f *ForwardingMetrics) boundedLabel(label, value string) string {
 	f.mu.Lock()
@@ -110,4 +130,9 @@
 	{Targets, "gauge", "", "targets that are known, those that are leaving included"},
 	{DroppedLogLines, "counter", "", "log lines that were lost because nobody read them fast enough"},
 	{Peers, "gauge", "", "other instances that were heard lately"},
+	{SlowdownTargets, "gauge", "", "targets that have stated within a minute how long work takes on them; the learned estimates are used for their services"},
+	{PrefillRate, "gauge", "service", "learned prompt tokens that an engine of the service computes in a second"},
+	{StepSeconds, "gauge", "service", "learned seconds of an engine of the service for one step without other requests"},
+	{SlowdownPerRun, "gauge", "service", "learned fraction by which each running request slows an engine of the service down"},
+	{RequestSeconds, "gauge", "service", "learned mean seconds of a request to a plain service without waiting"},
 }
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -173,4 +173,7 @@
 
 	// eventBytes is the number of bytes of complete events that were forwarded.
 	eventBytes int
+	// events is the number of complete events, sample what the estimator learns from the response; nil if nothing.
+	events int
+	sample *attemptSample
 }
--- a/internal/forwarder/deliver.go
+++ b/internal/forwarder/deliver.go
@@ -107,6 +107,7 @@
 		}
 		if complete > 0 {
 			res.eventBytes += complete
+			res.events += countEvents(pending[:complete])
 			if werr := st.writeEvents(c, pending[:complete]); werr != nil {
 				return werr
 			}
@@ -122,7 +123,9 @@
 			res.Stream.Finish()
 			st.s.health.observe(res.Target.ID, true, time.Now())
 			st.s.recordSound(c)
-			st.s.loads.RecordDuration(c.Service.Name, time.Since(c.ReceivedAt))
+			now := time.Now()
+			st.s.loads.RecordDuration(c.Service.Name, now.Sub(c.ReceivedAt))
+			res.sample.observe(st.s.estimates, res.events, c.FirstEventAt, now)
 			return nil
 		}
 		if err != nil {
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -153,7 +153,7 @@
 	if err != nil {
 		// Nothing was sent. Unknown ends the call, because a retry would find the same targets.
 		if errors.Is(err, balancer.ErrObjectiveMissed) {
-			c.ExpectedLatency = d.Cost
+			c.ExpectedLatency = d.Expected
 		}
 		return retrier.Unknown, err
 	}
@@ -171,9 +171,10 @@
 		s.Announcer.AnnounceStart(t.ID, load)
 	}
 	x := &targetRequest{s: s, c: c, t: t, startedAt: now, weightVersion: c.WeightVersion, blocks: s.blockKeys(c), cancel: cancel, inFlight: s.loads.Start(t.ID, load, now)}
+	x.expect(d)
 	out, err := x.send(ctx, remaining)
 	s.recordAttempt(c, Attempt{
-		Target: t.ID, Reason: d.Reason, ExpectedMs: d.Cost.Milliseconds(), Outstanding: d.Outstanding, WeightVersion: c.WeightVersion,
+		Target: t.ID, Reason: d.Reason, ExpectedMs: d.Expected.Milliseconds(), Outstanding: d.Outstanding, WeightVersion: c.WeightVersion,
 		SupersededMs: superseded.Milliseconds(), DurationMs: time.Since(now).Milliseconds(), Framing: x.framing,
 	}, out, err)
 	if c.Response == nil || c.Response.Stream == nil {
@@ -212,6 +213,7 @@
 	if in.IsEngine {
 		s.addPromptInput(&in, c, targets, mean, now)
 	}
+	s.addEstimates(&in, c, now)
 	return balancer.Choose(in)
 }
 
--- /dev/null
+++ b/internal/forwarder/estimate.go
@@ -0,0 +1,106 @@
+package forwarder
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/papayaworks/papayaworks/internal/balancer"
+	"github.com/papayaworks/papayaworks/internal/cataloger"
+	"github.com/papayaworks/papayaworks/internal/estimator"
+	"github.com/papayaworks/papayaworks/internal/throttler"
+)
+
+// attemptSample is what the estimator learns from one attempt once its response is complete.
+type attemptSample struct {
+	estimator.Sample
+	startedAt time.Time
+}
+
+// addEstimates adds the learned rates and the speeds of the candidates to the balancer's input, if the estimates of the call's service are
+// used. What this instance's own requests should have been computed by now no longer counts as queued.
+func (s *Server) addEstimates(in *balancer.Input, c *Call, now time.Time) {
+	if s.estimates == nil || !s.estimates.Enabled(c.Service.Name, now) {
+		return
+	}
+	rates := s.estimates.Rates(c.Service.Name)
+	in.Rates = &rates
+	if s.Announcer != nil {
+		in.LoadAge = s.Announcer.LoadAge()
+	}
+	if !in.IsEngine {
+		in.Duration, _, _ = s.estimates.Durations(c.Service.Name, c.Route.Name)
+	}
+	for i := range in.Candidates {
+		cand := &in.Candidates[i]
+		cand.Slowdown = s.estimates.Speed(cand.Target.ID, now)
+		cand.QueuedPrefillTokens = max(0, cand.QueuedPrefillTokens-s.loads.ComputedTokens(cand.Target.ID, now))
+	}
+}
+
+// expect records when the attempt's prompt is expected to be computed, and prepares what the estimator learns from its response. Only first
+// attempts teach, because later ones may find a part of their prompt cached or resume a stream.
+func (x *targetRequest) expect(d balancer.Decision) {
+	s, c := x.s, x.c
+	if s.estimates == nil || !s.estimates.Enabled(c.Service.Name, x.startedAt) {
+		return
+	}
+	isEngine := c.Service.Engine != nil
+	if isEngine {
+		x.inFlight.Expect(d.Wait, d.Expected-d.Wait, x.startedAt)
+	}
+	if len(c.TriedTargets) > 1 || c.Headers.LastEventID != "" || d.IsFetched {
+		return
+	}
+	p := c.Headers.Prompt
+	x.sample = &attemptSample{startedAt: x.startedAt, Sample: estimator.Sample{
+		Service: c.Service.Name, Route: c.Route.Name, Process: throttler.ProcessOf(x.t), IsEngine: isEngine, Running: d.Outstanding, QueueDelay: d.Wait,
+		SharedTokens: p.SharedTokens(), UniqueTokens: p.InputTokens - p.SharedTokens(),
+	}}
+}
+
+// recordLoad records the load that a target has stated in a response, which may be that of another process at its address.
+func (x *targetRequest) recordLoad(r ResponseHeaders, now time.Time) {
+	l := r.Load
+	if l == nil {
+		return
+	}
+	x.s.loads.RecordLoad(x.t.ID, *l, now)
+	if x.s.estimates == nil || !l.SlowdownStated || r.Misdirected && r.TargetID != x.t.ID {
+		return
+	}
+	x.s.estimates.RecordSlowdown(x.c.Service.Name, throttler.ProcessOf(x.t), l.Slowdown, now)
+	if x.sample != nil {
+		x.sample.Slowdown, x.sample.Running = l.Slowdown, l.Running
+	}
+}
+
+// observe teaches the estimator from a complete response; firstAt is when its first event arrived, now the time of its end. outputTokens is 0
+// if it is not known. x may be nil.
+func (x *attemptSample) observe(e *estimator.Estimator, outputTokens int, firstAt, now time.Time) {
+	if x == nil {
+		return
+	}
+	x.OutputTokens, x.First, x.Total = outputTokens, firstAt.Sub(x.startedAt), now.Sub(x.startedAt)
+	e.Observe(x.Sample, now)
+}
+
+// countEvents returns the number of events in a part of a stream that consists of complete events. An engine sends one for each step.
+func countEvents(events []byte) int {
+	return bytes.Count(events, []byte("\n\n")) + bytes.Count(events, []byte("\n\r\n"))
+}
+
+// retainEstimates removes what was learned of targets and services that are not in the view.
+func (s *Server) retainEstimates(v *cataloger.View) {
+	if s.estimates != nil {
+		s.estimates.Retain(v)
+	}
+}
+
+// recordEstimates sets the gauges of the estimates; it is called whenever the metrics are written.
+func (s *Server) recordEstimates(now time.Time) {
+	for _, name := range s.estimates.Services(now) {
+		r := s.estimates.Rates(name)
+		mean, _, _ := s.estimates.Durations(name, "")
+		s.metrics.RecordEstimates(name, r.PrefillTokensPerSec, r.StepTime, r.SlowdownPerRun, mean)
+	}
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -34,6 +34,7 @@
 	"github.com/papayaworks/papayaworks/internal/archiver"
 	"github.com/papayaworks/papayaworks/internal/balancer"
 	"github.com/papayaworks/papayaworks/internal/cataloger"
+	"github.com/papayaworks/papayaworks/internal/estimator"
 	"github.com/papayaworks/papayaworks/internal/exporter"
 	"github.com/papayaworks/papayaworks/internal/failer"
 	"github.com/papayaworks/papayaworks/internal/listener"
@@ -162,6 +163,7 @@
 	reloaded atomic.Pointer[Settings]
 
 	loads        *balancer.LoadTable
+	estimates    *estimator.Estimator
 	health       *health
 	retryBudgets *retryBudgets
 	pool         *pooler.Pool
@@ -203,6 +205,7 @@
 // Start starts the background tasks, which end with ctx, and serves callers. It returns once the addresses are bound.
 func (s *Server) Start(ctx context.Context) error {
 	s.loads = balancer.NewLoadTable()
+	s.estimates = estimator.New()
 	s.health = newHealth()
 	s.retryBudgets = newRetryBudgets()
 	s.pool = pooler.New()
@@ -266,7 +269,7 @@
 	a.LocalLoad = func() announcer.Load {
 		p := s.Watcher.Progress()
 		return announcer.Load{
-			InFlightByTarget: announcer.HashTargets(s.loads.InFlightByTarget()), Progress: p, ConfirmedAgeMs: p.ConfirmedAgeMs, Targets: s.Watcher.TargetsProgress(),
+			InFlightByTarget: announcer.HashTargets(s.loads.InFlightByTarget(time.Now())), Progress: p, ConfirmedAgeMs: p.ConfirmedAgeMs, Targets: s.Watcher.TargetsProgress(),
 		}
 	}
 	a.OnLoad = func(l announcer.Load) {
@@ -354,6 +357,7 @@
 	s.health.setTargets(v)
 	s.framings.retain(v)
 	s.throttle.Retain(v, time.Now())
+	s.retainEstimates(v)
 }
 
 func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/internal/forwarder/report.go
+++ b/internal/forwarder/report.go
@@ -164,6 +164,7 @@
 			return 0
 		},
 	}
+	g.SlowdownTargets = func() float64 { return float64(s.estimates.StatedTargets(time.Now())) }
 	if s.DroppedLogLines != nil {
 		g.DroppedLogLines = func() float64 { return float64(s.DroppedLogLines()) }
 	}
@@ -178,7 +179,10 @@
 	if s.Settings.MetricsAddress == "" {
 		return nil
 	}
-	l := &listener.Server{Addr: s.Settings.MetricsAddress, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { s.metrics.Write(w) })}
+	l := &listener.Server{Addr: s.Settings.MetricsAddress, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		s.recordEstimates(time.Now())
+		s.metrics.Write(w)
+	})}
 	_, err := l.Start()
 	return err
 }
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -35,6 +35,8 @@
 	blocks   []uint64
 	cancel   context.CancelFunc
 	inFlight *balancer.InFlightRequest
+	// sample is what the estimator learns from the attempt; nil if nothing.
+	sample *attemptSample
 	// framing is how the end of the response is marked; it is empty if none has arrived.
 	framing pooler.Framing
 }
@@ -87,7 +89,7 @@
 	}
 	if isStream(ex) {
 		c.MayHaveRun = true
-		c.Response = &Response{Target: x.t, Status: ex.StatusCode, Header: ex.Header, Stream: ex, InFlight: x.inFlight, Release: x.release}
+		c.Response = &Response{Target: x.t, Status: ex.StatusCode, Header: ex.Header, Stream: ex, InFlight: x.inFlight, Release: x.release, sample: x.sample}
 		return retrier.Done, nil
 	}
 	return x.readResponse(ctx, ex)
@@ -119,7 +121,9 @@
 	}
 	if isSuccess(ex.StatusCode) {
 		x.s.recordSound(c)
-		x.s.loads.RecordDuration(c.Service.Name, time.Since(x.startedAt))
+		now := time.Now()
+		x.s.loads.RecordDuration(c.Service.Name, now.Sub(x.startedAt))
+		x.sample.observe(x.s.estimates, c.Headers.Prompt.expectedOutputTokens(), now, now)
 	}
 	return retrier.Done, nil
 }
@@ -192,9 +196,7 @@
 	if !r.Misdirected || r.TargetID == x.t.ID { // another target may have the address
 		x.s.throttle.Record(throttler.ProcessOf(x.t), r.Statement, now)
 	}
-	if r.Load != nil {
-		x.s.loads.RecordLoad(x.t.ID, *r.Load, now)
-	}
+	x.recordLoad(r, now)
 	for model, v := range r.WeightVersions {
 		if model == "" {
 			model = x.c.Headers.Prompt.Model
