--- a/internal/announcer/load.go
+++ b/internal/announcer/load.go
@@ -33,6 +33,15 @@
 // TargetHashOf returns the hash of a target's ID.
 func TargetHashOf(id string) TargetHash { return TargetHash(hasher.Hash(id)) }
 
+// Slowdown is how long work takes on a target, as the target stated AgeMs ago. It is encoded as an array.
+type Slowdown struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
+	// Percent is 100 for a target that is as fast as usual, and 250 if work takes 2.5 times as long.
+	Percent int
+	AgeMs   int64
+}
+
 // HashTargets returns the loads by the hashes of their targets.
 func HashTargets(byID map[string]InFlight) map[TargetHash]InFlight {
 	out := make(map[TargetHash]InFlight, len(byID))
--- a/internal/announcer/regional.go
+++ b/internal/announcer/regional.go
@@ -35,6 +35,8 @@
 	Progress         watcher.Progress        `msgpack:"o"`
 	ConfirmedAgeMs   int64                   `msgpack:"y,omitempty"`
 	Targets          watcher.TargetsProgress `msgpack:"t"`
+	// Slowdowns holds the targets that were recently slow. A digest repeats those that the sender has learned from others.
+	Slowdowns map[TargetHash]Slowdown `msgpack:"w,omitempty"`
 }
 
 // digest is the load of all instances of one data centre, with their signs of life. Its size depends on the numbers of targets and of
--- a/internal/announcer/state.go
+++ b/internal/announcer/state.go
@@ -28,6 +28,8 @@
 // State is the content of an announcement.
 type State struct {
 	InFlightByTarget map[string]InFlight `msgpack:"f"`
+	// Slowdowns holds the targets that were recently slow; it is left out like InFlightByTarget.
+	Slowdowns map[TargetHash]Slowdown `msgpack:"w,omitempty"`
 	// LoadSeparate reports whether InFlightByTarget is left out, because load announcements and digests carry the load.
 	LoadSeparate bool `msgpack:"l,omitempty"`
 	// Versions holds the weight versions that targets recently reported to this instance.
--- a/internal/estimator/estimator.go
+++ b/internal/estimator/estimator.go
@@ -55,6 +55,12 @@
 	enabledTTL = time.Minute
 	// statedDecay is the time in which the weight of a stated slowdown against the learned speed falls to 1/e.
 	statedDecay = 300 * time.Millisecond
+	// slowThreshold is the stated slowdown from which other instances are told. The usual differences between targets are below it.
+	slowThreshold = 1.5
+	// maxSharedAge is the age up to which a stated slowdown is told to others; after it, it says little about the target. slowMemory is how
+	// long after it was slow a target's other statements are told, too.
+	maxSharedAge = 400 * time.Millisecond
+	slowMemory   = time.Second
 	// minSpeed and maxSpeed bound the speed of a target.
 	minSpeed, maxSpeed = 0.2, 10
 	// minPrefillSample is the least number of computed tokens of a prefill sample: below, other delays prevail.
@@ -135,6 +141,8 @@
 	meanStated logMean
 	stated     float64
 	statedAt   time.Time
+	// slowAt is when the target last stated that it was slow.
+	slowAt time.Time
 }
 
 // New returns an Estimator without samples.
@@ -172,13 +180,57 @@
 	if s == nil || t == nil || now.Before(t.statedAt) {
 		return
 	}
-	t.stated, t.statedAt = min(max(slowdown, minSpeed), maxSpeed), now
+	t.state(slowdown, now)
 	t.meanStated.add(math.Log(t.stated), 0, statedWeight, targetClip)
 	if now.After(s.statedAt) {
 		s.statedAt = now
 	}
 }
 
+// state sets the slowdown that the target stated at a time.
+func (t *target) state(slowdown float64, at time.Time) {
+	t.stated, t.statedAt = min(max(slowdown, minSpeed), maxSpeed), at
+	if t.stated >= slowThreshold {
+		t.slowAt = at
+	}
+}
+
+// MergeSlowdown records the slowdown that a target has stated to another instance at a time. It does not change what is learned of the
+// target on average, since other instances report only what is unusual.
+func (e *Estimator) MergeSlowdown(svc string, p throttler.Process, slowdown float64, at time.Time) {
+	if !(slowdown > 0) || math.IsInf(slowdown, 0) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if t := e.target(svc, p); t != nil && at.After(t.statedAt) {
+		t.state(slowdown, at)
+	}
+}
+
+// RecentSlowdown is a slowdown that a target has stated some time ago.
+type RecentSlowdown struct {
+	Slowdown float64
+	Age      time.Duration
+}
+
+// RecentSlowdowns returns what other instances should know: the targets that have stated within maxSharedAge that they are slow, or that they
+// are not any more.
+func (e *Estimator) RecentSlowdowns(now time.Time) map[string]RecentSlowdown {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var out map[string]RecentSlowdown
+	for id, t := range e.targets {
+		if age := now.Sub(t.statedAt); age < maxSharedAge && t.statedAt.Sub(t.slowAt) < slowMemory {
+			if out == nil {
+				out = map[string]RecentSlowdown{}
+			}
+			out[id] = RecentSlowdown{Slowdown: t.stated, Age: age}
+		}
+	}
+	return out
+}
+
 // Enabled reports whether a target of the service has stated a slowdown recently, so that the estimates are used.
 func (e *Estimator) Enabled(svc string, now time.Time) bool {
 	e.mu.Lock()
--- a/internal/forwarder/estimate.go
+++ b/internal/forwarder/estimate.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"math"
 	"time"
 
+	"github.com/papayaworks/papayaworks/internal/announcer"
 	"github.com/papayaworks/papayaworks/internal/balancer"
 	"github.com/papayaworks/papayaworks/internal/cataloger"
 	"github.com/papayaworks/papayaworks/internal/estimator"
@@ -89,11 +91,51 @@
 	return bytes.Count(events, []byte("\n\n")) + bytes.Count(events, []byte("\n\r\n"))
 }
 
+// recentSlowdowns returns the slowdowns of targets that the peers should know.
+func (s *Server) recentSlowdowns(now time.Time) map[announcer.TargetHash]announcer.Slowdown {
+	if s.estimates == nil {
+		return nil
+	}
+	recent := s.estimates.RecentSlowdowns(now)
+	if len(recent) == 0 {
+		return nil
+	}
+	out := make(map[announcer.TargetHash]announcer.Slowdown, len(recent))
+	for id, r := range recent {
+		out[announcer.TargetHashOf(id)] = announcer.Slowdown{Percent: int(math.Round(100 * r.Slowdown)), AgeMs: r.Age.Milliseconds()}
+	}
+	return out
+}
+
+// mergeSlowdowns records the slowdowns that a peer has announced. Those of unknown targets are ignored.
+func (s *Server) mergeSlowdowns(slowdowns map[announcer.TargetHash]announcer.Slowdown, now time.Time) {
+	if s.estimates == nil || len(slowdowns) == 0 {
+		return
+	}
+	byHash := s.targetsByHash.Load()
+	if byHash == nil {
+		return
+	}
+	for h, d := range slowdowns {
+		if t := (*byHash)[h]; t != nil && d.AgeMs >= 0 {
+			s.estimates.MergeSlowdown(t.Service, throttler.ProcessOf(t), float64(d.Percent)/100, now.Add(-time.Duration(d.AgeMs)*time.Millisecond))
+		}
+	}
+}
+
 // retainEstimates removes what was learned of targets and services that are not in the view.
 func (s *Server) retainEstimates(v *cataloger.View) {
-	if s.estimates != nil {
-		s.estimates.Retain(v)
+	if s.estimates == nil {
+		return
+	}
+	s.estimates.Retain(v)
+	byHash := make(map[announcer.TargetHash]*cataloger.Target, len(v.TargetIDs()))
+	for _, id := range v.TargetIDs() {
+		if t, ok := v.Target(id); ok {
+			byHash[announcer.TargetHashOf(id)] = t
+		}
 	}
+	s.targetsByHash.Store(&byHash)
 }
 
 // recordEstimates sets the gauges of the estimates; it is called whenever the metrics are written.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -162,21 +162,23 @@
 	// reloaded contains the settings of the last Reload; nil before the first one.
 	reloaded atomic.Pointer[Settings]
 
-	loads        *balancer.LoadTable
-	estimates    *estimator.Estimator
-	health       *health
-	retryBudgets *retryBudgets
-	pool         *pooler.Pool
-	waiting      waitingAttempts
-	throttle     *throttler.Table
-	quarantine   *quarantiner.Quarantine
-	crashes      crashDetector
-	framings     framingHistory
-	steps        []request.Stage[*Call]
-	callerServer *listener.Server
-	readyServer  *listener.Server
-	metrics      *exporter.ForwardingMetrics
-	rateLimiter  *logger.RateLimiter
+	loads     *balancer.LoadTable
+	estimates *estimator.Estimator
+	// targetsByHash holds the targets of the view by the hashes that announcements use.
+	targetsByHash atomic.Pointer[map[announcer.TargetHash]*cataloger.Target]
+	health        *health
+	retryBudgets  *retryBudgets
+	pool          *pooler.Pool
+	waiting       waitingAttempts
+	throttle      *throttler.Table
+	quarantine    *quarantiner.Quarantine
+	crashes       crashDetector
+	framings      framingHistory
+	steps         []request.Stage[*Call]
+	callerServer  *listener.Server
+	readyServer   *listener.Server
+	metrics       *exporter.ForwardingMetrics
+	rateLimiter   *logger.RateLimiter
 }
 
 // settings returns the current settings.
@@ -270,12 +272,14 @@
 		p := s.Watcher.Progress()
 		return announcer.Load{
 			InFlightByTarget: announcer.HashTargets(s.loads.InFlightByTarget(time.Now())), Progress: p, ConfirmedAgeMs: p.ConfirmedAgeMs, Targets: s.Watcher.TargetsProgress(),
+			Slowdowns: s.recentSlowdowns(time.Now()),
 		}
 	}
 	a.OnLoad = func(l announcer.Load) {
 		l.Progress.ConfirmedAgeMs = l.ConfirmedAgeMs
 		s.Watcher.MergeProgress(l.Progress)
 		s.Watcher.MergeTargetsProgress(l.Targets)
+		s.mergeSlowdowns(l.Slowdowns, time.Now())
 	}
 	a.LocalState = func() announcer.State {
 		now := time.Now()
@@ -287,6 +291,7 @@
 			st.Swapping = s.Updater.SwappingTargets()
 		}
 		st.Published = s.recentVersions()
+		st.Slowdowns = s.recentSlowdowns(now)
 		st.Crashes, st.Quarantined = s.quarantine.Crashes(now), s.quarantine.Entries(now)
 		st.Progress, st.Statements = s.Watcher.Progress(), s.throttle.Announced(now)
 		st.ConfirmedAgeMs = st.Progress.ConfirmedAgeMs
@@ -307,6 +312,7 @@
 		st.Progress.ConfirmedAgeMs = st.ConfirmedAgeMs
 		s.Watcher.MergeProgress(st.Progress)
 		s.throttle.Merge(st.Statements, now)
+		s.mergeSlowdowns(st.Slowdowns, now)
 		if len(st.Crashes)+len(st.Quarantined) > 0 {
 			s.quarantine.Merge(st.Crashes, st.Quarantined, now)
 		}
