feat(balancer): weigh recomputation by the load of all candidates

The weight is now that of the mean candidate, the preferred target is left for a late request only while three quarters of the candidates are timely, and a refusal needs 1.2 times the objective.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -219,7 +219,7 @@
 	if excess := c.Tokens + in.SharedTokens + in.UniqueTokens + in.OutputTokens - int(maxFillRatio*float64(in.CapacityTokens)); in.CapacityTokens > 0 && excess > 0 {
 		d.QueueDelay = max(d.QueueDelay, time.Duration(float64(in.MeanHoldTime)*float64(excess)/float64(in.CapacityTokens)))
 	}
-	cached := in.cachedTokens(c)
+	cached := in.cachedTokens(&c)
 	fetch := max(0, float64(c.StoredTokens)-cached) / fetchTokensPerSec
 	d.PrefillTokens = in.SharedTokens + in.UniqueTokens - int(max(cached, float64(c.StoredTokens)))
 	slowdown := 1 + slowdownPerRun*float64(c.Outstanding)
@@ -229,7 +229,7 @@
 }
 
 // cachedTokens returns the expected number of prompt tokens that are cached on a candidate.
-func (in Input) cachedTokens(c Candidate) float64 {
+func (in *Input) cachedTokens(c *Candidate) float64 {
 	cached := recentHitRate * float64(c.RecentlySentTokens)
 	if c.HashRank == 0 {
 		cached = max(cached, preferredHitRate*float64(in.SharedTokens))
--- a/internal/balancer/learned.go
+++ b/internal/balancer/learned.go
@@ -7,48 +7,73 @@
 )
 
 const (
-	// maxBehind bounds the number of requests to which a prefill is taken to be a delay.
-	maxBehind = 6
-	// baseBehind is the number of requests that are expected to arrive at an engine while it computes a prompt.
-	baseBehind = 2
-	// behindPerRequest is the share of the requests at an engine that a prefill delays: most of them only produce output meanwhile.
-	behindPerRequest = 0.25
-	// jitterPerAge is the increase of the jitter per second of age of what is known of the other instances. It reaches unknownLoadJitter
-	// at 0.3 s.
+	// baseBehind is the number of requests to which a prefill is a delay on an idle engine: those that arrive meanwhile. maxBehind bounds
+	// the number on a busy one.
+	baseBehind, maxBehind = 4, 12
+	// timelyShare is the share of the candidates that must be able to serve a request on time before it leaves the target with the lowest
+	// cost because that would be late. Below it, recomputing its prompt elsewhere would take capacity that other requests need.
+	timelyShare = 0.75
+	// refusalMargin is how far the expected time must exceed the objective for a refusal. It is a mean: the shared part of a prompt is either
+	// cached or not.
+	refusalMargin = 1.2
+	// jitterPerAge is the increase of the jitter per second of age of what is known of the other instances.
 	jitterPerAge = 0.5
 )
 
-// chooseLearned is [Choose] with learned rates. Candidates that are expected to be on time come first.
+// chooseLearned is [Choose] with learned rates.
 func (in Input) chooseLearned() (Decision, error) {
 	r := rand.New(rand.NewPCG(in.Seed, 1))
 	jitter := min(unknownLoadJitter, costJitter+jitterPerAge*in.LoadAge.Seconds())
 	if in.LoadUnknown {
 		jitter = unknownLoadJitter
 	}
-	best, bestOnTime := Decision{}, false
-	least := time.Duration(math.MaxInt64)
-	for _, c := range in.Candidates {
-		d := in.estimateLearned(c)
-		onTime := !in.IsEngine || in.Objective <= 0 || d.Expected <= in.Objective
+	behind := in.meanBehind()
+	var best, timely Decision
+	least, leastTimely, timelyCount := time.Duration(math.MaxInt64), time.Duration(math.MaxInt64), 0
+	for i := range in.Candidates {
+		d := in.estimateLearned(&in.Candidates[i], behind)
 		jittered := time.Duration(float64(d.Cost) * (1 + jitter*r.Float64()))
-		if onTime && !bestOnTime || onTime == bestOnTime && jittered < least {
-			least, best, bestOnTime = jittered, d, onTime
+		if jittered < least {
+			least, best = jittered, d
+		}
+		if in.isTimely(&d) {
+			if timelyCount++; jittered < leastTimely {
+				leastTimely, timely = jittered, d
+			}
 		}
 	}
 	if best.Target == nil {
 		return Decision{}, ErrNoTarget
 	}
+	if !in.isTimely(&best) && timely.Target != nil && float64(timelyCount) >= timelyShare*float64(len(in.Candidates)) {
+		best = timely
+	}
 	if in.LoadUnknown {
 		best.Reason += ReasonLoadUnknown
 	}
-	if !bestOnTime {
+	if in.IsEngine && in.Objective > 0 && float64(best.Expected) > refusalMargin*float64(in.Objective) {
 		return best, ErrObjectiveMissed
 	}
 	return best, nil
 }
 
+// isTimely reports whether the request is expected to meet its objective.
+func (in *Input) isTimely(d *Decision) bool {
+	return !in.IsEngine || in.Objective <= 0 || d.Expected <= in.Objective
+}
+
+// meanBehind returns the number of requests to which a prefill is taken to be a delay. It is that of the mean candidate: the number on each
+// one would move conversations away from busy preferred targets, whose queue counts already.
+func (in *Input) meanBehind() float64 {
+	sum := 0
+	for i := range in.Candidates {
+		sum += in.Candidates[i].Outstanding
+	}
+	return min(maxBehind, baseBehind+float64(sum)/float64(max(1, len(in.Candidates))))
+}
+
 // estimateLearned returns the decision that would choose c, from learned rates and the speed of the target.
-func (in Input) estimateLearned(c Candidate) Decision {
+func (in *Input) estimateLearned(c *Candidate, behind float64) Decision {
 	speed := c.Slowdown
 	if !(speed > 0) {
 		speed = 1
@@ -58,7 +83,7 @@
 	if excess := c.Outstanding + 1 - slots; excess > 0 {
 		d.QueueDelay = time.Duration(float64(c.MeanDuration) * float64(excess) / float64(slots) * speed)
 	}
-	extra := time.Duration(0)
+	var extra time.Duration
 	if c.Remote {
 		extra += crossDataCentreRTT
 	}
@@ -66,14 +91,14 @@
 		extra += supersededPenalty
 	}
 	if !in.IsEngine {
-		own := in.Duration
-		if own <= 0 {
-			own = c.MeanDuration
+		duration := in.Duration
+		if duration <= 0 {
+			duration = c.MeanDuration
 		}
-		fill := float64(c.Outstanding) / float64(slots)
+		own, fill := float64(duration)*speed, float64(c.Outstanding)/float64(slots)
 		d.Wait = d.QueueDelay
-		d.Expected = d.Wait + extra + time.Duration(float64(own)*speed)
-		d.Cost = d.Expected + time.Duration(float64(own)*speed*fill*fill)
+		d.Expected = d.Wait + extra + time.Duration(own)
+		d.Cost = d.Expected + time.Duration(own*fill*fill)
 		return d
 	}
 	if c.HashRank == 0 {
@@ -86,10 +111,9 @@
 	fetch := max(0, float64(c.StoredTokens)-cached) / in.Rates.FetchTokensPerSec
 	d.IsFetched = fetch > 0
 	d.PrefillTokens = in.SharedTokens + in.UniqueTokens - int(max(cached, float64(c.StoredTokens)))
-	prefill := in.Rates.PrefillTime(float64(d.PrefillTokens), c.Outstanding, speed)
 	d.Wait = d.QueueDelay + in.Rates.PrefillTime(float64(c.QueuedPrefillTokens), c.Outstanding, speed) + time.Duration(fetch*float64(time.Second))
-	d.Expected = d.Wait + prefill + extra
-	behind := min(maxBehind, baseBehind+behindPerRequest*float64(c.Outstanding))
-	d.Cost = d.Expected + time.Duration(behind*float64(prefill))
+	d.Expected = d.Wait + extra + in.Rates.PrefillTime(float64(d.PrefillTokens), c.Outstanding, speed)
+	// The capacity that the prefill takes is counted at usual speed: a preferred target is left for the time that it is slower, no more.
+	d.Cost = d.Expected + time.Duration(behind*float64(in.Rates.PrefillTime(float64(d.PrefillTokens), 0, 1)))
 	return d
 }
