--- a/internal/balancer/learned.go
+++ b/internal/balancer/learned.go
@@ -20,6 +20,10 @@
 	jitterPerAge = 0.5
 )
 
+// timelyFractions are the fractions of the objective at which a request counts as timely. The lower one is tried first, since the expected
+// time is a mean, and the target may become slow.
+var timelyFractions = [...]float64{0.5, 1}
+
 // chooseLearned is [Choose] with learned rates.
 func (in Input) chooseLearned() (Decision, error) {
 	r := rand.New(rand.NewPCG(in.Seed, 1))
@@ -28,38 +32,52 @@
 		jitter = unknownLoadJitter
 	}
 	behind := in.meanBehind()
-	var best, timely Decision
-	least, leastTimely, timelyCount := time.Duration(math.MaxInt64), time.Duration(math.MaxInt64), 0
+	best, bestExpected := -1, time.Duration(0)
+	least := time.Duration(math.MaxInt64)
+	var timely [len(timelyFractions)]timelyChoice
 	for i := range in.Candidates {
 		d := in.estimateLearned(&in.Candidates[i], behind)
 		jittered := time.Duration(float64(d.Cost) * (1 + jitter*r.Float64()))
 		if jittered < least {
-			least, best = jittered, d
+			least, best, bestExpected = jittered, i, d.Expected
 		}
-		if in.isTimely(&d) {
-			if timelyCount++; jittered < leastTimely {
-				leastTimely, timely = jittered, d
+		if in.IsEngine && in.Objective > 0 {
+			for k, fraction := range timelyFractions {
+				if float64(d.Expected) <= fraction*float64(in.Objective) {
+					timely[k].add(i, jittered)
+				}
 			}
 		}
 	}
-	if best.Target == nil {
+	if best < 0 {
 		return Decision{}, ErrNoTarget
 	}
-	if !in.isTimely(&best) && timely.Target != nil && float64(timelyCount) >= timelyShare*float64(len(in.Candidates)) {
-		best = timely
+	for k, fraction := range timelyFractions {
+		if t := &timely[k]; float64(bestExpected) > fraction*float64(in.Objective) && t.count > 0 && float64(t.count) >= timelyShare*float64(len(in.Candidates)) {
+			best = t.index
+			break
+		}
 	}
+	d := in.estimateLearned(&in.Candidates[best], behind)
 	if in.LoadUnknown {
-		best.Reason += ReasonLoadUnknown
+		d.Reason += ReasonLoadUnknown
 	}
-	if in.IsEngine && in.Objective > 0 && float64(best.Expected) > refusalMargin*float64(in.Objective) {
-		return best, ErrObjectiveMissed
+	if in.IsEngine && in.Objective > 0 && float64(d.Expected) > refusalMargin*float64(in.Objective) {
+		return d, ErrObjectiveMissed
 	}
-	return best, nil
+	return d, nil
 }
 
-// isTimely reports whether the request is expected to meet its objective.
-func (in *Input) isTimely(d *Decision) bool {
-	return !in.IsEngine || in.Objective <= 0 || d.Expected <= in.Objective
+// timelyChoice is the candidate with the lowest cost among those that are expected to be timely, and their number.
+type timelyChoice struct {
+	index, count int
+	cost         time.Duration
+}
+
+func (t *timelyChoice) add(index int, cost time.Duration) {
+	if t.count++; t.count == 1 || cost < t.cost {
+		t.index, t.cost = index, cost
+	}
 }
 
 // meanBehind returns the number of requests to which a prefill is taken to be a delay. It is that of the mean candidate: the number on each
--- a/internal/forwarder/estimate.go
+++ b/internal/forwarder/estimate.go
@@ -33,7 +33,9 @@
 	for i := range in.Candidates {
 		cand := &in.Candidates[i]
 		cand.Slowdown = s.estimates.Speed(cand.Target.ID, now)
-		cand.QueuedPrefillTokens = max(0, cand.QueuedPrefillTokens-s.loads.ComputedTokens(cand.Target.ID, now))
+		if cand.QueuedPrefillTokens > 0 {
+			cand.QueuedPrefillTokens = max(0, cand.QueuedPrefillTokens-s.loads.ComputedTokens(cand.Target.ID, now))
+		}
 	}
 }
 
