--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -27,7 +27,9 @@
 // speed, [Input.Rates] holds what was learned of them. Each candidate then has an
 // expected time for the request alone, which is compared with the objective, and a
 // cost, which adds what the prefill does to the requests behind it. The jitter of the
-// costs grows with the age of what is known of the other instances.
+// costs grows with the age of what is known of the other instances. Targets of a
+// plain service are chosen at random, by their costs, if that is as old as the
+// duration of a request.
 //
 // # Usage
 //
--- a/internal/balancer/learned.go
+++ b/internal/balancer/learned.go
@@ -31,13 +31,17 @@
 	if in.LoadUnknown {
 		jitter = unknownLoadJitter
 	}
-	behind := in.meanBehind()
+	behind, spread := in.meanBehind(), in.spread()
 	best, bestExpected := -1, time.Duration(0)
 	least := time.Duration(math.MaxInt64)
 	var timely [len(timelyFractions)]timelyChoice
 	for i := range in.Candidates {
 		d := in.estimateLearned(&in.Candidates[i], behind)
-		jittered := time.Duration(float64(d.Cost) * (1 + jitter*r.Float64()))
+		factor := 1 + jitter*r.Float64()
+		if spread > 0 {
+			factor += spread * (r.ExpFloat64() - factor)
+		}
+		jittered := time.Duration(float64(d.Cost) * factor)
 		if jittered < least {
 			least, best, bestExpected = jittered, i, d.Expected
 		}
@@ -80,6 +84,19 @@
 	}
 }
 
+// spread returns how much of a choice between targets of a plain service is left to chance: 0 with a current picture of the load, 1 if it is
+// older than a request takes, so that the requests in it have ended. Targets are then chosen with probabilities about in inverse
+// proportion to their costs; otherwise all instances would follow the same picture to the same target.
+func (in *Input) spread() float64 {
+	switch {
+	case in.IsEngine || len(in.Candidates) == 0:
+		return 0
+	case in.LoadUnknown:
+		return 1
+	}
+	return min(1, float64(in.LoadAge)/float64(max(1, in.Candidates[0].MeanDuration)))
+}
+
 // meanBehind returns the number of requests to which a prefill is taken to be a delay. It is that of the mean candidate: the number on each
 // one would move conversations away from busy preferred targets, whose queue counts already.
 func (in *Input) meanBehind() float64 {
