--- a/internal/announcer/regional_test.go
+++ b/internal/announcer/regional_test.go
@@ -369,3 +369,15 @@
 		})
 	}
 }
+
+// Guards against choices by an old load that count as choices by a current one.
+func TestLoadAgeIsIntervalOfLoad(t *testing.T) {
+	a := &Announcer{Self: Peer{ID: "a", DataCentre: "x"}}
+	a.reset()
+	young := a.LoadAge()
+	for i := range 100 {
+		a.addPeer(Peer{ID: fmt.Sprint(i), DataCentre: "x"}, time.Now())
+	}
+	require.Equal(t, minInterval, young)
+	require.Equal(t, 100*intervalPerPeer, a.LoadAge())
+}
--- a/internal/balancer/learned_test.go
+++ b/internal/balancer/learned_test.go
@@ -80,3 +80,26 @@
 	require.Equal(t, 300, left(time.Second))
 	require.Zero(t, table.ComputedTokens("other", now))
 }
+
+// Guards against instances that all follow the same old picture of the load to the same target.
+func TestChanceGrowsWithAge(t *testing.T) {
+	rates := estimator.InitialRates()
+	worse := func(in Input, age time.Duration) (n int) {
+		in.Rates, in.LoadAge = &rates, age
+		for in.Seed = range uint64(200) {
+			if d, err := Choose(in); err == nil && d.Target.ID == "b" {
+				n++
+			}
+		}
+		return n
+	}
+	a, b := &cataloger.Target{ID: "a", Slots: 10}, &cataloger.Target{ID: "b", Slots: 10}
+	engine := Input{IsEngine: true, UniqueTokens: 10_000}.with(Candidate{Target: a, HashRank: 1}, Candidate{Target: b, HashRank: 1, QueuedPrefillTokens: 6000})
+	require.Zero(t, worse(engine, 0))
+	require.Positive(t, worse(engine, 300*time.Millisecond))
+	plain := Input{}.with(Candidate{Target: a, MeanDuration: time.Second}, Candidate{Target: b, MeanDuration: time.Second, Outstanding: 5})
+	require.Zero(t, worse(plain, 0))
+	require.Greater(t, worse(plain, time.Second), 50)
+	plain.LoadUnknown = true
+	require.Greater(t, worse(plain, 0), 50)
+}
