--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -27,7 +27,9 @@
 // speed, [Input.Rates] holds what was learned of them. Each candidate then has an
 // expected time for the request alone, which is compared with the objective, and a
 // cost, which adds what the prefill does to the requests behind it. The jitter of the
-// costs grows with the age of what is known of the other instances.
+// costs grows with the age of what is known of the other instances. Targets of a
+// plain service are chosen at random, by their costs, if that is as old as the
+// duration of a request.
 //
 // # Usage
 //
@@ -219,7 +221,7 @@
 	if excess := c.Tokens + in.SharedTokens + in.UniqueTokens + in.OutputTokens - int(maxFillRatio*float64(in.CapacityTokens)); in.CapacityTokens > 0 && excess > 0 {
 		d.QueueDelay = max(d.QueueDelay, time.Duration(float64(in.MeanHoldTime)*float64(excess)/float64(in.CapacityTokens)))
 	}
-	cached := in.cachedTokens(c)
+	cached := in.cachedTokens(&c)
 	fetch := max(0, float64(c.StoredTokens)-cached) / fetchTokensPerSec
 	d.PrefillTokens = in.SharedTokens + in.UniqueTokens - int(max(cached, float64(c.StoredTokens)))
 	slowdown := 1 + slowdownPerRun*float64(c.Outstanding)
@@ -229,7 +231,7 @@
 }
 
 // cachedTokens returns the expected number of prompt tokens that are cached on a candidate.
-func (in Input) cachedTokens(c Candidate) float64 {
+func (in *Input) cachedTokens(c *Candidate) float64 {
 	cached := recentHitRate * float64(c.RecentlySentTokens)
 	if c.HashRank == 0 {
 		cached = max(cached, preferredHitRate*float64(in.SharedTokens))
