--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -124,6 +124,9 @@
 	// request occupies its share of it.
 	CapacityTokens int
 	MeanHoldTime   time.Duration
+	// HiddenRequests is the mean number of requests at a target that are not part of Outstanding.
+	HiddenRequests float64
+	arrivals       arrivals
 	// LoadUnknown reports whether the loads of the candidates leave out the requests of other instances.
 	LoadUnknown bool
 	// Rates are the learned rates of the service; nil means that targets are compared by fixed ones.
--- a/internal/balancer/learned.go
+++ b/internal/balancer/learned.go
@@ -32,6 +32,10 @@
 		jitter = unknownLoadJitter
 	}
 	behind, spread := in.meanBehind(), in.spread()
+	if kBehind >= 0 {
+		behind = kBehind
+	}
+	in.arrivals = newArrivals(in.HiddenRequests)
 	best, bestExpected := -1, time.Duration(0)
 	least := time.Duration(math.MaxInt64)
 	var timely [len(timelyFractions)]timelyChoice
@@ -115,7 +119,11 @@
 	}
 	d := Decision{Target: c.Target, Reason: ReasonLeastLatency, Outstanding: c.Outstanding}
 	slots := max(1, c.Target.Slots)
-	if excess := c.Outstanding + 1 - slots; excess > 0 {
+	if in.IsEngine && kSlot > 0 {
+		if n := in.arrivals.excess(slots - 1 - c.Outstanding); n > 0 {
+			d.QueueDelay = time.Duration(kSlot * float64(c.MeanDuration) * n / float64(slots) * speed)
+		}
+	} else if excess := c.Outstanding + 1 - slots; excess > 0 {
 		d.QueueDelay = time.Duration(float64(c.MeanDuration) * float64(excess) / float64(slots) * speed)
 	}
 	var extra time.Duration
@@ -152,3 +160,5 @@
 	d.Cost = d.Expected + time.Duration(behind*float64(in.Rates.PrefillTime(float64(d.PrefillTokens), 0, 1)))
 	return d
 }
+
+const kSlot, kBehind = 1.0, -1.0
--- a/internal/estimator/estimator.go
+++ b/internal/estimator/estimator.go
@@ -78,6 +78,8 @@
 	serviceWeight, serviceClip = 0.05, 0.5
 	targetWeight, targetClip   = 0.15, 0.7
 	statedWeight               = 0.1
+	// hiddenWeight gives a mean over the last few seconds of an instance in a large deployment; maxHidden bounds a sample.
+	hiddenWeight, maxHidden = 0.05, 16.0
 )
 
 // Logarithms of the initial values.
@@ -231,6 +233,25 @@
 	return out
 }
 
+// RecordHidden records how many requests a target of a service has stated beyond those that this instance knew of when it chose the target.
+func (e *Estimator) RecordHidden(svc string, n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if s := e.services[svc]; s != nil {
+		s.hidden += hiddenWeight * (min(max(float64(n), -maxHidden), maxHidden) - s.hidden)
+	}
+}
+
+// Hidden returns the mean number of requests at a target of a service that this instance does not know of; it is at least 0.
+func (e *Estimator) Hidden(svc string) float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if s := e.services[svc]; s != nil {
+		return max(0, s.hidden)
+	}
+	return 0
+}
+
 // Enabled reports whether a target of the service has stated a slowdown recently, so that the estimates are used.
 func (e *Estimator) Enabled(svc string, now time.Time) bool {
 	e.mu.Lock()
--- a/internal/estimator/service.go
+++ b/internal/estimator/service.go
@@ -14,6 +14,8 @@
 	// duration is the mean duration of a request of any route.
 	duration logMean
 	routes   map[string]*route
+	// hidden is the mean number of requests at a target that the instance did not know of.
+	hidden float64
 }
 
 // route is the duration of the requests of one route to a plain service.
--- a/internal/forwarder/estimate.go
+++ b/internal/forwarder/estimate.go
@@ -26,6 +26,7 @@
 	}
 	rates := s.estimates.Rates(c.Service.Name)
 	in.Rates = &rates
+	in.HiddenRequests = s.estimates.Hidden(c.Service.Name)
 	if s.Announcer != nil {
 		in.LoadAge = s.Announcer.LoadAge()
 	}
@@ -48,6 +49,7 @@
 	if s.estimates == nil || !s.estimates.Enabled(c.Service.Name, x.startedAt) {
 		return
 	}
+	x.knownRequests = d.Outstanding + 1
 	isEngine := c.Service.Engine != nil
 	if isEngine {
 		x.inFlight.Expect(d.Wait, d.Expected-d.Wait, x.startedAt)
@@ -73,6 +75,9 @@
 		return
 	}
 	x.s.estimates.RecordSlowdown(x.c.Service.Name, throttler.ProcessOf(x.t), l.Slowdown, now)
+	if x.knownRequests > 0 {
+		x.s.estimates.RecordHidden(x.c.Service.Name, l.Running+l.Waiting-x.knownRequests)
+	}
 	if x.sample != nil {
 		x.sample.Slowdown, x.sample.Running = l.Slowdown, l.Running
 	}
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -39,6 +39,9 @@
 	sample *attemptSample
 	// framing is how the end of the response is marked; it is empty if none has arrived.
 	framing pooler.Framing
+	// knownRequests is the number of requests, this one included, that the target was taken to have when it was chosen; 0 if it was chosen
+	// without estimates.
+	knownRequests int
 }
 
 // release ends the attempt: it cancels the context and removes the call from the in-flight load of the target.
