--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -127,6 +127,8 @@
 	// HiddenRequests is the mean number of requests at a target that are not part of Outstanding.
 	HiddenRequests float64
 	arrivals       arrivals
+	// StoresKnown reports whether StoredTokens says which blocks some target has computed before.
+	StoresKnown bool
 	// LoadUnknown reports whether the loads of the candidates leave out the requests of other instances.
 	LoadUnknown bool
 	// Rates are the learned rates of the service; nil means that targets are compared by fixed ones.
@@ -237,7 +239,11 @@
 func (in *Input) cachedTokens(c *Candidate) float64 {
 	cached := recentHitRate * float64(c.RecentlySentTokens)
 	if c.HashRank == 0 {
-		cached = max(cached, preferredHitRate*float64(in.SharedTokens))
+		known := float64(in.SharedTokens)
+		if in.Rates != nil && in.StoresKnown {
+			known = float64(c.StoredTokens) + kUnstored/preferredHitRate*max(0, known-float64(c.StoredTokens))
+		}
+		cached = max(cached, preferredHitRate*known)
 	}
 	return cached
 }
@@ -262,3 +268,5 @@
 	}
 	return ranks
 }
+
+const kUnstored = 0.3
