fix(listener): callers that keep to no limit do not exhaust a process

Seen: clients that send bodies, heads, trailers or chunk lines without end, or only connect, ended a process or used up its descriptors. Cause: the HTTP library keeps what it reads until a part is complete, up to 64 MiB a connection, adds trailers and header lines without a bound, and queues pipelined requests; nothing limited connections, idle or unfinished ones included. Ruled out: empty lines before a request, for which the library closes the connection; now a few are accepted, as HTTP asks. Change: package framer follows the framing of each connection before the library gets the bytes. A part that exceeds its limit is refused with 413, 431 or 400, one that is late with 408, each with notRun and the request's ID where the head is complete. All requests together hold an eighth of the memory, connections use 0.6 of the free descriptors, and the library and the framer are compared after each read. The limits of a request are those of the operator's configuration. TestRefusalsBeforeRequestIsRead checks the refusals and that the longest head and body are served.

--- a/internal/exporter/forwarding.go
+++ b/internal/exporter/forwarding.go
@@ -16,6 +16,7 @@
 	Attempts        = "papayaworks_attempts_total"
 	StreamEnds      = "papayaworks_stream_ends_total"
 	LeftOut         = "papayaworks_targets_left_out_total"
+	Unread          = "papayaworks_unread_requests_total"
 	ConfigAge       = "papayaworks_configuration_age_seconds"
 	CatalogVersion  = "papayaworks_catalog_version"
 	Targets         = "papayaworks_targets"
@@ -82,6 +83,11 @@
 	f.set.GetOrCreateCounter(fmt.Sprintf("%s{service=%q,reason=%q}", LeftOut, service, reason)).Inc()
 }
 
+// RecordUnread counts a request that was refused before it was read completely, or a connection that was closed.
+func (f *ForwardingMetrics) RecordUnread(reason string) {
+	f.set.GetOrCreateCounter(fmt.Sprintf("%s{reason=%q}", Unread, reason)).Inc()
+}
+
 // boundedLabel returns the value, or otherLabel if the label already has maxLabels other values.
 func (f *ForwardingMetrics) boundedLabel(label, value string) string {
 	f.mu.Lock()
@@ -105,6 +111,7 @@
 	{Attempts, "counter", "service, outcome, reason", "sends of forwarded calls to targets by outcome (done, notRun, repeatable, unknown) and by why the target was chosen"},
 	{StreamEnds, "counter", "service, framing, end", "streams of targets by the framing of the response (length, chunked, none) and by how they ended (see streamEnd in docs/logs.md)"},
 	{LeftOut, "counter", "service, reason", "targets that a choice left out because of what they have said (see leftOut in docs/logs.md)"},
+	{Unread, "counter", "reason", "requests that were refused before they were read completely (head, body, framing, timeout, memory, pipelining), and connections that were closed without a response (connections: too many, idle)"},
 	{ConfigAge, "gauge", "", "seconds since the operator's configuration was last known to be the newest; API keys are refused near the operator's bound"},
 	{CatalogVersion, "gauge", "", "version of the operator's configuration in force at the instance"},
 	{Targets, "gauge", "", "targets that are known, those that are leaving included"},
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -79,7 +79,6 @@
 	maxBodyBytes = 16 << 20
 	// maxResponseBytes bounds a response that is not a stream, which is kept in memory until it is complete.
 	maxResponseBytes  = 8 << 20
-	writeBufferBytes  = 1 << 20
 	stopCheckInterval = 50 * time.Millisecond
 )
 
@@ -113,8 +112,9 @@
 	// FencingEnabled reports whether targets check fencing tokens; the interval is not needed then.
 	LeaseGuardInterval time.Duration
 	FencingEnabled     bool
-	// MemoryBytes is the memory limit of the process.
+	// MemoryBytes is the memory limit of the process, MaxFiles the limit of its descriptors; 0 means unknown.
 	MemoryBytes int64
+	MaxFiles    int
 }
 
 // longPollTimeout returns the longest wait of a long poll for a new configuration that keeps the bounds of the settings; 0 if
@@ -243,13 +243,11 @@
 	if s.Announcer != nil {
 		go s.Announcer.Run(ctx)
 	}
-	s.callerServer = &listener.Server{
-		Addr: s.Settings.ListenAddress, Handler: http.HandlerFunc(s.serve), MaxBodyBytes: maxBodyBytes, WriteBufferBytes: writeBufferBytes,
-	}
+	s.callerServer = s.newCallerServer()
 	if _, err := s.callerServer.Start(); err != nil {
 		return err
 	}
-	s.readyServer = &listener.Server{Addr: s.Settings.ReadyAddress, Handler: http.HandlerFunc(s.serveReady)}
+	s.readyServer = s.newControlServer(s.Settings.ReadyAddress, s.serveReady)
 	if _, err := s.readyServer.Start(); err != nil {
 		return err
 	}
--- a/internal/forwarder/read.go
+++ b/internal/forwarder/read.go
@@ -38,7 +38,8 @@
 	}
 	c.Headers = headers
 	limit := c.View.Catalog.Limits.BodyBytes
-	c.Body, err = io.ReadAll(io.LimitReader(c.HTTP.Body, int64(limit)+1))
+	// The listener has refused bodies above the limit, but the configuration may have changed since.
+	c.Body, err = readBody(c.HTTP, limit)
 	if err != nil {
 		return request.Refuse(http.StatusBadRequest, request.CodeBadRequest, "body", "%v", err)
 	}
@@ -48,6 +49,16 @@
 	return nil
 }
 
+// readBody reads a body up to one byte more than the limit. The buffer of a body with a length is allocated at once.
+func readBody(r *http.Request, limit int) ([]byte, error) {
+	if n := r.ContentLength; n > 0 && n <= int64(limit) {
+		b := make([]byte, n)
+		_, err := io.ReadFull(r.Body, b)
+		return b, err
+	}
+	return io.ReadAll(io.LimitReader(r.Body, int64(limit)+1))
+}
+
 // removeHopByHop removes the hop-by-hop headers, including those that the Connection header names.
 func removeHopByHop(h http.Header) {
 	for _, v := range h["Connection"] {
--- a/internal/forwarder/report.go
+++ b/internal/forwarder/report.go
@@ -10,7 +10,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/papayaworks/papayaworks/internal/exporter"
-	"github.com/papayaworks/papayaworks/internal/listener"
 	"github.com/papayaworks/papayaworks/internal/logger"
 	"github.com/papayaworks/papayaworks/internal/pooler"
 	"github.com/papayaworks/papayaworks/internal/retrier"
@@ -24,11 +23,12 @@
 	outcomeFailed        = "failed"
 	outcomeCallerGone    = "callerGone"
 	messageAttemptFailed = "attempt failed"
+	messageUnread        = "request refused before it was read"
 	messageSuppressed    = "lines were left out"
 )
 
 // linesPerSecond limits the log lines of one instance by message. Failures have higher limits than successes.
-var linesPerSecond = map[string]int{outcomeAnswered: 20, outcomeCallerGone: 20, outcomeRefused: 50, outcomeFailed: 100, messageAttemptFailed: 50}
+var linesPerSecond = map[string]int{outcomeAnswered: 20, outcomeCallerGone: 20, outcomeRefused: 50, outcomeFailed: 100, messageAttemptFailed: 50, messageUnread: 1}
 
 // outcomeNames are the names of the outcomes of attempts in logs and metrics.
 var outcomeNames = map[retrier.Outcome]string{
@@ -178,7 +178,7 @@
 	if s.Settings.MetricsAddress == "" {
 		return nil
 	}
-	l := &listener.Server{Addr: s.Settings.MetricsAddress, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { s.metrics.Write(w) })}
+	l := s.newControlServer(s.Settings.MetricsAddress, func(w http.ResponseWriter, _ *http.Request) { s.metrics.Write(w) })
 	_, err := l.Start()
 	return err
 }
--- a/internal/listener/flow.go
+++ b/internal/listener/flow.go
@@ -30,12 +30,11 @@
 
 // newFlow returns the flow of a response on a connection; nil if the connection is closed.
 func (s *Server) newFlow(conn net.Conn) *flow {
-	v, ok := s.written.Load(conn)
-	if !ok {
+	x := s.connection(conn)
+	if x == nil {
 		return nil
 	}
-	written := v.(*atomic.Int64)
-	return &flow{conn: conn, written: written, start: written.Load(), maxUnsent: int64(s.WriteBufferBytes / 2), stallTimeout: s.stallTimeout}
+	return &flow{conn: conn, written: &x.written, start: x.written.Load(), maxUnsent: int64(s.WriteBufferBytes / 2), stallTimeout: s.stallTimeout}
 }
 
 // wait adds n written bytes and waits until few enough are unsent. It closes the connection of a reader that takes none.
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -5,6 +5,18 @@
 // buffered for a slow reader, and a graceful stop that first closes the
 // listening socket and then waits for the requests in progress.
 //
+// # Clients that keep to no limit
+//
+// The library keeps what it reads until a line, a head or a body is complete, up
+// to 64 MiB for each connection. Bytes therefore pass package framer first, which
+// finds parts of requests that exceed their limit. Such a request is refused, with
+// 413 or 431, or 400 for a framing that cannot be followed, and its connection is
+// closed. One that is not complete in time is refused with 408. All requests
+// together hold at most MaxHeldBytes: beyond it those that have been read for the
+// longest time are refused with 503. Beyond MaxConnections the connections that
+// have been idle for the longest time are closed. A request that is refused here
+// has not reached the handler.
+//
 // # Usage
 //
 //	s := &listener.Server{Addr: "127.0.0.1:8080", Handler: mux}
@@ -34,12 +46,15 @@
 	keepAliveTimeout = 2 * time.Hour
 	// closeCheckInterval is the interval at which connections are checked for having been closed by the caller.
 	closeCheckInterval = 50 * time.Millisecond
+	// acceptRetryDelay is the pause after an error of the listening socket.
+	acceptRetryDelay = 50 * time.Millisecond
 	// drainCheckInterval is the interval at which Stop checks whether the requests in progress have ended.
 	drainCheckInterval = 5 * time.Millisecond
 	// maxOpenFiles is the number of pointers in a table that the library allocates for each server; its default takes 16 MiB.
 	maxOpenFiles            = 1 << 16
 	defaultMaxBodyBytes     = 8 << 20
 	defaultWriteBufferBytes = 4 << 20
+	defaultMaxHeldBytes     = 256 << 20
 )
 
 // Server is one HTTP server. The exported fields are set before Start.
@@ -53,20 +68,36 @@
 	// closed if its reader takes no byte for a time. 0 means 4 MiB.
 	WriteBufferBytes int
 
+	// Limits returns the limits of requests; it is called for each request. If it is nil, the defaults apply.
+	Limits func() Limits
+	// MaxHeldBytes bounds the bytes of all requests that are being read or handled; 0 means 256 MiB.
+	MaxHeldBytes int64
+	// MaxConnections bounds the open connections; 0 means no bound.
+	MaxConnections int
+	// Refuse sets the header of the response to a request that was refused before it reached the handler, and returns the body. OnRefuse
+	// is called with the reason of each refusal. Both may be nil and must not block.
+	Refuse   func(h http.Header, r Refusal) []byte
+	OnRefuse func(reason string)
+
 	// stallTimeout is how long a reader may take no byte while a handler waits for it; 0 means 5 s.
 	stallTimeout time.Duration
 
 	engine *nbhttp.Engine
 	socket net.Listener
 	done   chan struct{}
-	// openCount is used only to order the library's goroutines; see Start.
+	// openCount is the number of connections opened so far. It also orders the library's goroutines; see Start.
 	openCount atomic.Int64
 
 	mu     sync.Mutex
 	active map[net.Conn]context.CancelFunc
 	conns  map[net.Conn]struct{}
-	// written holds the number of bytes that have been sent on each connection, by the library's connection.
-	written sync.Map
+	// connections holds the *connection of each open connection by the library's connection.
+	connections sync.Map
+	// held is the number of bytes of requests that are being read or whose handlers run.
+	held atomic.Int64
+	// tick counts the intervals of closeCheckInterval since Start. It is the clock of time limits: it needs no system call, and time in
+	// which the machine was suspended does not count against clients.
+	tick atomic.Int64
 	// closedIdle are the connections that CloseIdle has closed and the library has not yet reported as closed.
 	closedIdle map[net.Conn]bool
 	// runningTasks counts the library's tasks for requests: running handlers and the sending of their responses.
@@ -91,6 +122,9 @@
 	if s.WriteBufferBytes == 0 {
 		s.WriteBufferBytes = defaultWriteBufferBytes
 	}
+	if s.MaxHeldBytes == 0 {
+		s.MaxHeldBytes = defaultMaxHeldBytes
+	}
 	if s.stallTimeout == 0 {
 		s.stallTimeout = defaultStallTimeout
 	}
@@ -107,7 +141,7 @@
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Network:            "tcp",
 		Addrs:              []string{addr},
-		Listen:             func(string, string) (net.Listener, error) { return blockingListener{ln}, nil },
+		Listen:             func(string, string) (net.Listener, error) { return blockingListener{ln, s.admit}, nil },
 		NPoller:            1,
 		MaxHTTPBodySize:    s.MaxBodyBytes,
 		MaxWriteBufferSize: s.WriteBufferBytes,
@@ -120,15 +154,15 @@
 	// synchronization in Go's memory model. The atomic counter orders the two goroutines.
 	s.engine.OnRequest = s.markActive
 	s.engine.OnWrittenSize(func(c *nbio.Conn, _ []byte, n int) {
-		if written, ok := s.written.Load(c); ok {
-			written.(*atomic.Int64).Add(int64(n))
+		if x := s.connection(c); x != nil {
+			x.written.Add(int64(n))
 		}
 	})
 	s.engine.OnOpen(s.onOpen)
 	s.engine.OnClose(s.onClose)
 	s.engine.OnData(func(c *nbio.Conn, data []byte) {
 		s.openCount.Load()
-		c.DataHandler()(c, data)
+		s.feed(c, data)
 	})
 	if err := s.engine.Start(); err != nil {
 		return "", failer.Wrap(err, "serve on", addr, "start")
@@ -146,22 +180,6 @@
 	}()
 }
 
-func (s *Server) onOpen(c net.Conn) {
-	s.openCount.Add(1)
-	s.written.Store(unwrap(c), &atomic.Int64{})
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.conns[c] = struct{}{}
-}
-
-func (s *Server) onClose(c net.Conn, _ error) {
-	s.written.Delete(unwrap(c))
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.conns, c)
-	delete(s.closedIdle, unwrap(c))
-}
-
 // markActive records that a complete request was read from a connection. It runs before the goroutine of the request, so
 // that CloseIdle does not close the connection in between.
 func (s *Server) markActive(w http.ResponseWriter, _ *http.Request) {
@@ -173,9 +191,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	// A request of a connection that was closed as idle is not passed to the handler.
-	if _, open := s.written.Load(conn); open && !s.closedIdle[conn] {
+	x := s.connection(conn)
+	if x != nil && !s.closedIdle[conn] {
 		s.active[conn] = func() {}
 	}
+	if x != nil {
+		x.mu.Lock()
+		x.parsed++
+		x.pending++
+		x.mu.Unlock()
+	}
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
@@ -183,6 +208,9 @@
 	defer cancel()
 	if res, ok := w.(*nbhttp.Response); ok && res.Parser != nil {
 		conn := unwrap(res.Parser.Conn)
+		if x := s.connection(conn); x != nil {
+			defer s.finish(x)
+		}
 		w = &responseWriter{res: res, req: r, flow: s.newFlow(conn)}
 		s.mu.Lock()
 		closing := s.closedIdle[conn] || isClosed(conn)
@@ -215,6 +243,9 @@
 			return
 		case <-t.C:
 		}
+		if s.tick.Add(1)%sweepTicks == 0 {
+			s.sweep()
+		}
 		s.mu.Lock()
 		for conn, cancel := range s.active {
 			if isClosed(conn) {
@@ -250,18 +281,29 @@
 }
 
 // blockingListener is a listener whose Accept blocks forever once its socket is closed, because the library's accept loop
-// would retry without a pause on the error.
+// would retry without a pause on the error. It returns the connections that admit accepts and closes the others.
 type blockingListener struct {
 	net.Listener
+	admit func() bool
 }
 
 // Accept implements net.Listener.
 func (l blockingListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if errors.Is(err, net.ErrClosed) {
-		select {}
+	for {
+		c, err := l.Listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			select {}
+		}
+		if err != nil {
+			// The library tries again at once, also when the process has no descriptor left.
+			time.Sleep(acceptRetryDelay)
+			return nil, err
+		}
+		if l.admit() {
+			return c, nil
+		}
+		_ = c.Close()
 	}
-	return c, err
 }
 
 // CloseListener closes the listening socket; open connections and requests in progress are unaffected.
