feat(evacuator): send nothing to the targets of evacuated data centres

The operator's records evacuate/DC were ignored, so a data centre could not be emptied before its machines are taken away.

--- a/internal/cataloger/catalog.go
+++ b/internal/cataloger/catalog.go
@@ -60,6 +60,8 @@
 	Public bool
 	// Resumable reports whether a broken stream may be resumed at another target.
 	Resumable bool
+	// Homes holds the regions whose targets may get requests of the route; nil is no restriction, an empty list allows no region.
+	Homes []string
 }
 
 // Retryable reports whether a request of the route may be executed more than once.
@@ -111,6 +113,8 @@
 	HasPriority bool
 	// Isolated accounts share no KV cache with other accounts.
 	Isolated bool
+	// Homes holds the regions whose targets may get requests of the account; nil is no restriction, an empty list allows no region.
+	Homes []string
 }
 
 // Limits bound the size of a request and the time in which a caller must send it.
--- a/internal/cataloger/view.go
+++ b/internal/cataloger/view.go
@@ -83,6 +83,8 @@
 	services map[string][]*Target
 	// desired holds the desired versions of each model, oldest first.
 	desired map[string][]DesiredVersion
+	// evacuated holds the sorted data centres whose targets must not get further calls.
+	evacuated []string
 }
 
 // NewView returns an empty view.
--- a/internal/exporter/forwarding.go
+++ b/internal/exporter/forwarding.go
@@ -19,6 +19,7 @@
 	ConfigAge       = "papayaworks_configuration_age_seconds"
 	CatalogVersion  = "papayaworks_catalog_version"
 	Targets         = "papayaworks_targets"
+	Evacuated       = "papayaworks_evacuated_data_centres"
 	DroppedLogLines = "papayaworks_log_lines_lost_total"
 	Peers           = "papayaworks_instances_heard"
 )
@@ -35,7 +36,7 @@
 
 // ForwardingGauges are functions that are called whenever the metrics are written; a gauge whose function is nil is omitted.
 type ForwardingGauges struct {
-	ConfigAge, CatalogVersion, Targets, DroppedLogLines, Peers func() float64
+	ConfigAge, CatalogVersion, Targets, Evacuated, DroppedLogLines, Peers func() float64
 }
 
 // ForwardingMetrics are the metrics of an instance that forwards calls. The methods are safe for concurrent use.
@@ -49,7 +50,7 @@
 // NewForwardingMetrics returns the metrics of an instance that forwards calls.
 func NewForwardingMetrics(g ForwardingGauges) *ForwardingMetrics {
 	f := &ForwardingMetrics{set: metrics.NewSet(), labels: map[string]map[string]bool{"route": {}, "account": {}}}
-	for name, read := range map[string]func() float64{ConfigAge: g.ConfigAge, CatalogVersion: g.CatalogVersion, Targets: g.Targets, DroppedLogLines: g.DroppedLogLines, Peers: g.Peers} {
+	for name, read := range map[string]func() float64{ConfigAge: g.ConfigAge, CatalogVersion: g.CatalogVersion, Targets: g.Targets, Evacuated: g.Evacuated, DroppedLogLines: g.DroppedLogLines, Peers: g.Peers} {
 		if read != nil {
 			f.set.NewGauge(name, read)
 		}
@@ -79,7 +80,12 @@
 
 // RecordLeftOut counts a target that a choice left out because of what it has said.
 func (f *ForwardingMetrics) RecordLeftOut(service, reason string) {
-	f.set.GetOrCreateCounter(fmt.Sprintf("%s{service=%q,reason=%q}", LeftOut, service, reason)).Inc()
+	f.RecordTargetsLeftOut(service, reason, 1)
+}
+
+// RecordTargetsLeftOut counts n targets that a choice left out for the same reason.
+func (f *ForwardingMetrics) RecordTargetsLeftOut(service, reason string, n int) {
+	f.set.GetOrCreateCounter(fmt.Sprintf("%s{service=%q,reason=%q}", LeftOut, service, reason)).Add(n)
 }
 
 // boundedLabel returns the value, or otherLabel if the label already has maxLabels other values.
@@ -104,10 +110,11 @@
 	{CallSeconds, "histogram", "route, le", "seconds from the arrival of a forwarded call to the first event or the whole answer"},
 	{Attempts, "counter", "service, outcome, reason", "sends of forwarded calls to targets by outcome (done, notRun, repeatable, unknown) and by why the target was chosen"},
 	{StreamEnds, "counter", "service, framing, end", "streams of targets by the framing of the response (length, chunked, none) and by how they ended (see streamEnd in docs/logs.md)"},
-	{LeftOut, "counter", "service, reason", "targets that a choice left out because of what they have said (see leftOut in docs/logs.md)"},
+	{LeftOut, "counter", "service, reason", "targets that a choice left out because of what they have said or where they are (see leftOut in docs/logs.md)"},
 	{ConfigAge, "gauge", "", "seconds since the operator's configuration was last known to be the newest; API keys are refused near the operator's bound"},
 	{CatalogVersion, "gauge", "", "version of the operator's configuration in force at the instance"},
 	{Targets, "gauge", "", "targets that are known, those that are leaving included"},
+	{Evacuated, "gauge", "", "data centres that are evacuated, as far as the instance has read the operator's records"},
 	{DroppedLogLines, "counter", "", "log lines that were lost because nobody read them fast enough"},
 	{Peers, "gauge", "", "other instances that were heard lately"},
 }
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -267,14 +267,13 @@
 }
 
 // usableTargets returns the targets of the call's service that may receive it. Targets that fail, refuse calls, do not
-// respond or swap weights are included only if there are no others. Targets that have said that they accept no further requests
-// are never included, but recorded in c.LeftOut.
+// respond or swap weights are included only if there are no others. Targets that have said that they accept no further requests,
+// and those in the wrong place (see targetsInPlace), are never included, but recorded in c.LeftOut.
 func (s *Server) usableTargets(c *Call, now time.Time, sinceBoot time.Duration) []*cataloger.Target {
-	all := s.Watcher.View().Targets(c.Service.Name)
+	all := s.targetsInPlace(c)
 	var failing []*cataloger.Target
 	out := make([]*cataloger.Target, 0, len(all))
 	limit := s.maxConnections(c.Service)
-	c.LeftOut = nil
 	for _, t := range all {
 		state := s.loads.Status(t.ID, now)
 		switch {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -27,6 +27,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"reflect"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +35,7 @@
 	"github.com/papayaworks/papayaworks/internal/archiver"
 	"github.com/papayaworks/papayaworks/internal/balancer"
 	"github.com/papayaworks/papayaworks/internal/cataloger"
+	"github.com/papayaworks/papayaworks/internal/evacuator"
 	"github.com/papayaworks/papayaworks/internal/exporter"
 	"github.com/papayaworks/papayaworks/internal/failer"
 	"github.com/papayaworks/papayaworks/internal/listener"
@@ -109,6 +111,10 @@
 	SupersededGrace time.Duration
 	// ConfigApplyTimeout is the time after which a published configuration must be in force; 0 means no limit.
 	ConfigApplyTimeout time.Duration
+	// EvacuateTimeout is the time after which the evacuation of a data centre must be in force; 0 means no limit.
+	EvacuateTimeout time.Duration
+	// Regions holds the regions of the data centres; routes and accounts name regions as their homes.
+	Regions evacuator.Regions
 	// LeaseGuardInterval is the time that must pass between commands of two different lease holders to targets.
 	// FencingEnabled reports whether targets check fencing tokens; the interval is not needed then.
 	LeaseGuardInterval time.Duration
@@ -127,7 +133,7 @@
 	if apply := time.Duration(configApplyFraction * float64(set.ConfigApplyTimeout)); apply > 0 && (out == 0 || apply < out) {
 		out = apply
 	}
-	return out
+	return set.evacuateInterval(out)
 }
 
 // sharedReadInterval returns the time between two reads of the configuration by an instance to which others say when it has changed. Only
@@ -137,7 +143,7 @@
 	if apply := time.Duration(configApplyFraction * float64(set.ConfigApplyTimeout)); apply > 0 && (out == 0 || apply < out) {
 		out = apply
 	}
-	return out
+	return set.evacuateInterval(out)
 }
 
 // Server is one entry instance. The exported fields are set before Run or Start.
@@ -190,7 +196,7 @@
 // the guard interval of the updater.
 func (s *Server) Reload(set *Settings) {
 	previous := s.settings()
-	changed := *set != *previous
+	changed := !reflect.DeepEqual(set, previous)
 	s.reloaded.Store(set)
 	s.Watcher.SetSharedReadInterval(set.sharedReadInterval())
 	s.Watcher.SetLongPollTimeout(set.longPollTimeout())
--- a/internal/forwarder/report.go
+++ b/internal/forwarder/report.go
@@ -157,6 +157,7 @@
 	g := exporter.ForwardingGauges{
 		ConfigAge: func() float64 { return s.Watcher.ConfigAge().Seconds() },
 		Targets:   func() float64 { return float64(len(s.Watcher.View().TargetIDs())) },
+		Evacuated: func() float64 { return float64(len(s.Watcher.View().Evacuated())) },
 		CatalogVersion: func() float64 {
 			if c := s.Watcher.View().Catalog; c != nil {
 				return float64(c.Version)
--- a/internal/forwarder/stale_test.go
+++ b/internal/forwarder/stale_test.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"testing"
@@ -41,7 +42,7 @@
 }
 
 // Guards against an instance that reads rarely because others tell it of changes, and is then not ready, refuses valid keys or has a
-// configuration too late if they are silent.
+// configuration or an evacuation too late if they are silent.
 func TestSharedReadIntervalKeepsBounds(t *testing.T) {
 	tests := map[string]struct {
 		set  Settings
@@ -52,6 +53,10 @@
 		"configuration":         {Settings{ConfigApplyTimeout: 2 * time.Second}, 1600 * time.Millisecond},
 		"keys are stricter":     {Settings{KeyTTL: 2 * time.Second, ConfigApplyTimeout: 4 * time.Second}, 1100 * time.Millisecond},
 		"the other is stricter": {Settings{KeyTTL: 5 * time.Second, ConfigApplyTimeout: 3 * time.Second}, 2400 * time.Millisecond},
+		"evacuations":           {Settings{EvacuateTimeout: time.Second}, 800 * time.Millisecond},
+		"evacuations are late":  {Settings{EvacuateTimeout: 5 * time.Second}, 0},
+		"later than the others": {Settings{KeyTTL: 5 * time.Second, EvacuateTimeout: 5 * time.Second}, 2750 * time.Millisecond},
+		"the strictest":         {Settings{KeyTTL: 5 * time.Second, ConfigApplyTimeout: 3 * time.Second, EvacuateTimeout: 2 * time.Second}, 1600 * time.Millisecond},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -63,6 +68,10 @@
 			if apply := tc.set.ConfigApplyTimeout; apply > 0 {
 				require.Less(t, got, apply)
 			}
+			if evacuate := tc.set.EvacuateTimeout; evacuate > 0 {
+				require.Less(t, cmp.Or(got, watcher.DefaultReadInterval), evacuate)
+				require.Less(t, cmp.Or(tc.set.longPollTimeout(), watcher.DefaultReadInterval), evacuate)
+			}
 		})
 	}
 }
--- a/internal/watcher/sharing.go
+++ b/internal/watcher/sharing.go
@@ -28,6 +28,9 @@
 	minWakeFraction = 0.5
 )
 
+// DefaultReadInterval is the longest time between two reads of the operator's source, unless SetSharedReadInterval sets a longer one.
+const DefaultReadInterval = defaultLongPollTimeout
+
 // readersKey is the hash key of the rank order of readers. All instances share it.
 var readersKey = hasher.Hash("readers")
 
--- a/internal/watcher/sharing_test.go
+++ b/internal/watcher/sharing_test.go
@@ -66,7 +66,7 @@
 	return s.batch(from, false), nil
 }
 
-// countedOperator is an operator's source whose configuration changes once.
+// countedOperator is an operator's source whose configuration changes once; a data centre is evacuated at the same time.
 type countedOperator struct {
 	started   time.Time
 	changesAt time.Duration
@@ -78,7 +78,7 @@
 	b := Batch{NextOffset: 1, Era: 1, Changes: []Change{ConfigChange{cataloger.New(1, nil, nil, nil, cataloger.Limits{})}}}
 	if s.changesAt > 0 && time.Since(s.started) >= s.changesAt {
 		b.NextOffset = 2
-		b.Changes = append(b.Changes, ConfigChange{cataloger.New(2, nil, nil, nil, cataloger.Limits{})})
+		b.Changes = append(b.Changes, ConfigChange{cataloger.New(2, nil, nil, nil, cataloger.Limits{})}, EvacuationChange{"z", true})
 	}
 	return b
 }
@@ -191,7 +191,7 @@
 	})
 }
 
-// Guards against a leaving target or a new configuration that instances which read rarely notice too late, with readers and without any
+// Guards against a leaving target, a new configuration or an evacuation that instances which read rarely notice too late, with readers and without any
 // that they hear of.
 func TestSharedReadsNoticeChanges(t *testing.T) {
 	const changesAt = 30 * time.Second
@@ -217,6 +217,7 @@
 				}
 				for i, in := range all {
 					require.EqualValues(t, 2, in.View().Catalog.Version, "instance %d", i)
+					require.True(t, in.View().IsEvacuated("z"), "instance %d", i)
 				}
 			})
 		})
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -52,7 +52,7 @@
 	reregistrationGrace = 2200 * time.Millisecond
 )
 
-// Change is one published change: ConfigChange, DesiredVersionChange, TargetUpdated, TargetRemoved or InvalidRecord.
+// Change is one published change: ConfigChange, DesiredVersionChange, EvacuationChange, TargetUpdated, TargetRemoved or InvalidRecord.
 type Change interface{ change() }
 
 // ConfigChange is a new configuration.
@@ -64,6 +64,12 @@
 	Version int64
 }
 
+// EvacuationChange says whether the targets of a data centre must not get further calls.
+type EvacuationChange struct {
+	DataCentre  string
+	IsEvacuated bool
+}
+
 // TargetUpdated is a new registration record of one target.
 type TargetUpdated struct{ Target *cataloger.Target }
 
@@ -78,6 +84,7 @@
 
 func (ConfigChange) change()         {}
 func (DesiredVersionChange) change() {}
+func (EvacuationChange) change()     {}
 func (TargetUpdated) change()        {}
 func (TargetRemoved) change()        {}
 func (InvalidRecord) change()        {}
@@ -258,7 +265,7 @@
 	if e.batch.IsSnapshot && len(present) > 0 {
 		w.removeMissing(d, present, e.afterOutage, now)
 	}
-	v = v.WithDraft(d)
+	v = w.applyEvacuations(v.WithDraft(d), e)
 	w.publish(old, v)
 	if e.fromTargets {
 		changed := !isSameTargets(old, v) || len(w.expired) != expired
