feat(evacuator): keep calls and KV cache in the homes of routes and accounts

Routes and accounts may name regions that their calls must not leave (allowed_regions); they were ignored. Regions that cannot be read allow nothing and do not hold back the configuration. The archiver keeps the data centre of a store that the configuration moves.

Run: go test ./internal/archiver ./internal/forwarder, go test ./platform -run 'Home|Region|Evacu|Check|Settings|WireNames': ok.

--- a/internal/archiver/archiver.go
+++ b/internal/archiver/archiver.go
@@ -24,7 +24,7 @@
 //	a := &archiver.Archiver{Self: id, Client: c, Log: log}
 //	a.SetStores(ctx, stores)
 //	a.SetInstances(ctx, ids)
-//	plan := a.Plan(scope, blockIDs, now)
+//	plan := a.Plan(scope, blockIDs, allowed, now)
 package archiver
 
 import (
@@ -141,10 +141,11 @@
 func (a *Archiver) reuse(cs *cataloger.KVStore) *store {
 	for _, old := range a.stores {
 		if old.Address == cs.Address {
+			old.dataCentre = cs.DataCentre
 			return old
 		}
 	}
-	return &store{KVStore: cs, key: Block{ID: cs.Address}.Key(), blocks: map[uint64]Block{}}
+	return &store{KVStore: cs, dataCentre: cs.DataCentre, key: Block{ID: cs.Address}.Key(), blocks: map[uint64]Block{}}
 }
 
 // SetInstances sets the instances among which the stores are divided, this one included.
--- a/internal/archiver/archiver_test.go
+++ b/internal/archiver/archiver_test.go
@@ -54,7 +54,7 @@
 	a, _ := newArchiver(t, "a", "a")
 	s := a.stores[0]
 	now := time.Now()
-	fetchable := func() bool { return a.Plan("m/1", []string{"x"}, now).FetchFrom[0] != "" }
+	fetchable := func() bool { return a.Plan("m/1", []string{"x"}, nil, now).FetchFrom[0] != "" }
 	require.False(t, fetchable(), "no event received")
 	a.apply(s, EventBatch{Epoch: 1, NextOffset: 1, Events: []Event{completeX}}, now)
 	require.True(t, fetchable())
@@ -71,8 +71,8 @@
 	a.markUnreachable(s, errors.New("no response"))
 	require.False(t, fetchable(), "store unreachable")
 	a.apply(s, EventBatch{Epoch: 2, NextOffset: 9, Events: []Event{completeX}}, now)
-	require.Empty(t, a.Plan("m/1", []string{"x"}, now.Add(updateTTL)).FetchFrom[0], "no read within updateTTL")
-	require.Empty(t, a.Plan("m/2", []string{"x"}, now).FetchFrom[0], "other weights")
+	require.Empty(t, a.Plan("m/1", []string{"x"}, nil, now.Add(updateTTL)).FetchFrom[0], "no read within updateTTL")
+	require.Empty(t, a.Plan("m/2", []string{"x"}, nil, now).FetchFrom[0], "other weights")
 }
 
 // Guards against saving a block with each request while the first save is in progress.
@@ -80,10 +80,10 @@
 	a, _ := newArchiver(t, "a", "a")
 	now := time.Now()
 	a.apply(a.stores[0], EventBatch{Epoch: 1}, now)
-	require.Equal(t, "s:1", a.Plan("m/1", []string{"x"}, now).SaveTo[0])
-	require.Empty(t, a.Plan("m/1", []string{"x"}, now.Add(time.Second)).SaveTo[0])
+	require.Equal(t, "s:1", a.Plan("m/1", []string{"x"}, nil, now).SaveTo[0])
+	require.Empty(t, a.Plan("m/1", []string{"x"}, nil, now.Add(time.Second)).SaveTo[0])
 	a.stores[0].updatedAt = now.Add(2 * saveTimeout)
-	require.Equal(t, "s:1", a.Plan("m/1", []string{"x"}, now.Add(2*saveTimeout)).SaveTo[0], "save timed out")
+	require.Equal(t, "s:1", a.Plan("m/1", []string{"x"}, nil, now.Add(2*saveTimeout)).SaveTo[0], "save timed out")
 }
 
 // Guards against more readers than a store supports, against instances that never receive a block because an
@@ -131,7 +131,7 @@
 			}
 		}
 		require.Equal(t, sendersPerPeer, senders)
-		require.Equal(t, "s:1", a.Plan("m/1", []string{"x"}, now).FetchFrom[0])
+		require.Equal(t, "s:1", a.Plan("m/1", []string{"x"}, nil, now).FetchFrom[0])
 	}
 }
 
@@ -150,7 +150,7 @@
 			continue
 		}
 		old := StoreUpdate{Store: s.key, Epoch: 7, Blocks: []uint64{completeX.Block.Key()}}
-		fetchable := func() bool { return a.Plan("m/1", []string{"x"}, now).FetchFrom[0] != "" }
+		fetchable := func() bool { return a.Plan("m/1", []string{"x"}, nil, now).FetchFrom[0] != "" }
 		a.Merge([]StoreUpdate{old}, now)
 		require.True(t, fetchable())
 		a.Merge([]StoreUpdate{{Store: s.key, Epoch: 5}}, now)
@@ -168,9 +168,48 @@
 	a.apply(a.stores[0], EventBatch{Epoch: 1, Events: []Event{completeX, {Block: Block{"m/2", "y"}, Complete: true}}}, time.Now())
 	a.Free(context.Background(), func(scope string) bool { return scope == "m/1" })
 	require.Equal(t, [][]Block{{{"m/1", "x"}}}, f.freed)
-	require.Empty(t, a.Plan("m/1", []string{"x"}, time.Now()).FetchFrom[0])
-	require.NotEmpty(t, a.Plan("m/2", []string{"y"}, time.Now()).FetchFrom[0])
+	require.Empty(t, a.Plan("m/1", []string{"x"}, nil, time.Now()).FetchFrom[0])
+	require.NotEmpty(t, a.Plan("m/2", []string{"y"}, nil, time.Now()).FetchFrom[0])
 	a.stores[0].rank = 1
 	a.Free(context.Background(), func(string) bool { return true })
 	require.Len(t, f.freed, 1)
 }
+
+// Guards against blocks that are fetched from or saved to a store in a data centre that the call may not use, also after the configuration
+// has moved the store, and against calls without KV cache although an allowed store is left.
+func TestStoresOutsideHomes(t *testing.T) {
+	a := &Archiver{Self: "a", Client: &fakeClient{}, Log: logger.Discard()}
+	set := func(dataCentre1, dataCentre2 string) {
+		a.SetStores(t.Context(), []*cataloger.Service{
+			{Name: "s1", Store: &cataloger.KVStore{Address: "s:1", DataCentre: dataCentre1, CapacityTokens: 1000}},
+			{Name: "s2", Store: &cataloger.KVStore{Address: "s:2", DataCentre: dataCentre2, CapacityTokens: 1000}},
+		})
+	}
+	set("home", "away")
+	now := time.Now()
+	var ids []string
+	var complete []Event
+	for i := range 20 {
+		ids = append(ids, fmt.Sprint("b", i))
+		complete = append(complete, Event{Block: Block{"m/1", ids[i]}, Complete: true})
+	}
+	for _, s := range a.stores {
+		a.apply(s, EventBatch{Epoch: 1, NextOffset: 1, Events: complete}, now)
+	}
+	home := func(dataCentre string) bool { return dataCentre == "home" }
+	nowhere := func(string) bool { return false }
+	require.Contains(t, a.Plan("m/1", ids, nil, now).FetchFrom, "s:2")
+	for _, scope := range []string{"m/1", "m/2"} { // complete everywhere, and nowhere
+		p := a.Plan(scope, ids, home, now)
+		for i := range ids {
+			require.Equal(t, "s:1", p.FetchFrom[i]+p.SaveTo[i])
+		}
+		p = a.Plan(scope, ids, nowhere, now)
+		require.Equal(t, make([]string, len(ids)), p.FetchFrom)
+		require.Equal(t, make([]string, len(ids)), p.SaveTo)
+	}
+	require.Equal(t, len(ids), a.Lookup("m/1", ids, home, now))
+	require.Zero(t, a.Lookup("m/1", ids, nowhere, now))
+	set("away", "home")
+	require.NotContains(t, a.Plan("m/1", ids, home, now).FetchFrom, "s:1", "the store has moved")
+}
--- a/internal/archiver/plan.go
+++ b/internal/archiver/plan.go
@@ -13,28 +13,31 @@
 	FetchFrom, SaveTo []string
 }
 
-// Lookup returns the number of leading blocks that can be fetched.
-func (a *Archiver) Lookup(scope string, ids []string, now time.Time) int {
+// Allowed reports whether the KV stores of a data centre may be used; nil allows all.
+type Allowed func(dataCentre string) bool
+
+// Lookup returns the number of leading blocks that can be fetched from the allowed stores.
+func (a *Archiver) Lookup(scope string, ids []string, allowed Allowed, now time.Time) int {
 	a.mu.RLock()
 	defer a.mu.RUnlock()
 	for i, id := range ids {
 		key := Block{scope, id}.Key()
-		if s := a.storeFor(key); s == nil || !s.contains(key, now) {
+		if s := a.storeFor(key, allowed); s == nil || !s.contains(key, now) {
 			return i
 		}
 	}
 	return len(ids)
 }
 
-// Plan returns where to fetch and save the blocks of a prompt. The saves are recorded as pending, so that concurrent
+// Plan returns where to fetch and save the blocks of a prompt, among the allowed stores. The saves are recorded as pending, so that concurrent
 // requests do not save the same blocks.
-func (a *Archiver) Plan(scope string, ids []string, now time.Time) Plan {
+func (a *Archiver) Plan(scope string, ids []string, allowed Allowed, now time.Time) Plan {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	p := Plan{FetchFrom: make([]string, len(ids)), SaveTo: make([]string, len(ids))}
 	for i, id := range ids {
 		key := Block{scope, id}.Key()
-		s := a.storeFor(key)
+		s := a.storeFor(key, allowed)
 		switch {
 		case s == nil || !s.usable(now):
 		case s.contains(key, now):
@@ -59,11 +62,14 @@
 	a.pendingSaves[key] = now
 }
 
-// storeFor returns the store of a block by weighted rendezvous hashing; a.mu is held.
-func (a *Archiver) storeFor(key uint64) *store {
+// storeFor returns the store of a block by weighted rendezvous hashing among the allowed ones; nil if there is none. a.mu is held.
+func (a *Archiver) storeFor(key uint64, allowed Allowed) *store {
 	var best *store
 	top := math.Inf(-1)
 	for _, s := range a.stores {
+		if allowed != nil && !allowed(s.dataCentre) {
+			continue
+		}
 		u := (float64(hasher.Mix64(key^s.key)>>11) + 1) / (1 << 53)
 		if score := -float64(s.CapacityTokens) / math.Log(u); best == nil || score > top {
 			top, best = score, s
--- a/internal/archiver/store.go
+++ b/internal/archiver/store.go
@@ -10,6 +10,8 @@
 // store is the local state of one KV store.
 type store struct {
 	*cataloger.KVStore
+	// dataCentre is that of the newest configuration, which may move a store without a change of its address. a.mu guards it.
+	dataCentre string
 	// key is the store's hash, by which blocks are assigned to stores and stores to instances.
 	key uint64
 	// cancel stops following the store; it is nil while this instance does not follow it.
--- a/internal/cataloger/catalog.go
+++ b/internal/cataloger/catalog.go
@@ -134,6 +134,8 @@
 	UnknownKinds []string
 	// UnreadableNumbers names the numbers that could not be read and count as zero.
 	UnreadableNumbers []string
+	// UnreadableHomes names the routes and accounts whose homes could not all be read; those that could not are no homes.
+	UnreadableHomes []string
 
 	routes map[string][]Route
 	keys   map[string]*Account
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -236,7 +236,7 @@
 			_, scope := s.versionAndScope(c, t)
 			keys[version] = scopedKeys(scope, ids)
 			if s.Archiver != nil {
-				stored[version] = tokenCount(p.Blocks[:s.Archiver.Lookup(scope, ids, now)])
+				stored[version] = tokenCount(p.Blocks[:s.Archiver.Lookup(scope, ids, s.storesAllowed(c), now)])
 			}
 		}
 		cand.HashRank, cand.StoredTokens = ranks[i], stored[version]
--- a/internal/forwarder/places.go
+++ b/internal/forwarder/places.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/papayaworks/papayaworks/internal/archiver"
 	"github.com/papayaworks/papayaworks/internal/cataloger"
 	"github.com/papayaworks/papayaworks/internal/evacuator"
 	"github.com/papayaworks/papayaworks/internal/throttler"
@@ -36,6 +37,16 @@
 	return choice.Targets
 }
 
+// storesAllowed returns which KV stores the call may use: those in its homes.
+func (s *Server) storesAllowed(c *Call) archiver.Allowed {
+	homes := evacuator.HomesOf(c.Route, c.Account)
+	if !homes.IsRestricted() {
+		return nil
+	}
+	regions := s.settings().Regions
+	return func(dataCentre string) bool { return homes.Allow(dataCentre, regions) }
+}
+
 // recordLeftOut records targets that must not get the call.
 func (s *Server) recordLeftOut(c *Call, targets []*cataloger.Target, reason evacuator.Reason) {
 	if len(targets) == 0 {
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -242,7 +242,7 @@
 	if !ok {
 		return
 	}
-	plan := a.Plan(c.Scope, c.Headers.Prompt.sharedBlockIDs(), time.Now())
+	plan := a.Plan(c.Scope, c.Headers.Prompt.sharedBlockIDs(), x.s.storesAllowed(c), time.Now())
 	headers.FetchFrom, headers.SaveTo = append(plan.FetchFrom, ""), append(plan.SaveTo, "")
 	headers.FetchDeadline = clock + time.Duration(fetchFraction*float64(c.Route.Objective)) + balancer.PrefillTime(c.Headers.Prompt.SharedTokens())
 }
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -300,6 +300,9 @@
 		if len(c.Catalog.UnreadableNumbers) > 0 {
 			w.Log.WithField("version", c.Catalog.Version).WithField("fields", c.Catalog.UnreadableNumbers).Warn("numbers of the configuration cannot be read")
 		}
+		if len(c.Catalog.UnreadableHomes) > 0 {
+			w.Log.WithField("version", c.Catalog.Version).WithField("of", c.Catalog.UnreadableHomes).Warn("homes of the configuration cannot be read")
+		}
 		return n
 	case DesiredVersionChange:
 		w.Log.WithField("model", c.Model).WithField("version", c.Version).WithField("publishTimeKnown", e.publishedAt != cataloger.UnknownTime).
