--- a/internal/forwarder/places_test.go
+++ b/internal/forwarder/places_test.go
@@ -42,7 +42,10 @@
 	})
 	s.Archiver.SetInstances(t.Context(), []string{"a"})
 	require.Eventually(t, func() bool { _, ok := s.Archiver.TargetClock(); return ok }, 5*time.Second, 5*time.Millisecond)
-	time.Sleep(50 * time.Millisecond) // until the other lists are read
+	for _, dc := range []string{"dc-0", "dc-1", "dc-2"} { // until the list of each store is read
+		only := func(dataCentre string) bool { return dataCentre == dc }
+		require.Eventually(t, func() bool { return s.Archiver.Plan("m/0/"+dc, []string{"x"}, only, time.Now()).SaveTo[0] != "" }, 5*time.Second, 5*time.Millisecond)
+	}
 	tests := map[string]struct {
 		route, account []string
 		want           []string
