feat(warmer): share the bound on requests to cold targets among instances

Targets that came back together were chosen by all instances, since they had no load, and got more requests in a second than they accept while they are cold.

--- a/internal/cataloger/catalog.go
+++ b/internal/cataloger/catalog.go
@@ -96,6 +96,10 @@
 	Name           string
 	HealthPath     string
 	MaxConnections int
+	// ColdPerSecond is the number of requests per second that a target accepts from all instances together while it is cold; 0 means that
+	// there is no bound. ColdStart is how long a target is cold after its start.
+	ColdPerSecond float64
+	ColdStart     time.Duration
 	// Engine is nil for services that are not inference engines.
 	Engine *Engine
 	// Store is non-nil for a KV store, which has no targets.
