feat(forwarder): send to targets that are warming up within their bound

A target that came back was chosen by every instance, as it had no load, and got more requests than it accepts while it is cold. Instances announce targets that are down or cold in an optional field that earlier builds ignore.

--- a/internal/announcer/compatibility_test.go
+++ b/internal/announcer/compatibility_test.go
@@ -6,6 +6,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/papayaworks/papayaworks/internal/warmer"
 	"github.com/papayaworks/papayaworks/internal/watcher"
 )
 
@@ -31,7 +32,8 @@
 	load := map[string]InFlight{"t": {Requests: 2, Tokens: 30}}
 	data, err := marshal(announcement{
 		ID: "a", Sequence: 3, StartedUnixNano: 4, DataCentre: "z",
-		State: State{InFlightByTarget: load, Progress: watcher.Progress{Era: 1, Offset: 2, Version: 3, ConfirmedAgeMs: 4}, ConfirmedAgeMs: 4, LoadSeparate: true},
+		State: State{InFlightByTarget: load, Progress: watcher.Progress{Era: 1, Offset: 2, Version: 3, ConfirmedAgeMs: 4}, ConfirmedAgeMs: 4, LoadSeparate: true,
+			Warming: []warmer.Announced{{Down: true}}},
 	})
 	require.NoError(t, err)
 	var earlier earlierAnnouncement
@@ -46,6 +48,7 @@
 	require.NoError(t, msgpack.Unmarshal(data, &an))
 	require.Equal(t, load, an.State.InFlightByTarget)
 	require.Equal(t, watcher.Progress{Era: 1, Offset: 2, Version: 3}, an.State.Progress)
+	require.Empty(t, an.State.Warming)
 	require.Nil(t, an.Load)
 	require.Nil(t, an.Digest)
 }
--- a/internal/announcer/encoder.go
+++ b/internal/announcer/encoder.go
@@ -9,15 +9,17 @@
 
 	"github.com/papayaworks/papayaworks/internal/archiver"
 	"github.com/papayaworks/papayaworks/internal/logger"
+	"github.com/papayaworks/papayaworks/internal/warmer"
 )
 
 // encoder encodes one announcement for several peers. The datagrams differ only in the store updates, in the load, which some peers
-// get separately, and in the ages of published versions if they are sent at different times.
+// get separately, and in the ages of published versions and warm-ups if they are sent at different times.
 type encoder struct {
 	a         *Announcer
 	an        announcement
 	updates   []archiver.StoreUpdate
 	published []PublishedVersion
+	warming   []warmer.Announced
 	inFlight  map[string]InFlight
 	regional  bool
 	// skipEmpty reports whether peers that learn of load, progress and signs of life otherwise get nothing if there is nothing else.
@@ -36,15 +38,19 @@
 	isNew := now.UnixNano()-a.startedUnixNano < int64(helloTime)
 	return &encoder{
 		a: a, an: announcement{ID: a.Self.ID, DataCentre: a.Self.DataCentre, Sequence: a.sequence.Add(1), StartedUnixNano: a.startedUnixNano, State: st},
-		updates: st.StoreUpdates, published: st.Published, inFlight: st.InFlightByTarget, regional: regional, skipEmpty: regional && !isNew && st.isEmpty(), createdAt: now, encoded: map[string][]byte{},
+		updates: st.StoreUpdates, published: st.Published, warming: st.Warming, inFlight: st.InFlightByTarget, regional: regional, skipEmpty: regional && !isNew && st.isEmpty(), createdAt: now, encoded: map[string][]byte{},
 	}
 }
 
-// setTime adjusts the ages of published versions to the time at which the next datagrams are sent.
+// setTime adjusts the ages of published versions and of warm-ups to the time at which the next datagrams are sent.
 func (e *encoder) setTime(now time.Time) {
-	if len(e.published) == 0 {
+	if len(e.published)+len(e.warming) == 0 {
 		return
 	}
+	e.an.State.Warming = slices.Clone(e.warming)
+	for i := range e.warming {
+		e.an.State.Warming[i] = e.warming[i].At(now.Sub(e.createdAt))
+	}
 	e.an.State.Published = slices.Clone(e.published)
 	for i := range e.published {
 		if e.published[i].Age >= 0 {
--- a/internal/announcer/state.go
+++ b/internal/announcer/state.go
@@ -6,6 +6,7 @@
 	"github.com/papayaworks/papayaworks/internal/archiver"
 	"github.com/papayaworks/papayaworks/internal/quarantiner"
 	"github.com/papayaworks/papayaworks/internal/throttler"
+	"github.com/papayaworks/papayaworks/internal/warmer"
 	"github.com/papayaworks/papayaworks/internal/watcher"
 )
 
@@ -47,6 +48,8 @@
 	Quarantined []quarantiner.Entry `msgpack:"q,omitempty"`
 	// Statements holds what targets have recently said about the requests that they accept.
 	Statements []throttler.Announced `msgpack:"t,omitempty"`
+	// Warming holds which targets were recently found to be warming up or down.
+	Warming []warmer.Announced `msgpack:"w,omitempty"`
 	// Progress is how far this instance has read the operator's records.
 	Progress watcher.Progress `msgpack:"o"`
 	// ConfirmedAgeMs is [watcher.Progress.ConfirmedAgeMs].
@@ -55,7 +58,7 @@
 
 // isEmpty reports whether the state holds nothing beside load, progress and the updates of KV stores.
 func (s *State) isEmpty() bool {
-	return len(s.Versions)+len(s.Swapping)+len(s.Published)+len(s.Crashes)+len(s.Quarantined)+len(s.Statements) == 0
+	return len(s.Versions)+len(s.Swapping)+len(s.Published)+len(s.Crashes)+len(s.Quarantined)+len(s.Statements)+len(s.Warming) == 0
 }
 
 // announcement is the payload of a datagram. Announcements are ordered by the start of the sender's process, then by
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -69,6 +69,9 @@
 	recentHitRate = 0.5
 	// supersededPenalty is the cost, as time, of a response from superseded weights.
 	supersededPenalty = 120 * time.Millisecond
+	// warmingFactor multiplies the time that a target takes for the request itself while it is warming up: it is slow, and a long prompt
+	// waits there. It is small, as the number of requests is bounded by other means and the target is not to be left idle.
+	warmingFactor = 1.25
 	// costJitter is the largest random increase of a cost, as a fraction of it; it keeps instances with the same view from
 	// all choosing the same target.
 	costJitter = 0.1
@@ -98,6 +101,8 @@
 	MeanDuration time.Duration
 	// Superseded reports whether the target still has older weights some time after the operator requested newer ones.
 	Superseded bool
+	// Warming reports whether the target is warming up after its start.
+	Warming bool
 }
 
 // Input holds everything a decision depends on.
@@ -188,7 +193,7 @@
 	}
 	if !in.IsEngine {
 		fill := float64(c.Outstanding) / float64(slots)
-		d.Cost += d.QueueDelay + time.Duration(float64(c.MeanDuration)*(1+fill*fill))
+		d.Cost += d.QueueDelay + time.Duration(float64(c.MeanDuration)*(1+fill*fill)*c.warmingFactor())
 		return d
 	}
 	if c.HashRank == 0 {
@@ -204,11 +209,19 @@
 	fetch := max(0, float64(c.StoredTokens)-cached) / fetchTokensPerSec
 	d.PrefillTokens = in.SharedTokens + in.UniqueTokens - int(max(cached, float64(c.StoredTokens)))
 	slowdown := 1 + slowdownPerRun*float64(c.Outstanding)
-	prefill := (float64(c.QueuedPrefillTokens)+prefillCostWeight*float64(d.PrefillTokens))/prefillTokensPerSec*slowdown + fetch
+	prefill := (float64(c.QueuedPrefillTokens)+prefillCostWeight*float64(d.PrefillTokens)*c.warmingFactor())/prefillTokensPerSec*slowdown + fetch
 	d.Cost += d.QueueDelay + time.Duration(prefill*float64(time.Second))
 	return d
 }
 
+// warmingFactor returns the factor of the time that the target takes for the request itself.
+func (c Candidate) warmingFactor() float64 {
+	if c.Warming {
+		return warmingFactor
+	}
+	return 1
+}
+
 // PrefillTime returns how long a lightly loaded engine takes to prefill a number of prompt tokens.
 func PrefillTime(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / prefillTokensPerSec * float64(time.Second))
--- a/internal/exporter/forwarding.go
+++ b/internal/exporter/forwarding.go
@@ -16,6 +16,8 @@
 	Attempts        = "papayaworks_attempts_total"
 	StreamEnds      = "papayaworks_stream_ends_total"
 	LeftOut         = "papayaworks_targets_left_out_total"
+	WarmupSends     = "papayaworks_warmup_sends_total"
+	TargetsCold     = "papayaworks_targets_cold"
 	ConfigAge       = "papayaworks_configuration_age_seconds"
 	CatalogVersion  = "papayaworks_catalog_version"
 	Targets         = "papayaworks_targets"
@@ -35,7 +37,7 @@
 
 // ForwardingGauges are functions that are called whenever the metrics are written; a gauge whose function is nil is omitted.
 type ForwardingGauges struct {
-	ConfigAge, CatalogVersion, Targets, DroppedLogLines, Peers func() float64
+	ConfigAge, CatalogVersion, Targets, TargetsCold, DroppedLogLines, Peers func() float64
 }
 
 // ForwardingMetrics are the metrics of an instance that forwards calls. The methods are safe for concurrent use.
@@ -49,7 +51,7 @@
 // NewForwardingMetrics returns the metrics of an instance that forwards calls.
 func NewForwardingMetrics(g ForwardingGauges) *ForwardingMetrics {
 	f := &ForwardingMetrics{set: metrics.NewSet(), labels: map[string]map[string]bool{"route": {}, "account": {}}}
-	for name, read := range map[string]func() float64{ConfigAge: g.ConfigAge, CatalogVersion: g.CatalogVersion, Targets: g.Targets, DroppedLogLines: g.DroppedLogLines, Peers: g.Peers} {
+	for name, read := range map[string]func() float64{ConfigAge: g.ConfigAge, CatalogVersion: g.CatalogVersion, Targets: g.Targets, TargetsCold: g.TargetsCold, DroppedLogLines: g.DroppedLogLines, Peers: g.Peers} {
 		if read != nil {
 			f.set.NewGauge(name, read)
 		}
@@ -82,6 +84,11 @@
 	f.set.GetOrCreateCounter(fmt.Sprintf("%s{service=%q,reason=%q}", LeftOut, service, reason)).Inc()
 }
 
+// RecordWarmupSend counts a request that is sent to a target which is warming up or unreachable.
+func (f *ForwardingMetrics) RecordWarmupSend(service string) {
+	f.set.GetOrCreateCounter(fmt.Sprintf("%s{service=%q}", WarmupSends, service)).Inc()
+}
+
 // boundedLabel returns the value, or otherLabel if the label already has maxLabels other values.
 func (f *ForwardingMetrics) boundedLabel(label, value string) string {
 	f.mu.Lock()
@@ -104,7 +111,9 @@
 	{CallSeconds, "histogram", "route, le", "seconds from the arrival of a forwarded call to the first event or the whole answer"},
 	{Attempts, "counter", "service, outcome, reason", "sends of forwarded calls to targets by outcome (done, notRun, repeatable, unknown) and by why the target was chosen"},
 	{StreamEnds, "counter", "service, framing, end", "streams of targets by the framing of the response (length, chunked, none) and by how they ended (see streamEnd in docs/logs.md)"},
-	{LeftOut, "counter", "service, reason", "targets that a choice left out because of what they have said (see leftOut in docs/logs.md)"},
+	{LeftOut, "counter", "service, reason", "targets that a choice left out because of what they have said, or because they are warming up (see leftOut in docs/logs.md)"},
+	{WarmupSends, "counter", "service", "requests that were sent to targets that are warming up or unreachable, within the share of the instance"},
+	{TargetsCold, "gauge", "", "targets that are warming up or unreachable, so that few instances send to them; only those of services with a bound"},
 	{ConfigAge, "gauge", "", "seconds since the operator's configuration was last known to be the newest; API keys are refused near the operator's bound"},
 	{CatalogVersion, "gauge", "", "version of the operator's configuration in force at the instance"},
 	{Targets, "gauge", "", "targets that are known, those that are leaving included"},
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -96,6 +96,8 @@
 	Load     *balancer.Load
 	// Statement is what the target says about the requests that it accepts.
 	Statement throttler.Statement
+	// Warmup is how long the target says that it is still warming up; nil if it does not say so.
+	Warmup *time.Duration
 	// WeightVersions are the target's weight versions by model; the empty name stands for the model of the call.
 	WeightVersions map[string]int64
 }
--- a/internal/forwarder/crashes.go
+++ b/internal/forwarder/crashes.go
@@ -101,6 +101,7 @@
 	}
 	now := time.Now()
 	d.s.loads.RecordConnectFailure(t.ID, now)
+	d.s.recordUnreachable(t, err, now)
 	for _, c := range calls {
 		d.s.quarantine.RecordCrash(p, c.blocks, now)
 	}
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -183,12 +183,12 @@
 }
 
 // chooseTarget returns the decision of the balancer among the targets that can receive the call. It counts the call against the limit
-// of the target.
+// and the warm-up of the target.
 func (s *Server) chooseTarget(c *Call, now time.Time) (balancer.Decision, error) {
 	for {
 		d, err := s.balance(c, now)
 		// Another call may have used up the limit meanwhile; the target is no candidate any more then.
-		if err != nil || s.throttle.Take(throttler.ProcessOf(d.Target), now) {
+		if err != nil || s.take(c, d.Target, now) {
 			return d, err
 		}
 	}
@@ -206,6 +206,7 @@
 		in.LoadUnknown = in.LoadUnknown || !known
 		in.Candidates = append(in.Candidates, balancer.Candidate{
 			Target: t, Remote: t.DataCentre != s.settings().DataCentre, HashRank: 1, MeanDuration: mean, Superseded: s.supersededFor(c, t, sinceBoot) > supersededPenaltyDelay,
+			Warming:     s.warming.IsBack(throttler.ProcessOf(t), now),
 			Outstanding: load.Requests, Tokens: load.Tokens, QueuedPrefillTokens: load.PrefillTokens,
 		})
 	}
@@ -299,7 +300,7 @@
 
 // leaveOut reports whether a target must not get the call, and records why.
 func (s *Server) leaveOut(c *Call, t *cataloger.Target, now time.Time) bool {
-	v := s.throttle.Check(throttler.ProcessOf(t), now)
+	v := s.verdict(t, now)
 	if v.Reason == "" {
 		return false
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -44,6 +44,7 @@
 	"github.com/papayaworks/papayaworks/internal/sleeper"
 	"github.com/papayaworks/papayaworks/internal/throttler"
 	"github.com/papayaworks/papayaworks/internal/updater"
+	"github.com/papayaworks/papayaworks/internal/warmer"
 	"github.com/papayaworks/papayaworks/internal/watcher"
 )
 
@@ -113,6 +114,8 @@
 	// FencingEnabled reports whether targets check fencing tokens; the interval is not needed then.
 	LeaseGuardInterval time.Duration
 	FencingEnabled     bool
+	// ColdBounds bound the requests that all instances together send to a target that is warming up.
+	ColdBounds warmer.Bounds
 	// MemoryBytes is the memory limit of the process.
 	MemoryBytes int64
 }
@@ -167,6 +170,7 @@
 	pool         *pooler.Pool
 	waiting      waitingAttempts
 	throttle     *throttler.Table
+	warming      *warmer.Table
 	quarantine   *quarantiner.Quarantine
 	crashes      crashDetector
 	framings     framingHistory
@@ -192,6 +196,7 @@
 	previous := s.settings()
 	changed := *set != *previous
 	s.reloaded.Store(set)
+	s.warming.SetBounds(set.ColdBounds)
 	s.Watcher.SetSharedReadInterval(set.sharedReadInterval())
 	s.Watcher.SetLongPollTimeout(set.longPollTimeout())
 	s.Log.WithField("changed", changed).WithField("addressesChanged", set.ListenAddress != previous.ListenAddress || set.ReadyAddress != previous.ReadyAddress).Info("settings reloaded")
@@ -211,6 +216,7 @@
 	if s.Announcer == nil {
 		s.throttle.SetInstances([]string{s.Settings.Instance}, time.Now())
 	}
+	s.startWarming()
 	s.quarantine = quarantiner.New()
 	s.quarantine.Log = s.Log
 	s.crashes.s = s
@@ -286,6 +292,7 @@
 		st.Published = s.recentVersions()
 		st.Crashes, st.Quarantined = s.quarantine.Crashes(now), s.quarantine.Entries(now)
 		st.Progress, st.Statements = s.Watcher.Progress(), s.throttle.Announced(now)
+		st.Warming = s.warming.Announced(now)
 		st.ConfirmedAgeMs = st.Progress.ConfirmedAgeMs
 		return st
 	}
@@ -304,6 +311,7 @@
 		st.Progress.ConfirmedAgeMs = st.ConfirmedAgeMs
 		s.Watcher.MergeProgress(st.Progress)
 		s.throttle.Merge(st.Statements, now)
+		s.mergeWarming(st.Warming, now)
 		if len(st.Crashes)+len(st.Quarantined) > 0 {
 			s.quarantine.Merge(st.Crashes, st.Quarantined, now)
 		}
@@ -313,6 +321,7 @@
 	}
 	a.OnMembersChanged = func(ids []string) {
 		s.throttle.SetInstances(ids, time.Now())
+		s.setWarmingInstances(ids)
 		s.Watcher.SetInstances(s.Settings.Instance, ids)
 		if s.Archiver != nil {
 			s.Archiver.SetInstances(ctx, ids)
@@ -354,6 +363,7 @@
 	s.health.setTargets(v)
 	s.framings.retain(v)
 	s.throttle.Retain(v, time.Now())
+	s.observeWarming(v, time.Now())
 }
 
 func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/internal/forwarder/report.go
+++ b/internal/forwarder/report.go
@@ -155,8 +155,9 @@
 
 func (s *Server) newMetrics() *exporter.ForwardingMetrics {
 	g := exporter.ForwardingGauges{
-		ConfigAge: func() float64 { return s.Watcher.ConfigAge().Seconds() },
-		Targets:   func() float64 { return float64(len(s.Watcher.View().TargetIDs())) },
+		ConfigAge:   func() float64 { return s.Watcher.ConfigAge().Seconds() },
+		Targets:     func() float64 { return float64(len(s.Watcher.View().TargetIDs())) },
+		TargetsCold: func() float64 { return float64(s.warming.ColdCount(time.Now())) },
 		CatalogVersion: func() float64 {
 			if c := s.Watcher.View().Catalog; c != nil {
 				return float64(c.Version)
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -134,6 +134,7 @@
 		// respond at all is covered by unresponsiveTimeout.
 		if ctx.Err() == nil && !pooler.MaybeSent(err) && !errors.Is(err, pooler.ErrConnectionLimit) {
 			x.s.loads.RecordConnectFailure(x.t.ID, time.Now())
+			x.s.recordUnreachable(x.t, err, time.Now())
 		}
 		if ctx.Err() == nil && pooler.MaybeSent(err) && x.c.Service.Engine != nil {
 			x.s.crashes.report(x.t, interruptedCall{blocks: x.s.blockKeys(x.c)})
@@ -191,6 +192,7 @@
 	now := time.Now()
 	if !r.Misdirected || r.TargetID == x.t.ID { // another target may have the address
 		x.s.throttle.Record(throttler.ProcessOf(x.t), r.Statement, now)
+		x.recordWarmup(r, now)
 	}
 	if r.Load != nil {
 		x.s.loads.RecordLoad(x.t.ID, *r.Load, now)
--- a/internal/warmer/announce.go
+++ b/internal/warmer/announce.go
@@ -26,10 +26,17 @@
 	Age time.Duration `msgpack:"a"`
 }
 
+// At returns the observation as it is sent some time after it was announced.
+func (a Announced) At(later time.Duration) Announced {
+	a.Age += later
+	a.Remaining = max(0, a.Remaining-later)
+	return a
+}
+
 // Announced returns what this instance has recently observed itself, and what is known of the cold targets of which it is a sender, so
 // that new instances learn it.
 func (t *Table) Announced(now time.Time) []Announced {
-	if !t.isBounded.Load() {
+	if !t.hasTargets() {
 		return nil
 	}
 	t.mu.Lock()
@@ -53,6 +60,9 @@
 
 // Merge applies what another instance has announced, unless something newer is known.
 func (t *Table) Merge(as []Announced, now time.Time) {
+	if !t.hasTargets() || len(as) == 0 {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, a := range as {
--- a/internal/warmer/warmer.go
+++ b/internal/warmer/warmer.go
@@ -79,7 +79,7 @@
 	messageWarm        = "target is not warming up any more"
 )
 
-// Table holds which targets are cold. It is safe for concurrent use.
+// Table holds which targets are cold. It is safe for concurrent use. A nil table holds none.
 type Table struct {
 	// Log may be nil. It gets a line when a target becomes unreachable, cold or warm.
 	Log logger.Logger
@@ -88,11 +88,10 @@
 	limiter logger.RateLimiter
 	// isBounded reports whether any target has a bound. It lets other deployments pass without the lock.
 	isBounded atomic.Bool
-
-	mu      sync.Mutex
-	bounds  Bounds
-	targets map[string]*entry
-	members members
+	mu        sync.Mutex
+	bounds    Bounds
+	targets   map[string]*entry
+	members   members
 }
 
 // entry is what is known of a target whose service has a bound.
@@ -131,6 +130,9 @@
 	}}}
 }
 
+// hasTargets reports whether any target has a bound.
+func (t *Table) hasTargets() bool { return t != nil && t.isBounded.Load() }
+
 // SetBounds sets the bounds of the settings. Until it is called, a target gets no request while it is cold.
 func (t *Table) SetBounds(b Bounds) {
 	t.mu.Lock()
@@ -233,7 +235,7 @@
 
 // RecordReachable records that a response of a target has arrived. If the target was unreachable, it counts as cold from now on.
 func (t *Table) RecordReachable(p throttler.Process, now time.Time) {
-	if !t.isBounded.Load() {
+	if !t.hasTargets() {
 		return
 	}
 	t.mu.Lock()
@@ -253,6 +255,9 @@
 
 // Record applies a response that states how long its target stays cold; 0 means that it is warm.
 func (t *Table) Record(p throttler.Process, remaining time.Duration, now time.Time) {
+	if !t.hasTargets() {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.entryOf(p)
@@ -276,6 +281,9 @@
 func (t *Table) RecordDown(p throttler.Process, now time.Time) { t.recordFailure(p, true, now) }
 
 func (t *Table) recordFailure(p throttler.Process, isDown bool, now time.Time) {
+	if !t.hasTargets() {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.entryOf(p)
@@ -329,7 +337,7 @@
 
 // Check returns whether a target may get a request of this instance now.
 func (t *Table) Check(p throttler.Process, now time.Time) throttler.Verdict {
-	if !t.isBounded.Load() {
+	if !t.hasTargets() {
 		return throttler.Verdict{}
 	}
 	t.mu.Lock()
@@ -350,7 +358,7 @@
 
 // Take counts a request that is about to be sent to a target. It returns false if the target must not get it.
 func (t *Table) Take(p throttler.Process, now time.Time) bool {
-	if !t.isBounded.Load() {
+	if !t.hasTargets() {
 		return true
 	}
 	t.mu.Lock()
@@ -366,7 +374,7 @@
 
 // IsCold reports whether a target is cold or unreachable, so that only its senders may send to it.
 func (t *Table) IsCold(p throttler.Process, now time.Time) bool {
-	if !t.isBounded.Load() {
+	if !t.hasTargets() {
 		return false
 	}
 	t.mu.Lock()
@@ -375,8 +383,22 @@
 	return e != nil && e.isRestricted(now)
 }
 
+// IsBack reports whether a target is cold and, by what is known, reachable.
+func (t *Table) IsBack(p throttler.Process, now time.Time) bool {
+	if !t.hasTargets() {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.targets[p.Target]
+	return e != nil && !e.unreachable && e.isRestricted(now)
+}
+
 // ColdCount returns the number of targets that are cold or unreachable.
 func (t *Table) ColdCount(now time.Time) int {
+	if !t.hasTargets() {
+		return 0
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	n := 0
