feat(balancer): count requests that are not known yet, and share which targets are slow

Cause: at the peaks of the demand engines were filled to their last slot by several instances at once. An instance has a response of one engine every ten seconds, while engines are slow for 600 ms. Change: the estimator learns the mean number of requests that an instance does not know of; the expected wait for a slot follows from it. Load announcements and digests hold the targets that are slow.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -76,6 +76,9 @@
 	recentHitRate = 0.5
 	// supersededPenalty is the cost, as time, of a response from superseded weights.
 	supersededPenalty = 120 * time.Millisecond
+	// warmingFactor multiplies the time that a target takes for the request itself while it is warming up: it is slow, and a long prompt
+	// waits there. It is small, as the number of requests is bounded by other means and the target is not to be left idle.
+	warmingFactor = 1.25
 	// costJitter is the largest random increase of a cost, as a fraction of it; it keeps instances with the same view from
 	// all choosing the same target.
 	costJitter = 0.1
@@ -107,6 +110,8 @@
 	Slowdown float64
 	// Superseded reports whether the target still has older weights some time after the operator requested newer ones.
 	Superseded bool
+	// Warming reports whether the target is warming up after its start.
+	Warming bool
 }
 
 // Input holds everything a decision depends on.
@@ -124,11 +129,9 @@
 	// request occupies its share of it.
 	CapacityTokens int
 	MeanHoldTime   time.Duration
-	// HiddenRequests is the mean number of requests at a target that are not part of Outstanding.
+	// HiddenRequests is the mean number of requests at a target that Outstanding lacks, because others have sent them since their last
+	// announcement. It is used with learned rates only.
 	HiddenRequests float64
-	arrivals       arrivals
-	// StoresKnown reports whether StoredTokens says which blocks some target has computed before.
-	StoresKnown bool
 	// LoadUnknown reports whether the loads of the candidates leave out the requests of other instances.
 	LoadUnknown bool
 	// Rates are the learned rates of the service; nil means that targets are compared by fixed ones.
@@ -217,7 +220,7 @@
 	}
 	if !in.IsEngine {
 		fill := float64(c.Outstanding) / float64(slots)
-		d.Cost += d.QueueDelay + time.Duration(float64(c.MeanDuration)*(1+fill*fill))
+		d.Cost += d.QueueDelay + time.Duration(float64(c.MeanDuration)*(1+fill*fill)*c.warmingFactor())
 		return d
 	}
 	if c.HashRank == 0 {
@@ -230,7 +233,7 @@
 	fetch := max(0, float64(c.StoredTokens)-cached) / fetchTokensPerSec
 	d.PrefillTokens = in.SharedTokens + in.UniqueTokens - int(max(cached, float64(c.StoredTokens)))
 	slowdown := 1 + slowdownPerRun*float64(c.Outstanding)
-	prefill := (float64(c.QueuedPrefillTokens)+prefillCostWeight*float64(d.PrefillTokens))/prefillTokensPerSec*slowdown + fetch
+	prefill := (float64(c.QueuedPrefillTokens)+prefillCostWeight*float64(d.PrefillTokens)*c.warmingFactor())/prefillTokensPerSec*slowdown + fetch
 	d.Cost += d.QueueDelay + time.Duration(prefill*float64(time.Second))
 	return d
 }
@@ -239,15 +242,19 @@
 func (in *Input) cachedTokens(c *Candidate) float64 {
 	cached := recentHitRate * float64(c.RecentlySentTokens)
 	if c.HashRank == 0 {
-		known := float64(in.SharedTokens)
-		if in.Rates != nil && in.StoresKnown {
-			known = float64(c.StoredTokens) + kUnstored/preferredHitRate*max(0, known-float64(c.StoredTokens))
-		}
-		cached = max(cached, preferredHitRate*known)
+		cached = max(cached, preferredHitRate*float64(in.SharedTokens))
 	}
 	return cached
 }
 
+// warmingFactor returns the factor of the time that the target takes for the request itself.
+func (c Candidate) warmingFactor() float64 {
+	if c.Warming {
+		return warmingFactor
+	}
+	return 1
+}
+
 // PrefillTime returns how long a lightly loaded engine takes to prefill a number of prompt tokens.
 func PrefillTime(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / prefillTokensPerSec * float64(time.Second))
@@ -268,5 +275,3 @@
 	}
 	return ranks
 }
-
-const kUnstored = 0.3
--- a/internal/balancer/learned.go
+++ b/internal/balancer/learned.go
@@ -32,15 +32,12 @@
 		jitter = unknownLoadJitter
 	}
 	behind, spread := in.meanBehind(), in.spread()
-	if kBehind >= 0 {
-		behind = kBehind
-	}
-	in.arrivals = newArrivals(in.HiddenRequests)
+	hidden := newArrivals(in.HiddenRequests)
 	best, bestExpected := -1, time.Duration(0)
 	least := time.Duration(math.MaxInt64)
 	var timely [len(timelyFractions)]timelyChoice
 	for i := range in.Candidates {
-		d := in.estimateLearned(&in.Candidates[i], behind)
+		d := in.estimateLearned(&in.Candidates[i], behind, &hidden)
 		factor := 1 + jitter*r.Float64()
 		if spread > 0 {
 			factor += spread * (r.ExpFloat64() - factor)
@@ -66,7 +63,7 @@
 			break
 		}
 	}
-	d := in.estimateLearned(&in.Candidates[best], behind)
+	d := in.estimateLearned(&in.Candidates[best], behind, &hidden)
 	if in.LoadUnknown {
 		d.Reason += ReasonLoadUnknown
 	}
@@ -111,18 +108,17 @@
 	return min(maxBehind, baseBehind+float64(sum)/float64(max(1, len(in.Candidates))))
 }
 
-// estimateLearned returns the decision that would choose c, from learned rates and the speed of the target.
-func (in *Input) estimateLearned(c *Candidate, behind float64) Decision {
+// estimateLearned returns the decision that would choose c, from learned rates, the speed of the target and the distribution of the requests
+// there that are not known.
+func (in *Input) estimateLearned(c *Candidate, behind float64, hidden *arrivals) Decision {
 	speed := c.Slowdown
 	if !(speed > 0) {
 		speed = 1
 	}
 	d := Decision{Target: c.Target, Reason: ReasonLeastLatency, Outstanding: c.Outstanding}
 	slots := max(1, c.Target.Slots)
-	if in.IsEngine && kSlot > 0 {
-		if n := in.arrivals.excess(slots - 1 - c.Outstanding); n > 0 {
-			d.QueueDelay = time.Duration(kSlot * float64(c.MeanDuration) * n / float64(slots) * speed)
-		}
+	if in.IsEngine {
+		d.QueueDelay = time.Duration(float64(c.MeanDuration) * hidden.excess(slots-1-c.Outstanding) / float64(slots) * speed)
 	} else if excess := c.Outstanding + 1 - slots; excess > 0 {
 		d.QueueDelay = time.Duration(float64(c.MeanDuration) * float64(excess) / float64(slots) * speed)
 	}
@@ -138,7 +134,7 @@
 		if duration <= 0 {
 			duration = c.MeanDuration
 		}
-		own, fill := float64(duration)*speed, float64(c.Outstanding)/float64(slots)
+		own, fill := float64(duration)*speed*c.warmingFactor(), float64(c.Outstanding)/float64(slots)
 		d.Wait = d.QueueDelay
 		d.Expected = d.Wait + extra + time.Duration(own)
 		d.Cost = d.Expected + time.Duration(own*fill*fill)
@@ -155,10 +151,8 @@
 	d.IsFetched = fetch > 0
 	d.PrefillTokens = in.SharedTokens + in.UniqueTokens - int(max(cached, float64(c.StoredTokens)))
 	d.Wait = d.QueueDelay + in.Rates.PrefillTime(float64(c.QueuedPrefillTokens), c.Outstanding, speed) + time.Duration(fetch*float64(time.Second))
-	d.Expected = d.Wait + extra + in.Rates.PrefillTime(float64(d.PrefillTokens), c.Outstanding, speed)
+	d.Expected = d.Wait + extra + in.Rates.PrefillTime(float64(d.PrefillTokens), c.Outstanding, speed*c.warmingFactor())
 	// The capacity that the prefill takes is counted at usual speed: a preferred target is left for the time that it is slower, no more.
 	d.Cost = d.Expected + time.Duration(behind*float64(in.Rates.PrefillTime(float64(d.PrefillTokens), 0, 1)))
 	return d
 }
-
-const kSlot, kBehind = 1.0, -1.0
--- a/internal/estimator/estimator.go
+++ b/internal/estimator/estimator.go
@@ -329,9 +329,9 @@
 		return 1
 	}
 	log := t.own.or(0)
-	if t.meanStated.isKnown() {
+	if !t.statedAt.IsZero() {
 		w := math.Exp(-max(0, now.Sub(t.statedAt).Seconds()) / statedDecay.Seconds())
-		log += w*math.Log(t.stated) + (1-w)*t.meanStated.mean
+		log += w*math.Log(t.stated) + (1-w)*t.meanStated.or(0)
 	}
 	return min(max(math.Exp(log), minSpeed), maxSpeed)
 }
--- a/internal/estimator/estimator_test.go
+++ b/internal/estimator/estimator_test.go
@@ -147,3 +147,37 @@
 	require.LessOrEqual(t, len(e.services), maxServices)
 	require.LessOrEqual(t, len(e.targets), maxTargets)
 }
+
+// Guards against a slowdown that only the instance knows that has seen it, against an old one that replaces a newer one, and against
+// announcements that repeat what is usual.
+func TestSlowdownsAreShared(t *testing.T) {
+	at := time.Unix(1000, 0)
+	p := throttler.Process{Target: "t", StartedUnixMs: 5}
+	a, b := New(), New()
+	a.RecordSlowdown("s", p, 1, at)
+	require.Empty(t, a.RecentSlowdowns(at), "a target that is as fast as usual")
+	a.RecordSlowdown("s", p, 2.5, at)
+	told := a.RecentSlowdowns(at.Add(100 * time.Millisecond))
+	require.Equal(t, map[string]RecentSlowdown{"t": {Slowdown: 2.5, Age: 100 * time.Millisecond}}, told)
+	b.MergeSlowdown("s", p, told["t"].Slowdown, at)
+	require.InDelta(t, 2.5, b.Speed("t", at), 0.01)
+	b.MergeSlowdown("s", p, 1, at.Add(-time.Second))
+	require.InDelta(t, 2.5, b.Speed("t", at), 0.01, "an older statement")
+	a.RecordSlowdown("s", p, 1, at.Add(200*time.Millisecond))
+	require.InDelta(t, 1, a.RecentSlowdowns(at.Add(300 * time.Millisecond))["t"].Slowdown, 0.01, "the end of the slow time is not told")
+	require.Empty(t, a.RecentSlowdowns(at.Add(time.Second)))
+}
+
+// Guards against requests of other instances that are not counted, and against odd figures that shift their number for long.
+func TestHiddenRequests(t *testing.T) {
+	e := New()
+	e.RecordHidden("s", 3)
+	require.Zero(t, e.Hidden("s"), "the service is not known")
+	e.RecordSlowdown("s", throttler.Process{Target: "t"}, 1, time.Unix(1000, 0))
+	for range 100 {
+		e.RecordHidden("s", 3)
+	}
+	require.InDelta(t, 3, e.Hidden("s"), 0.1)
+	e.RecordHidden("s", 1<<30)
+	require.Less(t, e.Hidden("s"), 4.0)
+}
--- a/internal/exporter/forwarding.go
+++ b/internal/exporter/forwarding.go
@@ -16,9 +16,13 @@
 	Attempts        = "papayaworks_attempts_total"
 	StreamEnds      = "papayaworks_stream_ends_total"
 	LeftOut         = "papayaworks_targets_left_out_total"
+	Unread          = "papayaworks_unread_requests_total"
+	WarmupSends     = "papayaworks_warmup_sends_total"
+	TargetsCold     = "papayaworks_targets_cold"
 	ConfigAge       = "papayaworks_configuration_age_seconds"
 	CatalogVersion  = "papayaworks_catalog_version"
 	Targets         = "papayaworks_targets"
+	Evacuated       = "papayaworks_evacuated_data_centres"
 	DroppedLogLines = "papayaworks_log_lines_lost_total"
 	Peers           = "papayaworks_instances_heard"
 	SlowdownTargets = "papayaworks_targets_with_slowdown"
@@ -40,7 +44,7 @@
 
 // ForwardingGauges are functions that are called whenever the metrics are written; a gauge whose function is nil is omitted.
 type ForwardingGauges struct {
-	ConfigAge, CatalogVersion, Targets, DroppedLogLines, Peers, SlowdownTargets func() float64
+	ConfigAge, CatalogVersion, Targets, TargetsCold, Evacuated, DroppedLogLines, Peers, SlowdownTargets func() float64
 }
 
 // ForwardingMetrics are the metrics of an instance that forwards calls. The methods are safe for concurrent use.
@@ -54,7 +58,7 @@
 // NewForwardingMetrics returns the metrics of an instance that forwards calls.
 func NewForwardingMetrics(g ForwardingGauges) *ForwardingMetrics {
 	f := &ForwardingMetrics{set: metrics.NewSet(), labels: map[string]map[string]bool{"route": {}, "account": {}}}
-	for name, read := range map[string]func() float64{ConfigAge: g.ConfigAge, CatalogVersion: g.CatalogVersion, Targets: g.Targets, DroppedLogLines: g.DroppedLogLines, Peers: g.Peers, SlowdownTargets: g.SlowdownTargets} {
+	for name, read := range map[string]func() float64{ConfigAge: g.ConfigAge, CatalogVersion: g.CatalogVersion, Targets: g.Targets, TargetsCold: g.TargetsCold, Evacuated: g.Evacuated, DroppedLogLines: g.DroppedLogLines, Peers: g.Peers, SlowdownTargets: g.SlowdownTargets} {
 		if read != nil {
 			f.set.NewGauge(name, read)
 		}
@@ -84,7 +88,22 @@
 
 // RecordLeftOut counts a target that a choice left out because of what it has said.
 func (f *ForwardingMetrics) RecordLeftOut(service, reason string) {
-	f.set.GetOrCreateCounter(fmt.Sprintf("%s{service=%q,reason=%q}", LeftOut, service, reason)).Inc()
+	f.RecordTargetsLeftOut(service, reason, 1)
+}
+
+// RecordTargetsLeftOut counts n targets that a choice left out for the same reason.
+func (f *ForwardingMetrics) RecordTargetsLeftOut(service, reason string, n int) {
+	f.set.GetOrCreateCounter(fmt.Sprintf("%s{service=%q,reason=%q}", LeftOut, service, reason)).Add(n)
+}
+
+// RecordUnread counts a request that was refused before it was read completely, or a connection that was closed.
+func (f *ForwardingMetrics) RecordUnread(reason string) {
+	f.set.GetOrCreateCounter(fmt.Sprintf("%s{reason=%q}", Unread, reason)).Inc()
+}
+
+// RecordWarmupSend counts a request that is sent to a target which is warming up or unreachable.
+func (f *ForwardingMetrics) RecordWarmupSend(service string) {
+	f.set.GetOrCreateCounter(fmt.Sprintf("%s{service=%q}", WarmupSends, service)).Inc()
 }
 
 // RecordEstimates sets what was learned of a service: for engines the prefill rate, the time of a step and the slowdown by each running
@@ -124,10 +143,14 @@
 	{CallSeconds, "histogram", "route, le", "seconds from the arrival of a forwarded call to the first event or the whole answer"},
 	{Attempts, "counter", "service, outcome, reason", "sends of forwarded calls to targets by outcome (done, notRun, repeatable, unknown) and by why the target was chosen"},
 	{StreamEnds, "counter", "service, framing, end", "streams of targets by the framing of the response (length, chunked, none) and by how they ended (see streamEnd in docs/logs.md)"},
-	{LeftOut, "counter", "service, reason", "targets that a choice left out because of what they have said (see leftOut in docs/logs.md)"},
+	{LeftOut, "counter", "service, reason", "targets that a choice left out because of what they have said where they are, or because they are warming up (see leftOut in docs/logs.md)"},
+	{Unread, "counter", "reason", "requests that were refused before they were read completely (head, body, framing, timeout, memory, pipelining), and connections that were closed without a response (connections: too many, idle)"},
+	{WarmupSends, "counter", "service", "requests that were sent to targets that are warming up or unreachable, within the share of the instance"},
+	{TargetsCold, "gauge", "", "targets that are warming up or unreachable, so that few instances send to them; only those of services with a bound"},
 	{ConfigAge, "gauge", "", "seconds since the operator's configuration was last known to be the newest; API keys are refused near the operator's bound"},
 	{CatalogVersion, "gauge", "", "version of the operator's configuration in force at the instance"},
 	{Targets, "gauge", "", "targets that are known, those that are leaving included"},
+	{Evacuated, "gauge", "", "data centres that are evacuated, as far as the instance has read the operator's records"},
 	{DroppedLogLines, "counter", "", "log lines that were lost because nobody read them fast enough"},
 	{Peers, "gauge", "", "other instances that were heard lately"},
 	{SlowdownTargets, "gauge", "", "targets that have stated within a minute how long work takes on them; the learned estimates are used for their services"},
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -184,12 +184,12 @@
 }
 
 // chooseTarget returns the decision of the balancer among the targets that can receive the call. It counts the call against the limit
-// of the target.
+// and the warm-up of the target.
 func (s *Server) chooseTarget(c *Call, now time.Time) (balancer.Decision, error) {
 	for {
 		d, err := s.balance(c, now)
 		// Another call may have used up the limit meanwhile; the target is no candidate any more then.
-		if err != nil || s.throttle.Take(throttler.ProcessOf(d.Target), now) {
+		if err != nil || s.take(c, d.Target, now) {
 			return d, err
 		}
 	}
@@ -207,6 +207,7 @@
 		in.LoadUnknown = in.LoadUnknown || !known
 		in.Candidates = append(in.Candidates, balancer.Candidate{
 			Target: t, Remote: t.DataCentre != s.settings().DataCentre, HashRank: 1, MeanDuration: mean, Superseded: s.supersededFor(c, t, sinceBoot) > supersededPenaltyDelay,
+			Warming:     s.warming.IsBack(throttler.ProcessOf(t), now),
 			Outstanding: load.Requests, Tokens: load.Tokens, QueuedPrefillTokens: load.PrefillTokens,
 		})
 	}
@@ -238,7 +239,7 @@
 			_, scope := s.versionAndScope(c, t)
 			keys[version] = scopedKeys(scope, ids)
 			if s.Archiver != nil {
-				stored[version] = tokenCount(p.Blocks[:s.Archiver.Lookup(scope, ids, now)])
+				stored[version] = tokenCount(p.Blocks[:s.Archiver.Lookup(scope, ids, s.storesAllowed(c), now)])
 			}
 		}
 		cand.HashRank, cand.StoredTokens = ranks[i], stored[version]
@@ -269,14 +270,13 @@
 }
 
 // usableTargets returns the targets of the call's service that may receive it. Targets that fail, refuse calls, do not
-// respond or swap weights are included only if there are no others. Targets that have said that they accept no further requests
-// are never included, but recorded in c.LeftOut.
+// respond or swap weights are included only if there are no others. Targets that have said that they accept no further requests,
+// and those in the wrong place (see targetsInPlace), are never included, but recorded in c.LeftOut.
 func (s *Server) usableTargets(c *Call, now time.Time, sinceBoot time.Duration) []*cataloger.Target {
-	all := s.Watcher.View().Targets(c.Service.Name)
+	all := s.targetsInPlace(c)
 	var failing []*cataloger.Target
 	out := make([]*cataloger.Target, 0, len(all))
 	limit := s.maxConnections(c.Service)
-	c.LeftOut = nil
 	for _, t := range all {
 		state := s.loads.Status(t.ID, now)
 		switch {
@@ -301,7 +301,7 @@
 
 // leaveOut reports whether a target must not get the call, and records why.
 func (s *Server) leaveOut(c *Call, t *cataloger.Target, now time.Time) bool {
-	v := s.throttle.Check(throttler.ProcessOf(t), now)
+	v := s.verdict(t, now)
 	if v.Reason == "" {
 		return false
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -27,6 +27,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"reflect"
 	"sync/atomic"
 	"time"
 
@@ -35,6 +36,7 @@
 	"github.com/papayaworks/papayaworks/internal/balancer"
 	"github.com/papayaworks/papayaworks/internal/cataloger"
 	"github.com/papayaworks/papayaworks/internal/estimator"
+	"github.com/papayaworks/papayaworks/internal/evacuator"
 	"github.com/papayaworks/papayaworks/internal/exporter"
 	"github.com/papayaworks/papayaworks/internal/failer"
 	"github.com/papayaworks/papayaworks/internal/listener"
@@ -45,6 +47,7 @@
 	"github.com/papayaworks/papayaworks/internal/sleeper"
 	"github.com/papayaworks/papayaworks/internal/throttler"
 	"github.com/papayaworks/papayaworks/internal/updater"
+	"github.com/papayaworks/papayaworks/internal/warmer"
 	"github.com/papayaworks/papayaworks/internal/watcher"
 )
 
@@ -80,7 +83,6 @@
 	maxBodyBytes = 16 << 20
 	// maxResponseBytes bounds a response that is not a stream, which is kept in memory until it is complete.
 	maxResponseBytes  = 8 << 20
-	writeBufferBytes  = 1 << 20
 	stopCheckInterval = 50 * time.Millisecond
 )
 
@@ -110,12 +112,19 @@
 	SupersededGrace time.Duration
 	// ConfigApplyTimeout is the time after which a published configuration must be in force; 0 means no limit.
 	ConfigApplyTimeout time.Duration
+	// EvacuateTimeout is the time after which the evacuation of a data centre must be in force; 0 means no limit.
+	EvacuateTimeout time.Duration
+	// Regions holds the regions of the data centres; routes and accounts name regions as their homes.
+	Regions evacuator.Regions
 	// LeaseGuardInterval is the time that must pass between commands of two different lease holders to targets.
 	// FencingEnabled reports whether targets check fencing tokens; the interval is not needed then.
 	LeaseGuardInterval time.Duration
 	FencingEnabled     bool
-	// MemoryBytes is the memory limit of the process.
+	// ColdBounds bound the requests that all instances together send to a target that is warming up.
+	ColdBounds warmer.Bounds
+	// MemoryBytes is the memory limit of the process, MaxFiles the limit of its descriptors; 0 means unknown.
 	MemoryBytes int64
+	MaxFiles    int
 }
 
 // longPollTimeout returns the longest wait of a long poll for a new configuration that keeps the bounds of the settings; 0 if
@@ -128,7 +137,7 @@
 	if apply := time.Duration(configApplyFraction * float64(set.ConfigApplyTimeout)); apply > 0 && (out == 0 || apply < out) {
 		out = apply
 	}
-	return out
+	return set.evacuateInterval(out)
 }
 
 // sharedReadInterval returns the time between two reads of the configuration by an instance to which others say when it has changed. Only
@@ -138,7 +147,7 @@
 	if apply := time.Duration(configApplyFraction * float64(set.ConfigApplyTimeout)); apply > 0 && (out == 0 || apply < out) {
 		out = apply
 	}
-	return out
+	return set.evacuateInterval(out)
 }
 
 // Server is one entry instance. The exported fields are set before Run or Start.
@@ -171,6 +180,7 @@
 	pool          *pooler.Pool
 	waiting       waitingAttempts
 	throttle      *throttler.Table
+	warming       *warmer.Table
 	quarantine    *quarantiner.Quarantine
 	crashes       crashDetector
 	framings      framingHistory
@@ -194,8 +204,9 @@
 // the guard interval of the updater.
 func (s *Server) Reload(set *Settings) {
 	previous := s.settings()
-	changed := *set != *previous
+	changed := !reflect.DeepEqual(set, previous)
 	s.reloaded.Store(set)
+	s.warming.SetBounds(set.ColdBounds)
 	s.Watcher.SetSharedReadInterval(set.sharedReadInterval())
 	s.Watcher.SetLongPollTimeout(set.longPollTimeout())
 	s.Log.WithField("changed", changed).WithField("addressesChanged", set.ListenAddress != previous.ListenAddress || set.ReadyAddress != previous.ReadyAddress).Info("settings reloaded")
@@ -216,6 +227,7 @@
 	if s.Announcer == nil {
 		s.throttle.SetInstances([]string{s.Settings.Instance}, time.Now())
 	}
+	s.startWarming()
 	s.quarantine = quarantiner.New()
 	s.quarantine.Log = s.Log
 	s.crashes.s = s
@@ -248,13 +260,11 @@
 	if s.Announcer != nil {
 		go s.Announcer.Run(ctx)
 	}
-	s.callerServer = &listener.Server{
-		Addr: s.Settings.ListenAddress, Handler: http.HandlerFunc(s.serve), MaxBodyBytes: maxBodyBytes, WriteBufferBytes: writeBufferBytes,
-	}
+	s.callerServer = s.newCallerServer()
 	if _, err := s.callerServer.Start(); err != nil {
 		return err
 	}
-	s.readyServer = &listener.Server{Addr: s.Settings.ReadyAddress, Handler: http.HandlerFunc(s.serveReady)}
+	s.readyServer = s.newControlServer(s.Settings.ReadyAddress, s.serveReady)
 	if _, err := s.readyServer.Start(); err != nil {
 		return err
 	}
@@ -294,6 +304,7 @@
 		st.Slowdowns = s.recentSlowdowns(now)
 		st.Crashes, st.Quarantined = s.quarantine.Crashes(now), s.quarantine.Entries(now)
 		st.Progress, st.Statements = s.Watcher.Progress(), s.throttle.Announced(now)
+		st.Warming = s.warming.Announced(now)
 		st.ConfirmedAgeMs = st.Progress.ConfirmedAgeMs
 		return st
 	}
@@ -313,6 +324,7 @@
 		s.Watcher.MergeProgress(st.Progress)
 		s.throttle.Merge(st.Statements, now)
 		s.mergeSlowdowns(st.Slowdowns, now)
+		s.mergeWarming(st.Warming, now)
 		if len(st.Crashes)+len(st.Quarantined) > 0 {
 			s.quarantine.Merge(st.Crashes, st.Quarantined, now)
 		}
@@ -322,6 +334,7 @@
 	}
 	a.OnMembersChanged = func(ids []string) {
 		s.throttle.SetInstances(ids, time.Now())
+		s.setWarmingInstances(ids)
 		s.Watcher.SetInstances(s.Settings.Instance, ids)
 		if s.Archiver != nil {
 			s.Archiver.SetInstances(ctx, ids)
@@ -364,6 +377,7 @@
 	s.framings.retain(v)
 	s.throttle.Retain(v, time.Now())
 	s.retainEstimates(v)
+	s.observeWarming(v, time.Now())
 }
 
 func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -141,6 +141,7 @@
 		// respond at all is covered by unresponsiveTimeout.
 		if ctx.Err() == nil && !pooler.MaybeSent(err) && !errors.Is(err, pooler.ErrConnectionLimit) {
 			x.s.loads.RecordConnectFailure(x.t.ID, time.Now())
+			x.s.recordUnreachable(x.t, err, time.Now())
 		}
 		if ctx.Err() == nil && pooler.MaybeSent(err) && x.c.Service.Engine != nil {
 			x.s.crashes.report(x.t, interruptedCall{blocks: x.s.blockKeys(x.c)})
@@ -198,6 +199,7 @@
 	now := time.Now()
 	if !r.Misdirected || r.TargetID == x.t.ID { // another target may have the address
 		x.s.throttle.Record(throttler.ProcessOf(x.t), r.Statement, now)
+		x.recordWarmup(r, now)
 	}
 	x.recordLoad(r, now)
 	for model, v := range r.WeightVersions {
@@ -247,7 +249,7 @@
 	if !ok {
 		return
 	}
-	plan := a.Plan(c.Scope, c.Headers.Prompt.sharedBlockIDs(), time.Now())
+	plan := a.Plan(c.Scope, c.Headers.Prompt.sharedBlockIDs(), x.s.storesAllowed(c), time.Now())
 	headers.FetchFrom, headers.SaveTo = append(plan.FetchFrom, ""), append(plan.SaveTo, "")
 	headers.FetchDeadline = clock + time.Duration(fetchFraction*float64(c.Route.Objective)) + balancer.PrefillTime(c.Headers.Prompt.SharedTokens())
 }
