--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -35,6 +35,7 @@
 	"github.com/papayaworks/papayaworks/internal/archiver"
 	"github.com/papayaworks/papayaworks/internal/balancer"
 	"github.com/papayaworks/papayaworks/internal/cataloger"
+	"github.com/papayaworks/papayaworks/internal/estimator"
 	"github.com/papayaworks/papayaworks/internal/evacuator"
 	"github.com/papayaworks/papayaworks/internal/exporter"
 	"github.com/papayaworks/papayaworks/internal/failer"
@@ -170,21 +171,24 @@
 	// reloaded contains the settings of the last Reload; nil before the first one.
 	reloaded atomic.Pointer[Settings]
 
-	loads        *balancer.LoadTable
-	health       *health
-	retryBudgets *retryBudgets
-	pool         *pooler.Pool
-	waiting      waitingAttempts
-	throttle     *throttler.Table
-	warming      *warmer.Table
-	quarantine   *quarantiner.Quarantine
-	crashes      crashDetector
-	framings     framingHistory
-	steps        []request.Stage[*Call]
-	callerServer *listener.Server
-	readyServer  *listener.Server
-	metrics      *exporter.ForwardingMetrics
-	rateLimiter  *logger.RateLimiter
+	loads     *balancer.LoadTable
+	estimates *estimator.Estimator
+	// targetsByHash holds the targets of the view by the hashes that announcements use.
+	targetsByHash atomic.Pointer[map[announcer.TargetHash]*cataloger.Target]
+	health        *health
+	retryBudgets  *retryBudgets
+	pool          *pooler.Pool
+	waiting       waitingAttempts
+	throttle      *throttler.Table
+	warming       *warmer.Table
+	quarantine    *quarantiner.Quarantine
+	crashes       crashDetector
+	framings      framingHistory
+	steps         []request.Stage[*Call]
+	callerServer  *listener.Server
+	readyServer   *listener.Server
+	metrics       *exporter.ForwardingMetrics
+	rateLimiter   *logger.RateLimiter
 }
 
 // settings returns the current settings.
@@ -214,6 +218,7 @@
 // Start starts the background tasks, which end with ctx, and serves callers. It returns once the addresses are bound.
 func (s *Server) Start(ctx context.Context) error {
 	s.loads = balancer.NewLoadTable()
+	s.estimates = estimator.New()
 	s.health = newHealth()
 	s.retryBudgets = newRetryBudgets()
 	s.pool = pooler.New()
@@ -276,13 +281,15 @@
 	a.LocalLoad = func() announcer.Load {
 		p := s.Watcher.Progress()
 		return announcer.Load{
-			InFlightByTarget: announcer.HashTargets(s.loads.InFlightByTarget()), Progress: p, ConfirmedAgeMs: p.ConfirmedAgeMs, Targets: s.Watcher.TargetsProgress(),
+			InFlightByTarget: announcer.HashTargets(s.loads.InFlightByTarget(time.Now())), Progress: p, ConfirmedAgeMs: p.ConfirmedAgeMs, Targets: s.Watcher.TargetsProgress(),
+			Slowdowns: s.recentSlowdowns(time.Now()),
 		}
 	}
 	a.OnLoad = func(l announcer.Load) {
 		l.Progress.ConfirmedAgeMs = l.ConfirmedAgeMs
 		s.Watcher.MergeProgress(l.Progress)
 		s.Watcher.MergeTargetsProgress(l.Targets)
+		s.mergeSlowdowns(l.Slowdowns, time.Now())
 	}
 	a.LocalState = func() announcer.State {
 		now := time.Now()
@@ -294,6 +301,7 @@
 			st.Swapping = s.Updater.SwappingTargets()
 		}
 		st.Published = s.recentVersions()
+		st.Slowdowns = s.recentSlowdowns(now)
 		st.Crashes, st.Quarantined = s.quarantine.Crashes(now), s.quarantine.Entries(now)
 		st.Progress, st.Statements = s.Watcher.Progress(), s.throttle.Announced(now)
 		st.Warming = s.warming.Announced(now)
@@ -315,6 +323,7 @@
 		st.Progress.ConfirmedAgeMs = st.ConfirmedAgeMs
 		s.Watcher.MergeProgress(st.Progress)
 		s.throttle.Merge(st.Statements, now)
+		s.mergeSlowdowns(st.Slowdowns, now)
 		s.mergeWarming(st.Warming, now)
 		if len(st.Crashes)+len(st.Quarantined) > 0 {
 			s.quarantine.Merge(st.Crashes, st.Quarantined, now)
@@ -367,6 +376,7 @@
 	s.health.setTargets(v)
 	s.framings.retain(v)
 	s.throttle.Retain(v, time.Now())
+	s.retainEstimates(v)
 	s.observeWarming(v, time.Now())
 }
 
--- a/internal/forwarder/report.go
+++ b/internal/forwarder/report.go
@@ -166,6 +166,7 @@
 			return 0
 		},
 	}
+	g.SlowdownTargets = func() float64 { return float64(s.estimates.StatedTargets(time.Now())) }
 	if s.DroppedLogLines != nil {
 		g.DroppedLogLines = func() float64 { return float64(s.DroppedLogLines()) }
 	}
@@ -180,7 +181,10 @@
 	if s.Settings.MetricsAddress == "" {
 		return nil
 	}
-	l := s.newControlServer(s.Settings.MetricsAddress, func(w http.ResponseWriter, _ *http.Request) { s.metrics.Write(w) })
+	l := s.newControlServer(s.Settings.MetricsAddress, func(w http.ResponseWriter, _ *http.Request) {
+		s.recordEstimates(time.Now())
+		s.metrics.Write(w)
+	})
 	_, err := l.Start()
 	return err
 }
