feat(balancer): blocks that no KV store holds are rarely cached

Cause: a preferred target was taken to have the blocks of its conversations with the same probability at all times, also right after a start or a weight update, when nothing is cached. Conversations went to busy preferred targets for nothing. Change: with learned rates, a block that no store holds counts with 0.3 instead of 0.7.

--- a/internal/archiver/plan.go
+++ b/internal/archiver/plan.go
@@ -29,6 +29,13 @@
 	return len(ids)
 }
 
+// HasStores reports whether there are KV stores.
+func (a *Archiver) HasStores() bool {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	return len(a.stores) > 0
+}
+
 // Plan returns where to fetch and save the blocks of a prompt, among the allowed stores. The saves are recorded as pending, so that concurrent
 // requests do not save the same blocks.
 func (a *Archiver) Plan(scope string, ids []string, allowed Allowed, now time.Time) Plan {
--- a/internal/balancer/arrivals_test.go
+++ b/internal/balancer/arrivals_test.go
@@ -59,3 +59,19 @@
 	in.HiddenRequests = 2.4
 	require.Zero(t, count())
 }
+
+// Guards against conversations that go to a busy preferred target although their blocks were not computed yet, as after a weight update.
+func TestUnstoredBlocksAreRarelyCached(t *testing.T) {
+	rates := estimator.InitialRates()
+	in := Input{IsEngine: true, Rates: &rates, SharedTokens: 9000, StoresKnown: true, Candidates: []Candidate{{Target: &cataloger.Target{ID: "t", Slots: 12}}}}
+	cached := func(stored int) float64 {
+		in.Candidates[0].StoredTokens = stored
+		return in.cachedTokens(&in.Candidates[0])
+	}
+	require.InDelta(t, unstoredHitRate*9000, cached(0), 1)
+	require.InDelta(t, preferredHitRate*9000, cached(9000), 1)
+	in.StoresKnown = false
+	require.InDelta(t, preferredHitRate*9000, cached(0), 1)
+	in.StoresKnown, in.Rates = true, nil
+	require.InDelta(t, preferredHitRate*9000, cached(0), 1, "without learned rates decisions are as before")
+}
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -71,6 +71,9 @@
 	maxFillRatio = 0.9
 	// preferredHitRate is the probability that the blocks of a conversation are cached on its preferred target.
 	preferredHitRate = 0.7
+	// unstoredHitRate replaces preferredHitRate for blocks that no KV store holds although stores are in use: most of them were not computed
+	// before with these weights, as after a start or a weight update; the others found no room in the stores.
+	unstoredHitRate = 0.3
 	// recentHitRate is the probability that blocks which this instance recently sent to another target are still cached
 	// there.
 	recentHitRate = 0.5
@@ -129,6 +132,9 @@
 	// request occupies its share of it.
 	CapacityTokens int
 	MeanHoldTime   time.Duration
+	// StoresKnown reports whether KV stores are in use, so that a block that none holds was most likely not computed before. It is used with
+	// learned rates only.
+	StoresKnown bool
 	// HiddenRequests is the mean number of requests at a target that Outstanding lacks, because others have sent them since their last
 	// announcement. It is used with learned rates only.
 	HiddenRequests float64
@@ -242,7 +248,12 @@
 func (in *Input) cachedTokens(c *Candidate) float64 {
 	cached := recentHitRate * float64(c.RecentlySentTokens)
 	if c.HashRank == 0 {
-		cached = max(cached, preferredHitRate*float64(in.SharedTokens))
+		tokens := preferredHitRate * float64(in.SharedTokens)
+		if in.Rates != nil && in.StoresKnown {
+			stored := min(float64(c.StoredTokens), float64(in.SharedTokens))
+			tokens = preferredHitRate*stored + unstoredHitRate*(float64(in.SharedTokens)-stored)
+		}
+		cached = max(cached, tokens)
 	}
 	return cached
 }
--- a/internal/forwarder/estimate.go
+++ b/internal/forwarder/estimate.go
@@ -26,6 +26,7 @@
 	}
 	rates := s.estimates.Rates(c.Service.Name)
 	in.Rates = &rates
+	in.StoresKnown = s.Archiver != nil && s.Archiver.HasStores()
 	in.HiddenRequests = s.estimates.Hidden(c.Service.Name)
 	if s.Announcer != nil {
 		in.LoadAge = s.Announcer.LoadAge()
