feat(forwarder): calls wait in a queue while targets refuse

A call was sent at once even if all targets were full, used up its attempts and the shared retry budget, and its caller got 503.

While a target of a service has refused a call of this instance in the last 5 s, calls for which no target is expected to have room wait in the queue of the service, and a refused call waits before its last attempt. Room is a response that ends, or the interval of the queuer. Only calls that have certainly not run wait. A refused call may go to the same target again, so the connection of the refusal is closed. Without refusals the path costs one atomic load.

Routes without a priority count as 5 in the queue (Route.HasPriority).

--- a/internal/cataloger/catalog.go
+++ b/internal/cataloger/catalog.go
@@ -52,8 +52,9 @@
 	Objective time.Duration
 	// MaxEventGap is the latency objective for the time between two events of a stream.
 	MaxEventGap time.Duration
-	// Priority 0 is the most urgent.
+	// Priority 0 is the most urgent. HasPriority reports whether the operator has set it.
 	Priority    int
+	HasPriority bool
 	MaxAttempts int
 	Splits      []Split
 	// Public routes accept requests without an API key.
--- a/internal/exporter/forwarding.go
+++ b/internal/exporter/forwarding.go
@@ -16,6 +16,9 @@
 	Attempts        = "papayaworks_attempts_total"
 	StreamEnds      = "papayaworks_stream_ends_total"
 	LeftOut         = "papayaworks_targets_left_out_total"
+	QueueLength     = "papayaworks_queue_length"
+	Waits           = "papayaworks_queue_waits_total"
+	WaitSeconds     = "papayaworks_queue_wait_seconds"
 	ConfigAge       = "papayaworks_configuration_age_seconds"
 	CatalogVersion  = "papayaworks_catalog_version"
 	Targets         = "papayaworks_targets"
@@ -82,6 +85,17 @@
 	f.set.GetOrCreateCounter(fmt.Sprintf("%s{service=%q,reason=%q}", LeftOut, service, reason)).Inc()
 }
 
+// SetQueueLength records the number of calls that wait in the queue of a service.
+func (f *ForwardingMetrics) SetQueueLength(service string, n int) {
+	f.set.GetOrCreateGauge(fmt.Sprintf("%s{service=%q}", QueueLength, service), nil).Set(float64(n))
+}
+
+// RecordWait counts the end of a call's wait in the queue of a service by its outcome.
+func (f *ForwardingMetrics) RecordWait(service, outcome string, waited time.Duration) {
+	f.set.GetOrCreateCounter(fmt.Sprintf("%s{service=%q,outcome=%q}", Waits, service, outcome)).Inc()
+	f.set.GetOrCreatePrometheusHistogramExt(fmt.Sprintf("%s{service=%q}", WaitSeconds, service), callSecondsBounds).Update(waited.Seconds())
+}
+
 // boundedLabel returns the value, or otherLabel if the label already has maxLabels other values.
 func (f *ForwardingMetrics) boundedLabel(label, value string) string {
 	f.mu.Lock()
@@ -105,6 +119,9 @@
 	{Attempts, "counter", "service, outcome, reason", "sends of forwarded calls to targets by outcome (done, notRun, repeatable, unknown) and by why the target was chosen"},
 	{StreamEnds, "counter", "service, framing, end", "streams of targets by the framing of the response (length, chunked, none) and by how they ended (see streamEnd in docs/logs.md)"},
 	{LeftOut, "counter", "service, reason", "targets that a choice left out because of what they have said (see leftOut in docs/logs.md)"},
+	{QueueLength, "gauge", "service", "calls that wait in the queue of a service because its targets are expected to refuse them"},
+	{Waits, "counter", "service, outcome", "ends of waits in the queue of a service: sent, or why not: hopeless, full, expired, stopped, callerGone (see docs/design/queue.md)"},
+	{WaitSeconds, "histogram", "service, le", "seconds that calls have waited in the queue of a service"},
 	{ConfigAge, "gauge", "", "seconds since the operator's configuration was last known to be the newest; API keys are refused near the operator's bound"},
 	{CatalogVersion, "gauge", "", "version of the operator's configuration in force at the instance"},
 	{Targets, "gauge", "", "targets that are known, those that are leaving included"},
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -150,6 +150,8 @@
 	FirstEventAt time.Time
 	// ExpectedLatency is the expected time to the first event of a call that was refused because it would miss its objective.
 	ExpectedLatency time.Duration
+	// queue is what the queue of the service keeps of the call.
+	queue queueState
 	// HeaderSent reports whether the response header of a stream was sent to the caller.
 	HeaderSent bool
 
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -68,6 +68,9 @@
 // not allowed. It sets c.Response unless it returns an error.
 func (s *Server) dispatch(ctx context.Context, c *Call) error {
 	for {
+		if err := s.awaitRoom(ctx, c); err != nil {
+			return err
+		}
 		if err := s.checkQuarantine(c); err != nil {
 			return err
 		}
@@ -93,8 +96,10 @@
 		// No byte reached the target, so the attempt counts neither as a retry in the budget nor as an attempt of the route.
 		c.UnsentCount++
 		return c.UnsentCount <= maxUnsent
-	case len(c.TriedTargets)-c.UnsentCount >= maxReachedTargets, c.countedAttempts() >= max(1, c.Route.MaxAttempts):
+	case c.reachedCount() >= maxReachedTargets, c.countedAttempts() >= max(1, c.Route.MaxAttempts):
 		return false
+	case c.queue.retryPending:
+		return true // awaitRoom counts it before the call is sent
 	}
 	return s.retryBudgets.tryRetry(c.Service.Name, s.retryWindow(), time.Now())
 }
@@ -126,7 +131,7 @@
 
 // countedAttempts returns the number of attempts that count against the route's maximum: those at targets that received the
 // call and did not refuse it as misdirected.
-func (c *Call) countedAttempts() int { return len(c.TriedTargets) - c.MisdirectedCount - c.UnsentCount }
+func (c *Call) countedAttempts() int { return c.reachedCount() - c.MisdirectedCount }
 
 // finalError returns the error for the caller after the last attempt has failed, or nil if c.Response is to be delivered.
 func (s *Server) finalError(c *Call, err error) error {
@@ -138,7 +143,7 @@
 	case c.MayHaveRun:
 		return request.Fail(http.StatusBadGateway, request.CodeOutcomeUnknown, "%v", err)
 	}
-	retryAfter := max(refusedRetryAfter, c.ExpectedLatency)
+	retryAfter := max(refusedRetryAfter, c.ExpectedLatency, s.roomExpectedIn(c))
 	if errors.Is(err, balancer.ErrNoTarget) {
 		retryAfter = max(retryAfter, c.leftOutWait())
 	}
@@ -198,7 +203,7 @@
 func (s *Server) balance(c *Call, now time.Time) (balancer.Decision, error) {
 	// The clock is read once for all targets: reading it is a system call.
 	sinceBoot := clocker.SinceBoot()
-	targets := s.usableTargets(c, now, sinceBoot)
+	targets := s.candidates(c, now, sinceBoot)
 	mean := s.loads.MeanDuration(c.Service.Name)
 	in := balancer.Input{IsEngine: c.Service.Engine != nil, Seed: rand.Uint64(), Candidates: make([]balancer.Candidate, 0, len(targets))}
 	for _, t := range targets {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -166,6 +166,7 @@
 	retryBudgets *retryBudgets
 	pool         *pooler.Pool
 	waiting      waitingAttempts
+	queues       queues
 	throttle     *throttler.Table
 	quarantine   *quarantiner.Quarantine
 	crashes      crashDetector
@@ -448,6 +449,7 @@
 	}
 	end := startedAt.Add(s.settings().GracePeriod - finishMargin)
 	s.stop.Store(&stopTimes{noticeEnd: startedAt.Add(notice), end: end})
+	s.stopQueues()
 	sleeper.Sleep(ctx, notice)
 	s.callerServer.CloseIdle()
 	sleeper.Sleep(ctx, notice/closeNoticeDivisor)
--- a/internal/forwarder/report.go
+++ b/internal/forwarder/report.go
@@ -28,7 +28,7 @@
 )
 
 // linesPerSecond limits the log lines of one instance by message. Failures have higher limits than successes.
-var linesPerSecond = map[string]int{outcomeAnswered: 20, outcomeCallerGone: 20, outcomeRefused: 50, outcomeFailed: 100, messageAttemptFailed: 50}
+var linesPerSecond = map[string]int{outcomeAnswered: 20, outcomeCallerGone: 20, outcomeRefused: 50, outcomeFailed: 100, messageAttemptFailed: 50, messageQueueInUse: 1}
 
 // outcomeNames are the names of the outcomes of attempts in logs and metrics.
 var outcomeNames = map[retrier.Outcome]string{
@@ -79,6 +79,9 @@
 	if !c.Deadline.IsZero() {
 		log = log.WithField("budgetMs", c.Deadline.Sub(c.ReceivedAt).Milliseconds())
 	}
+	if c.queue.queuedFor > 0 {
+		log = log.WithField("queuedMs", c.queue.queuedFor.Milliseconds())
+	}
 	if len(c.LeftOut) > 0 {
 		leftOut := map[string]throttler.Reason{}
 		for id, v := range c.LeftOut {
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -35,6 +35,8 @@
 	blocks   []uint64
 	cancel   context.CancelFunc
 	inFlight *balancer.InFlightRequest
+	// hadPlace reports whether the target has not refused the call, so that the end of the response frees a place there.
+	hadPlace bool
 	// framing is how the end of the response is marked; it is empty if none has arrived.
 	framing pooler.Framing
 }
@@ -43,6 +45,7 @@
 func (x *targetRequest) release() {
 	x.cancel()
 	x.inFlight.End()
+	x.s.placeFreed(x)
 }
 
 // send sends the call and returns the outcome. It sets the call's response if the outcome is Done, and for a server error of
@@ -78,7 +81,7 @@
 		return x.handleNotRun(headers, ex.StatusCode)
 	}
 	if headers.NotRun {
-		ex.DiscardBody()
+		x.endRefusal(ex)
 		return x.handleNotRun(headers, ex.StatusCode)
 	}
 	if !isValid(ex.StatusCode, headers) {
@@ -160,7 +163,7 @@
 		x.c.MisdirectedCount++
 		x.assumeDesiredVersion(headers)
 	} else {
-		x.s.loads.RecordRefusal(x.t.ID, time.Now())
+		x.s.recordRefusal(x)
 	}
 	return retrier.NotRun, fmt.Errorf("target %s did not run the call: status %d", x.t.ID, status)
 }
@@ -189,11 +192,13 @@
 // recordResponse records the load, the weight versions and the cached blocks of the target from a response.
 func (x *targetRequest) recordResponse(r ResponseHeaders) {
 	now := time.Now()
+	x.hadPlace = !r.NotRun && !r.Misdirected
 	if !r.Misdirected || r.TargetID == x.t.ID { // another target may have the address
 		x.s.throttle.Record(throttler.ProcessOf(x.t), r.Statement, now)
 	}
 	if r.Load != nil {
 		x.s.loads.RecordLoad(x.t.ID, *r.Load, now)
+		x.s.recordWaiting(x.c.Service.Name, *r.Load)
 	}
 	for model, v := range r.WeightVersions {
 		if model == "" {
--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -49,8 +49,10 @@
 	DefaultPriority = 5
 	// maxChecks is the maximum number of requests for which [Queue.Next] calls its room function, which bounds the cost of a decision.
 	maxChecks = 4
-	// minInterval and maxInterval bound the time between two paced releases. A timer of the caller fires as often while requests wait.
-	minInterval = 50 * time.Millisecond
+	// MinWake is the least time between two calls of [Queue.Next] with [Paced] that the caller needs; releases add up meanwhile.
+	MinWake = 50 * time.Millisecond
+	// minInterval and maxInterval bound the time between two paced releases.
+	minInterval = time.Millisecond
 	maxInterval = time.Second
 	// refusalFactor multiplies the interval with each refusal by a target, and departureFactor with each departure, between minSlowdown
 	// and maxSlowdown. The interval grows while more than four in ten sends are refused.
@@ -129,7 +131,9 @@
 	interval  time.Duration
 	lastPaced time.Time
 	// slowdown is the factor of the interval that follows from refusals and departures.
-	slowdown  float64
+	slowdown float64
+	// isProbing reports whether no request has departed since the last refusal. One paced release at a time shows then whether there is room.
+	isProbing bool
 	refusedAt time.Time
 	// inUseSince is when the queue came into use.
 	inUseSince time.Time
@@ -138,7 +142,7 @@
 
 // New returns an empty Queue.
 func New[T any](l Limits) *Queue[T] {
-	return &Queue[T]{limits: l, interval: minInterval, slowdown: 1}
+	return &Queue[T]{limits: l, interval: MinWake, slowdown: 1}
 }
 
 // Len returns the number of waiting requests.
@@ -150,12 +154,16 @@
 		q.inUseSince, q.departures = now, nil
 	}
 	q.refusedAt = now
+	q.isProbing = true
 	q.slowdown = min(maxSlowdown, refusalFactor*q.slowdown)
 }
 
 // InUse reports whether requests that find no room wait. It stays true while requests wait.
-func (q *Queue[T]) InUse(now time.Time) bool {
-	return q.len > 0 || !q.refusedAt.IsZero() && now.Sub(q.refusedAt) < UseAfterRefusal
+func (q *Queue[T]) InUse(now time.Time) bool { return q.len > 0 || q.IsRefused(now) }
+
+// IsRefused reports whether a target has refused a request within UseAfterRefusal. If none has, an estimate that all are full is wrong.
+func (q *Queue[T]) IsRefused(now time.Time) bool {
+	return !q.refusedAt.IsZero() && now.Sub(q.refusedAt) < UseAfterRefusal
 }
 
 // SetCapacity sets the number of slots of the usable targets, the mean duration of a request and the number of instances, from
@@ -166,7 +174,11 @@
 
 // paceInterval returns the present interval between two paced releases.
 func (q *Queue[T]) paceInterval() time.Duration {
-	return max(minInterval, min(maxInterval, time.Duration(q.slowdown*float64(q.interval))))
+	least := minInterval
+	if q.isProbing {
+		least = MinWake
+	}
+	return max(least, min(maxInterval, time.Duration(q.slowdown*float64(q.interval))))
 }
 
 // RecordDeparture records that a request which was sent to a target has been run there. Their rate is that at which the queue drains.
@@ -175,6 +187,7 @@
 		q.departures = slices.Delete(q.departures, 0, 1)
 	}
 	q.departures = append(q.departures, now)
+	q.isProbing = false
 	q.slowdown = max(minSlowdown, departureFactor*q.slowdown)
 }
 
@@ -193,7 +206,7 @@
 			n++
 		}
 	}
-	prior := priorTime.Seconds() / max(time.Millisecond, q.interval).Seconds()
+	prior := priorTime.Seconds() / max(minInterval, q.interval).Seconds()
 	return (float64(n) + prior) / (now.Sub(from) + priorTime).Seconds()
 }
 
@@ -251,21 +264,34 @@
 	if q.len == 0 || trigger == Paced && now.Before(q.nextPaced()) {
 		return nil
 	}
-	if trigger == Paced {
-		q.lastPaced = now
-	}
 	for i, a := range q.order(now) {
 		if i >= maxChecks {
 			break
 		}
 		if r := a.first(now); room(r.Value) {
+			if trigger == Paced {
+				q.lastPaced = now
+				if !q.isProbing {
+					q.lastPaced = latest(q.nextPaced(), now.Add(-MinWake))
+				}
+			}
 			q.serve(a, r)
 			return r
 		}
 	}
+	if trigger == Paced {
+		q.lastPaced = now
+	}
 	return nil
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (q *Queue[T]) nextPaced() time.Time { return q.lastPaced.Add(q.paceInterval()) }
 
 // Wake returns when Next and Expire must be called at the latest; zero if no request waits.
--- a/internal/queuer/replay_test.go
+++ b/internal/queuer/replay_test.go
@@ -202,11 +202,15 @@
 // dispatch sends a call or lets it wait.
 func (in *replayInstance) dispatch(c *replayCall) {
 	r := in.r
-	if r.queued && !in.stopped && in.queue.InUse(r.clock()) && (in.queue.Len() > 0 || c.attempts > 0 || !in.hasRoom(c)) {
+	if r.queued && !in.stopped && in.queue.InUse(r.clock()) && (in.queue.Len() > 0 || c.attempts >= r.attempts-1 || !in.hasRoom(c)) {
 		in.push(c)
 		return
 	}
-	in.send(c)
+	if c.attempts > 0 && !in.retries.TryRetry(replayRetries, r.clock()) {
+		in.push(c)
+		return
+	}
+	in.send(c, -1)
 }
 
 func (in *replayInstance) push(c *replayCall) {
@@ -240,19 +244,20 @@
 		for _, e := range in.queue.Expire(in.r.clock()) {
 			in.refuse(e.Value)
 		}
-		in.release(Paced)
+		in.release(Paced, -1)
 		in.arm()
 	})
 }
 
-func (in *replayInstance) release(t Trigger) {
+// release sends the next call, if possible to the target where a place was freed; -1 if that is none.
+func (in *replayInstance) release(t Trigger, freed int) {
 	next := in.queue.Next(in.r.clock(), t, func(c *replayCall) bool {
 		return (t == Freed || in.hasRoom(c)) && (c.attempts == 0 || in.retries.TryRetry(replayRetries, in.r.clock()))
 	})
 	if next != nil {
 		c := next.Value
 		c.tally.longestWait = max(c.tally.longestWait, in.r.now-c.queuedFrom)
-		in.send(c)
+		in.send(c, freed)
 	}
 }
 
@@ -277,8 +282,8 @@
 	return in.inFlight[i] >= in.r.slots+replayWaiting || in.r.now-in.refusedAt[i] < replayRefusalTTL
 }
 
-// send sends a call to the target with the fewest own requests, if possible one that has not refused one lately.
-func (in *replayInstance) send(c *replayCall) {
+// send sends a call to the given target, else to that with the fewest own requests, if possible one that has not refused one lately.
+func (in *replayInstance) send(c *replayCall, freed int) {
 	r := in.r
 	best, least := -1, 0.0
 	for i, n := range in.inFlight {
@@ -295,6 +300,9 @@
 			}
 			cost += 10
 		}
+		if i == freed {
+			cost = -1
+		}
 		if best < 0 || cost < least {
 			best, least = i, cost
 		}
@@ -344,7 +352,7 @@
 		}
 		if r.queued {
 			in.queue.RecordDeparture(r.clock())
-			in.release(Freed)
+			in.release(Freed, target)
 			in.arm()
 		}
 		return
@@ -359,7 +367,7 @@
 	case r.queued && !in.stopped:
 		in.dispatch(c)
 	case in.retries.TryRetry(replayRetries, r.clock()):
-		in.send(c)
+		in.send(c, -1)
 	default:
 		in.refuse(c)
 	}
