--- a/internal/forwarder/queue.go
+++ b/internal/forwarder/queue.go
@@ -11,15 +11,12 @@
 	"time"
 
 	"github.com/papayaworks/papayaworks/internal/admitter"
-	"github.com/papayaworks/papayaworks/internal/balancer"
 	"github.com/papayaworks/papayaworks/internal/cataloger"
 	"github.com/papayaworks/papayaworks/internal/queuer"
 	"github.com/papayaworks/papayaworks/internal/request"
 )
 
 const (
-	// plainWaitFraction and engineWaitFraction are the fractions of a call's deadline after which it waits no longer.
-	plainWaitFraction, engineWaitFraction = 0.5, 0.25
 	// queueMemoryFraction is the fraction of the instance's memory that the waiting calls of a service may hold, and waitingCallBytes what
 	// a call holds besides its body: its connection, goroutine and headers.
 	queueMemoryFraction = 1.0 / 16
@@ -30,8 +27,6 @@
 	maxWaitingCalls = 512
 	// maxHonoured is the fraction of the remaining time up to which callers wait for a Retry-After. The jitter adds up to a quarter.
 	maxHonoured = 1.0 / 3 / 1.25
-	// waitingReportTTL is the maximum age of the reports from which the number of calls that targets queue is taken.
-	waitingReportTTL = 5 * time.Second
 	// messageQueueInUse is the log message when calls of a service may begin to wait.
 	messageQueueInUse = "targets refuse calls, which may wait now"
 	// outcomeSent is the outcome of a wait whose call was sent; the others are reasons of the queuer and outcomeCallerGone.
@@ -190,7 +185,7 @@
 	}
 	// The last attempt waits for its turn, unless it is certain that there is room.
 	isUncertain := mayWait && isRetry && c.isLastAttempt() && !s.knowsPeersLoad(c, now)
-	mustWait := !hasRoom || mayWait && (sq.policy.Len() > 0 || isUncertain)
+	mustWait := !hasRoom || mayWait && (sq.policy.HasCheaper(c.cost()) || isUncertain)
 	mayWait = mayWait && !s.queues.stopped && s.waitUntil(c).After(now)
 	if !mustWait || !mayWait {
 		switch {
@@ -225,10 +220,7 @@
 func (s *Server) queueRequest(w *waitingCall) *queuer.Request[*waitingCall] {
 	c := w.c
 	r := &queuer.Request[*waitingCall]{
-		Value: w, Priority: queuer.DefaultPriority, Bytes: len(c.Body) + waitingCallBytes, WaitUntil: s.waitUntil(c), LastStart: c.Deadline.Add(-s.expectedTime(c)),
-	}
-	if c.Service.Engine != nil {
-		r.Cost = float64(c.tokens())
+		Value: w, Cost: c.cost(), Priority: queuer.DefaultPriority, Bytes: len(c.Body) + waitingCallBytes, WaitUntil: s.waitUntil(c), LastStart: c.Deadline.Add(-s.expectedTime(c)),
 	}
 	if c.Account != nil {
 		r.Account = c.Account.Name
@@ -242,32 +234,6 @@
 	return r
 }
 
-// tokens returns the tokens that the call is expected to occupy at an engine.
-func (c *Call) tokens() int {
-	return c.Headers.Prompt.InputTokens + c.Headers.Prompt.expectedOutputTokens()
-}
-
-// expectedTime returns the expected time from the start to the first event of a call to an engine, or to the response of another.
-func (s *Server) expectedTime(c *Call) time.Duration {
-	if c.Service.Engine != nil {
-		return balancer.PrefillTime(c.Headers.Prompt.InputTokens)
-	}
-	return s.loads.MeanDuration(c.Service.Name)
-}
-
-// waitUntil returns the limit of the call's wait: for engines, the objective must still be met.
-func (s *Server) waitUntil(c *Call) time.Time {
-	total := c.Deadline.Sub(c.ReceivedAt)
-	if c.Service.Engine == nil {
-		return c.ReceivedAt.Add(time.Duration(plainWaitFraction * float64(total)))
-	}
-	limit := time.Duration(engineWaitFraction * float64(total))
-	if c.Route.Objective > 0 {
-		limit = min(limit, c.Route.Objective-s.expectedTime(c))
-	}
-	return c.ReceivedAt.Add(limit)
-}
-
 // leaveQueue removes a call whose caller has gone, and reports whether it was waiting.
 func (s *Server) leaveQueue(w *waitingCall) bool {
 	s.queues.mu.Lock()
@@ -354,8 +320,10 @@
 	sq.policy.RecordRefusal(now)
 	s.queues.extend(now.Add(queuer.UseAfterRefusal))
 	s.queues.mu.Unlock()
-	if log, ok := s.loggerFor(messageQueueInUse); ok && !wasInUse {
-		log.WithField("service", c.Service.Name).Info(messageQueueInUse)
+	if !wasInUse {
+		if log, ok := s.loggerFor(messageQueueInUse); ok {
+			log.WithField("service", c.Service.Name).Info(messageQueueInUse)
+		}
 	}
 	c.queue.retryPending = c.mayWait()
 	if c.mayWait() {
--- a/internal/forwarder/room.go
+++ b/internal/forwarder/room.go
@@ -9,6 +9,47 @@
 	"github.com/papayaworks/papayaworks/internal/pooler"
 )
 
+const (
+	// plainWaitFraction and engineWaitFraction are the fractions of a call's deadline after which it waits no longer.
+	plainWaitFraction, engineWaitFraction = 0.5, 0.25
+	// waitingReportTTL is the maximum age of the reports from which the number of calls that targets queue is taken.
+	waitingReportTTL = 5 * time.Second
+)
+
+// tokens returns the tokens that the call is expected to occupy at an engine.
+func (c *Call) tokens() int {
+	return c.Headers.Prompt.InputTokens + c.Headers.Prompt.expectedOutputTokens()
+}
+
+// cost returns the work of the call for the order of the queue.
+func (c *Call) cost() float64 {
+	if c.Service.Engine == nil {
+		return 1
+	}
+	return float64(c.tokens())
+}
+
+// expectedTime returns the expected time from the start to the first event of a call to an engine, or to the response of another.
+func (s *Server) expectedTime(c *Call) time.Duration {
+	if c.Service.Engine != nil {
+		return balancer.PrefillTime(c.Headers.Prompt.InputTokens)
+	}
+	return s.loads.MeanDuration(c.Service.Name)
+}
+
+// waitUntil returns the limit of the call's wait: for engines, the objective must still be met.
+func (s *Server) waitUntil(c *Call) time.Time {
+	total := c.Deadline.Sub(c.ReceivedAt)
+	if c.Service.Engine == nil {
+		return c.ReceivedAt.Add(time.Duration(plainWaitFraction * float64(total)))
+	}
+	limit := time.Duration(engineWaitFraction * float64(total))
+	if c.Route.Objective > 0 {
+		limit = min(limit, c.Route.Objective-s.expectedTime(c))
+	}
+	return c.ReceivedAt.Add(limit)
+}
+
 // slotsOf returns the number of slots of the targets of a service; 0 if they are not known.
 func (s *Server) slotsOf(svc *cataloger.Service) int {
 	sum := 0
--- a/internal/queuer/order.go
+++ b/internal/queuer/order.go
@@ -109,3 +109,17 @@
 	}
 	return nil
 }
+
+// cheapest returns the waiting request with the lowest cost, the most urgent one among equals, and its account.
+func (q *Queue[T]) cheapest() (*account[T], *Request[T]) {
+	var of *account[T]
+	var out *Request[T]
+	for _, a := range q.accounts {
+		for _, r := range a.requests {
+			if out == nil || r.cost() < out.cost() {
+				of, out = a, r
+			}
+		}
+	}
+	return of, out
+}
--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -48,7 +48,7 @@
 	// DefaultPriority is the priority of requests whose route and account have none, the middle of 0 to 9.
 	DefaultPriority = 5
 	// maxChecks is the maximum number of requests for which [Queue.Next] calls its room function, which bounds the cost of a decision.
-	maxChecks = 4
+	maxChecks = 2
 	// MinWake is the least time between two calls of [Queue.Next] with [Paced] that the caller needs; releases add up meanwhile.
 	MinWake = 50 * time.Millisecond
 	// minInterval and maxInterval bound the time between two paced releases.
@@ -227,6 +227,15 @@
 	Evicted []*Request[T]
 }
 
+// HasCheaper reports whether a request waits that costs at most as much. Room for a new request shows room for that one, too.
+func (q *Queue[T]) HasCheaper(cost float64) bool {
+	if q.len == 0 {
+		return false
+	}
+	_, r := q.cheapest()
+	return r.cost() <= max(1, cost)
+}
+
 // Push adds a request, unless it can't be expected to leave the queue in time or the queue is full.
 func (q *Queue[T]) Push(r *Request[T], now time.Time) PushResult[T] {
 	if now.Add(q.expectedWait(q.ahead(r, now), now)).After(r.WaitUntil) {
@@ -259,7 +268,8 @@
 }
 
 // Next removes and returns the first request in the order for which room returns true; nil if there is none or the interval
-// between paced releases has not passed. Room is called for at most maxChecks requests, one for each account and priority.
+// between paced releases has not passed. Room is called for the
+// first request of at most maxChecks accounts, and then for the one with the lowest cost.
 func (q *Queue[T]) Next(now time.Time, trigger Trigger, room func(T) bool) *Request[T] {
 	if q.len == 0 || trigger == Paced && now.Before(q.nextPaced()) {
 		return nil
@@ -269,22 +279,32 @@
 			break
 		}
 		if r := a.first(now); room(r.Value) {
-			if trigger == Paced {
-				q.lastPaced = now
-				if !q.isProbing {
-					q.lastPaced = latest(q.nextPaced(), now.Add(-MinWake))
-				}
-			}
-			q.serve(a, r)
+			q.release(a, r, trigger, now)
 			return r
 		}
 	}
+	// A request that needs much of a target must not hold back the others.
+	if a, r := q.cheapest(); room(r.Value) {
+		q.release(a, r, trigger, now)
+		return r
+	}
 	if trigger == Paced {
 		q.lastPaced = now
 	}
 	return nil
 }
 
+// release removes a request that is sent, and counts it against the interval if it is paced.
+func (q *Queue[T]) release(a *account[T], r *Request[T], trigger Trigger, now time.Time) {
+	if trigger == Paced {
+		q.lastPaced = now
+		if !q.isProbing {
+			q.lastPaced = latest(q.nextPaced(), now.Add(-MinWake))
+		}
+	}
+	q.serve(a, r)
+}
+
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/queuer/queuer_test.go
+++ b/internal/queuer/queuer_test.go
@@ -143,6 +143,20 @@
 	require.Empty(t, q.Clear())
 }
 
+// Guards against a request for which no target has enough memory that holds back smaller ones of its account.
+func TestLargeRequestDoesNotBlock(t *testing.T) {
+	now := time.Unix(1000, 0)
+	q := New[string](Limits{Calls: 10, Bytes: 100})
+	for i, name := range []string{"large", "small"} {
+		cost := float64(30_000 - 29_000*i)
+		q.Push(&Request[string]{Value: name, Cost: cost, LastStart: now.Add(time.Second + time.Duration(i)), WaitUntil: now.Add(time.Second)}, now)
+	}
+	require.False(t, q.HasCheaper(500))
+	require.True(t, q.HasCheaper(1000))
+	require.Equal(t, "small", q.Next(now, Freed, func(name string) bool { return name == "small" }).Value)
+	require.False(t, q.HasCheaper(1000))
+}
+
 func BenchmarkNext(b *testing.B) {
 	now := time.Unix(1000, 0)
 	q := New[int](Limits{Calls: 512, Bytes: 1 << 20})
