--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -58,6 +58,8 @@
 	// and maxSlowdown. The interval grows while more than four in ten sends are refused.
 	refusalFactor, departureFactor = 1.5, 0.75
 	minSlowdown, maxSlowdown       = 0.25, 4
+	// maxProbeFactor bounds the interval of single releases while targets refuse all, in MinWake: each costs a call an attempt.
+	maxProbeFactor = 4
 	// rateWindow is the time over which departures are counted, and maxDepartures their maximum number.
 	rateWindow    = 2 * time.Second
 	maxDepartures = 64
@@ -132,8 +134,8 @@
 	lastPaced time.Time
 	// slowdown is the factor of the interval that follows from refusals and departures.
 	slowdown float64
-	// isProbing reports whether no request has departed since the last refusal. One paced release at a time shows then whether there is room.
-	isProbing bool
+	// refusals is the number of refusals since the last departure. Unless it is 0, one paced release at a time shows whether there is room.
+	refusals  int
 	refusedAt time.Time
 	// inUseSince is when the queue came into use.
 	inUseSince time.Time
@@ -154,7 +156,7 @@
 		q.inUseSince, q.departures = now, nil
 	}
 	q.refusedAt = now
-	q.isProbing = true
+	q.refusals++
 	q.slowdown = min(maxSlowdown, refusalFactor*q.slowdown)
 }
 
@@ -175,8 +177,8 @@
 // paceInterval returns the present interval between two paced releases.
 func (q *Queue[T]) paceInterval() time.Duration {
 	least := minInterval
-	if q.isProbing {
-		least = MinWake
+	if q.refusals > 0 {
+		least = MinWake * time.Duration(min(q.refusals, maxProbeFactor))
 	}
 	return max(least, min(maxInterval, time.Duration(q.slowdown*float64(q.interval))))
 }
@@ -187,7 +189,7 @@
 		q.departures = slices.Delete(q.departures, 0, 1)
 	}
 	q.departures = append(q.departures, now)
-	q.isProbing = false
+	q.refusals = 0
 	q.slowdown = max(minSlowdown, departureFactor*q.slowdown)
 }
 
@@ -298,7 +300,7 @@
 func (q *Queue[T]) release(a *account[T], r *Request[T], trigger Trigger, now time.Time) {
 	if trigger == Paced {
 		q.lastPaced = now
-		if !q.isProbing {
+		if q.refusals == 0 {
 			q.lastPaced = latest(q.nextPaced(), now.Add(-MinWake))
 		}
 	}
