--- a/internal/exporter/forwarding.go
+++ b/internal/exporter/forwarding.go
@@ -19,6 +19,9 @@
 	Unread          = "papayaworks_unread_requests_total"
 	WarmupSends     = "papayaworks_warmup_sends_total"
 	TargetsCold     = "papayaworks_targets_cold"
+	QueueLength     = "papayaworks_queue_length"
+	Waits           = "papayaworks_queue_waits_total"
+	WaitSeconds     = "papayaworks_queue_wait_seconds"
 	ConfigAge       = "papayaworks_configuration_age_seconds"
 	CatalogVersion  = "papayaworks_catalog_version"
 	Targets         = "papayaworks_targets"
@@ -121,6 +124,17 @@
 	set(SlowdownPerRun, slowdownPerRun)
 }
 
+// SetQueueLength records the number of calls that wait in the queue of a service.
+func (f *ForwardingMetrics) SetQueueLength(service string, n int) {
+	f.set.GetOrCreateGauge(fmt.Sprintf("%s{service=%q}", QueueLength, service), nil).Set(float64(n))
+}
+
+// RecordWait counts the end of a call's wait in the queue of a service by its outcome.
+func (f *ForwardingMetrics) RecordWait(service, outcome string, waited time.Duration) {
+	f.set.GetOrCreateCounter(fmt.Sprintf("%s{service=%q,outcome=%q}", Waits, service, outcome)).Inc()
+	f.set.GetOrCreatePrometheusHistogramExt(fmt.Sprintf("%s{service=%q}", WaitSeconds, service), callSecondsBounds).Update(waited.Seconds())
+}
+
 // boundedLabel returns the value, or otherLabel if the label already has maxLabels other values.
 func (f *ForwardingMetrics) boundedLabel(label, value string) string {
 	f.mu.Lock()
@@ -143,10 +157,13 @@
 	{CallSeconds, "histogram", "route, le", "seconds from the arrival of a forwarded call to the first event or the whole answer"},
 	{Attempts, "counter", "service, outcome, reason", "sends of forwarded calls to targets by outcome (done, notRun, repeatable, unknown) and by why the target was chosen"},
 	{StreamEnds, "counter", "service, framing, end", "streams of targets by the framing of the response (length, chunked, none) and by how they ended (see streamEnd in docs/logs.md)"},
-	{LeftOut, "counter", "service, reason", "targets that a choice left out because of what they have said where they are, or because they are warming up (see leftOut in docs/logs.md)"},
+	{LeftOut, "counter", "service, reason", "targets that a choice left out because of what they have said, where they are, or because they are warming up (see leftOut in docs/logs.md)"},
 	{Unread, "counter", "reason", "requests that were refused before they were read completely (head, body, framing, timeout, memory, pipelining), and connections that were closed without a response (connections: too many, idle)"},
 	{WarmupSends, "counter", "service", "requests that were sent to targets that are warming up or unreachable, within the share of the instance"},
 	{TargetsCold, "gauge", "", "targets that are warming up or unreachable, so that few instances send to them; only those of services with a bound"},
+	{QueueLength, "gauge", "service", "calls that wait in the queue of a service because its targets are expected to refuse them"},
+	{Waits, "counter", "service, outcome", "ends of waits in the queue of a service: sent, or why not: hopeless, full, expired, stopped, callerGone (see docs/design/queue.md)"},
+	{WaitSeconds, "histogram", "service, le", "seconds that calls have waited in the queue of a service"},
 	{ConfigAge, "gauge", "", "seconds since the operator's configuration was last known to be the newest; API keys are refused near the operator's bound"},
 	{CatalogVersion, "gauge", "", "version of the operator's configuration in force at the instance"},
 	{Targets, "gauge", "", "targets that are known, those that are leaving included"},
--- a/internal/forwarder/callers.go
+++ b/internal/forwarder/callers.go
@@ -36,7 +36,7 @@
 func (s *Server) newCallerServer() *listener.Server {
 	out := &listener.Server{
 		Addr: s.Settings.ListenAddress, Handler: http.HandlerFunc(s.serve), MaxBodyBytes: maxBodyBytes, WriteBufferBytes: maxWriteBufferBytes,
-		Limits: s.callerLimits, Refuse: s.encodeRefusal, OnRefuse: s.recordRefusal,
+		Limits: s.callerLimits, Refuse: s.encodeRefusal, OnRefuse: s.recordUnread,
 	}
 	if n := s.Settings.MemoryBytes; n > 0 {
 		out.MaxHeldBytes = max(minHeldBytes, int64(heldFraction*float64(n)))
@@ -51,7 +51,7 @@
 // newControlServer returns a server for readiness checks or metrics.
 func (s *Server) newControlServer(address string, h http.HandlerFunc) *listener.Server {
 	return &listener.Server{
-		Addr: address, Handler: h, MaxBodyBytes: controlBytes, MaxConnections: controlConnections, OnRefuse: s.recordRefusal,
+		Addr: address, Handler: h, MaxBodyBytes: controlBytes, MaxConnections: controlConnections, OnRefuse: s.recordUnread,
 		Limits: func() listener.Limits {
 			return listener.Limits{HeadBytes: controlBytes, BodyBytes: controlBytes, IdleTimeout: controlIdleTimeout}
 		},
@@ -92,9 +92,9 @@
 	return body
 }
 
-// recordRefusal counts a request that was refused before it was read completely, or a connection that was closed, and logs it at most
+// recordUnread counts a request that was refused before it was read completely, or a connection that was closed, and logs it at most
 // once a second.
-func (s *Server) recordRefusal(reason string) {
+func (s *Server) recordUnread(reason string) {
 	s.metrics.RecordUnread(reason)
 	if reason == listener.ReasonIdle {
 		return
--- a/internal/forwarder/estimate.go
+++ b/internal/forwarder/estimate.go
@@ -72,6 +72,7 @@
 		return
 	}
 	x.s.loads.RecordLoad(x.t.ID, *l, now)
+	x.s.recordWaiting(x.c.Service.Name, *l)
 	if x.s.estimates == nil || !l.SlowdownStated || r.Misdirected && r.TargetID != x.t.ID {
 		return
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -120,6 +120,8 @@
 	// FencingEnabled reports whether targets check fencing tokens; the interval is not needed then.
 	LeaseGuardInterval time.Duration
 	FencingEnabled     bool
+	// QueueCalls reports whether calls of plain services may wait in the instance while the targets refuse calls.
+	QueueCalls bool
 	// ColdBounds bound the requests that all instances together send to a target that is warming up.
 	ColdBounds warmer.Bounds
 	// MemoryBytes is the memory limit of the process, MaxFiles the limit of its descriptors; 0 means unknown.
@@ -179,6 +181,7 @@
 	retryBudgets  *retryBudgets
 	pool          *pooler.Pool
 	waiting       waitingAttempts
+	queues        queues
 	throttle      *throttler.Table
 	warming       *warmer.Table
 	quarantine    *quarantiner.Quarantine
@@ -472,6 +475,7 @@
 	}
 	end := startedAt.Add(s.settings().GracePeriod - finishMargin)
 	s.stop.Store(&stopTimes{noticeEnd: startedAt.Add(notice), end: end})
+	s.stopQueues()
 	sleeper.Sleep(ctx, notice)
 	s.callerServer.CloseIdle()
 	sleeper.Sleep(ctx, notice/closeNoticeDivisor)
