--- a/internal/listener/guard.go
+++ b/internal/listener/guard.go
@@ -1,14 +1,12 @@
 package listener
 
 import (
-	"bufio"
 	"bytes"
 	"cmp"
 	"errors"
 	"fmt"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,9 +17,6 @@
 )
 
 const (
-	// defaultHeadTimeout and defaultBodyTimeout bound the time between the first and the last byte of a head, and of the whole request.
-	defaultHeadTimeout = 10 * time.Second
-	defaultBodyTimeout = 30 * time.Second
 	// maxPipelined bounds the requests of one connection that wait for the response of an earlier one.
 	maxPipelined = 16
 	// lingerTime and maxLingerBytes bound what is still read from a connection after a refusal. Closing it with unread bytes would reset
@@ -36,57 +31,6 @@
 	busyRetryAfter = 500 * time.Millisecond
 )
 
-// Limits bound what a client may send and for how long. A value of 0 means the default.
-type Limits struct {
-	HeadBytes, BodyBytes int
-	// HeadTimeout and BodyTimeout bound the time from the first byte of a request to the end of its head, and to its end. IdleTimeout
-	// bounds the time without a request.
-	HeadTimeout, BodyTimeout, IdleTimeout time.Duration
-}
-
-// withDefaults returns the limits with all values set.
-func (l Limits) withDefaults(maxBodyBytes int) Limits {
-	set := func(d *time.Duration, value time.Duration) {
-		if *d <= 0 {
-			*d = value
-		}
-	}
-	if l.HeadBytes <= 0 {
-		l.HeadBytes = framer.DefaultHeadBytes
-	}
-	if l.BodyBytes <= 0 {
-		l.BodyBytes = maxBodyBytes
-	}
-	set(&l.HeadTimeout, defaultHeadTimeout)
-	set(&l.BodyTimeout, defaultBodyTimeout)
-	set(&l.IdleTimeout, keepAliveTimeout)
-	return l
-}
-
-// Refusal is the reason for which a request was refused before it reached the handler. The request has not run.
-type Refusal struct {
-	Status int
-	// Reason is a short name for metrics, Message a sentence for the client.
-	Reason, Message string
-	// RetryAfter is the advised retry delay; 0 if a retry has no better chance.
-	RetryAfter time.Duration
-	// Header is that of the request as far as it was read completely; nil otherwise.
-	Header http.Header
-}
-
-// Reasons of a [Refusal].
-const (
-	ReasonHead       = "head"
-	ReasonBody       = "body"
-	ReasonFraming    = "framing"
-	ReasonTimeout    = "timeout"
-	ReasonMemory     = "memory"
-	ReasonPipelining = "pipelining"
-	// ReasonConnections and ReasonIdle stand for connections that are closed without a response.
-	ReasonConnections = "connections"
-	ReasonIdle        = "idle"
-)
-
 // connection is what the server knows of one connection beside the library. Bytes are read by one goroutine for all connections.
 type connection struct {
 	conn net.Conn
@@ -220,19 +164,6 @@
 	x.mu.Unlock()
 }
 
-func refusalOf(v *framer.Violation) Refusal {
-	r := Refusal{Status: v.Status, Message: v.Error()}
-	switch v.Status {
-	case http.StatusRequestEntityTooLarge:
-		r.Reason = ReasonBody
-	case http.StatusRequestHeaderFieldsTooLarge:
-		r.Reason = ReasonHead
-	default:
-		r.Reason = ReasonFraming
-	}
-	return r
-}
-
 // refuse refuses the request that is being read, and reads nothing more from the connection. The response is left out while those of
 // earlier requests are not complete; the connection is closed after them.
 func (s *Server) refuse(x *connection, r Refusal) {
@@ -256,34 +187,6 @@
 	}
 }
 
-// headerOf returns the header of a request whose head is complete, or nil.
-func headerOf(head []byte) http.Header {
-	if !bytes.HasSuffix(head, []byte("\r\n\r\n")) {
-		return nil
-	}
-	req, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
-	if err != nil {
-		return nil
-	}
-	return req.Header
-}
-
-// encodeRefusal returns the bytes of the response with which a request is refused.
-func (s *Server) encodeRefusal(r Refusal) []byte {
-	h, body := http.Header{}, []byte(r.Message+"\n")
-	if s.Refuse != nil {
-		body = s.Refuse(h, r)
-	}
-	h.Set("Connection", "close")
-	h.Set("Content-Length", strconv.Itoa(len(body)))
-	var b bytes.Buffer
-	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", r.Status, http.StatusText(r.Status))
-	_ = h.Write(&b) // writes to a bytes.Buffer do not fail
-	b.WriteString("\r\n")
-	b.Write(body)
-	return b.Bytes()
-}
-
 // boundMemory refuses requests that are being read, the oldest first, while all of them hold more than the bound: a request of an ordinary
 // client is read within milliseconds. If there are none, x is refused, whose bytes have exceeded the bound.
 func (s *Server) boundMemory(x *connection) {
