feat(forwarder): engines are chosen by learned rates only where the settings ask for it

Cause: the expected wait for a slot makes short requests look late, so that they are refused where they were served a little late or on time before, and the higher price of a recomputation did not save prefill in overload. Change: learnEngines under [placement] in the settings, false by default. Plain services keep the learned choice.

--- a/internal/forwarder/estimate.go
+++ b/internal/forwarder/estimate.go
@@ -18,10 +18,16 @@
 	startedAt time.Time
 }
 
+// mayEstimate reports whether what is learned of a service counts in the choice of its targets. For engines that is so only where the settings
+// ask for it: on the days on which it was measured it served fewer requests on time in overload.
+func (s *Server) mayEstimate(svc *cataloger.Service) bool {
+	return s.estimates != nil && (svc.Engine == nil || s.settings().LearnEngines)
+}
+
 // addEstimates adds the learned rates and the speeds of the candidates to the balancer's input, if the estimates of the call's service are
 // used. What this instance's own requests should have been computed by now no longer counts as queued.
 func (s *Server) addEstimates(in *balancer.Input, c *Call, now time.Time) {
-	if s.estimates == nil || !s.estimates.Enabled(c.Service.Name, now) {
+	if !s.mayEstimate(c.Service) || !s.estimates.Enabled(c.Service.Name, now) {
 		return
 	}
 	rates := s.estimates.Rates(c.Service.Name)
@@ -47,7 +53,7 @@
 // attempts teach, because later ones may find a part of their prompt cached or resume a stream.
 func (x *targetRequest) expect(d balancer.Decision) {
 	s, c := x.s, x.c
-	if s.estimates == nil || !s.estimates.Enabled(c.Service.Name, x.startedAt) {
+	if !s.mayEstimate(c.Service) || !s.estimates.Enabled(c.Service.Name, x.startedAt) {
 		return
 	}
 	x.knownRequests = d.Outstanding + 1
@@ -73,7 +79,7 @@
 	}
 	x.s.loads.RecordLoad(x.t.ID, *l, now)
 	x.s.recordWaiting(x.c.Service.Name, *l)
-	if x.s.estimates == nil || !l.SlowdownStated || r.Misdirected && r.TargetID != x.t.ID {
+	if !x.s.mayEstimate(x.c.Service) || !l.SlowdownStated || r.Misdirected && r.TargetID != x.t.ID {
 		return
 	}
 	x.s.estimates.RecordSlowdown(x.c.Service.Name, throttler.ProcessOf(x.t), l.Slowdown, now)
@@ -102,7 +108,7 @@
 
 // recentSlowdowns returns the slowdowns of targets that the peers should know.
 func (s *Server) recentSlowdowns(now time.Time) map[announcer.TargetHash]announcer.Slowdown {
-	if s.estimates == nil {
+	if s.estimates == nil || !s.settings().LearnEngines {
 		return nil
 	}
 	recent := s.estimates.RecentSlowdowns(now)
--- a/internal/forwarder/estimate_test.go
+++ b/internal/forwarder/estimate_test.go
@@ -9,6 +9,7 @@
 	"github.com/papayaworks/papayaworks/internal/announcer"
 	"github.com/papayaworks/papayaworks/internal/balancer"
 	"github.com/papayaworks/papayaworks/internal/estimator"
+	"github.com/papayaworks/papayaworks/internal/throttler"
 )
 
 // attemptAt returns an attempt of the call at a target, chosen by the balancer.
@@ -32,7 +33,7 @@
 // responses and those of other targets that teach.
 func TestEstimatesOfAttempts(t *testing.T) {
 	s, c := serverWithTargets(t, 8)
-	s.estimates = estimator.New()
+	s.estimates, s.Settings.LearnEngines = estimator.New(), true
 	now := time.Now()
 	x := attemptAt(t, s, c, now)
 	require.Nil(t, x.sample)
@@ -62,10 +63,29 @@
 	require.Equal(t, 2, s.estimates.StatedTargets(now))
 }
 
+// Guards against engines that are chosen by what was learned of them although the settings do not ask for it.
+func TestEnginesAreChosenAsBeforeByDefault(t *testing.T) {
+	s, c := serverWithTargets(t, 8)
+	s.estimates = estimator.New()
+	now := time.Now()
+	x := attemptAt(t, s, c, now)
+	x.recordLoad(slow(4), now)
+	require.False(t, s.estimates.Enabled("llm", now))
+	in := balancer.Input{IsEngine: true}
+	s.estimates.RecordSlowdown("llm", throttler.ProcessOf(x.t), 4, now)
+	s.addEstimates(&in, c, now)
+	require.Nil(t, in.Rates)
+	require.Empty(t, s.recentSlowdowns(now))
+	s.Settings.LearnEngines = true
+	s.addEstimates(&in, c, now)
+	require.NotNil(t, in.Rates)
+	require.NotEmpty(t, s.recentSlowdowns(now))
+}
+
 // BenchmarkBalanceLearned is BenchmarkBalance with learned estimates.
 func BenchmarkBalanceLearned(b *testing.B) {
 	s, c := serverWithTargets(b, 163)
-	s.estimates = estimator.New()
+	s.estimates, s.Settings.LearnEngines = estimator.New(), true
 	now := time.Now()
 	for _, t := range s.Watcher.View().Targets("llm") {
 		x := &targetRequest{s: s, c: c, t: t}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -120,6 +120,8 @@
 	// FencingEnabled reports whether targets check fencing tokens; the interval is not needed then.
 	LeaseGuardInterval time.Duration
 	FencingEnabled     bool
+	// LearnEngines reports whether engines are chosen by what was learned of them; see mayEstimate.
+	LearnEngines bool
 	// QueueCalls reports whether calls of plain services may wait in the instance while the targets refuse calls.
 	QueueCalls bool
 	// ColdBounds bound the requests that all instances together send to a target that is warming up.
