fix(forwarder): a configuration without limits does not refuse all bodies

Seen: every request with a body got 413 if the operator's configuration has no limits. Cause: an absent limit was read as the limit 0, the same class as the absent and the empty list of accounts. Change: without a limit of the operator the default of the listener holds. TestConfigurationWithoutLimits failed before with 413.

--- a/internal/forwarder/read.go
+++ b/internal/forwarder/read.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -37,7 +38,7 @@
 		return request.Refuse(http.StatusBadRequest, request.CodeBadRequest, "", "%v", err)
 	}
 	c.Headers = headers
-	limit := c.View.Catalog.Limits.BodyBytes
+	limit := cmp.Or(c.View.Catalog.Limits.BodyBytes, maxBodyBytes)
 	// The listener has refused bodies above the limit, but the configuration may have changed since.
 	c.Body, err = readBody(c.HTTP, limit)
 	if err != nil {
