--- a/review/standins-2/client.go
+++ b/review/standins-2/client.go
@@ -70,24 +70,3 @@
 	a.body, err = io.ReadAll(res.Body)
 	return a, err
 }
-
-// pacedReader reads from a connection at slowRate.
-type pacedReader struct {
-	r     io.Reader
-	start time.Time
-	n     int
-}
-
-// newPacedReader returns a buffered reader of a connection that reads at slowRate.
-func newPacedReader(r io.Reader) *bufio.Reader {
-	return bufio.NewReaderSize(&pacedReader{r: r, start: time.Now()}, 16<<10)
-}
-
-// Read implements io.Reader.
-func (p *pacedReader) Read(b []byte) (int, error) {
-	due := p.start.Add(time.Duration(p.n) * time.Second / slowRate)
-	time.Sleep(time.Until(due))
-	n, err := p.r.Read(b)
-	p.n += n
-	return n, err
-}
--- a/review/standins-2/deployment.go
+++ b/review/standins-2/deployment.go
@@ -39,7 +39,9 @@
 	plainKind      string
 	plainTimeoutMs int
 	tenants        []map[string]any
-	version        int
+	// kvStore is the store of kept KV cache; nil if there is none.
+	kvStore *kvStore
+	version int
 }
 
 // instance is one process of the program, with the link between it and the store.
@@ -70,20 +72,26 @@
 // publish writes a configuration with the present tenants and returns the time of its acknowledgement.
 func (d *deployment) publish() time.Time {
 	d.version += 3
+	services := []map[string]any{
+		{"name": plainName, "health_path": "/health", "max_connections": 400, "protocol": "h1", "tls": false},
+		{"name": engineName, "health_path": "/health", "max_connections": 360, "protocol": "h1", "tls": false, "engine": map[string]any{
+			"slots": 64, "kv_capacity_tokens": 103909, "kv_token_bytes": 163840, "link_mbps": 550000.0, "managed": true, "max_concurrent": 12, "models": []map[string]any{{"name": modelName}},
+		}},
+	}
+	if d.kvStore != nil {
+		services = append(services, map[string]any{
+			"name": "lovo22d", "kv_store_addr": d.kvStore.address, "zone": "medina", "kv_capacity_tokens": 740750, "link_mbps": 420000.0, "max_concurrent": 12, "managed": true, "first_ms": 6.0,
+		})
+	}
 	return d.store.put("keyed.op", "config", map[string]any{
 		"version": d.version,
 		"routes": []map[string]any{
 			{"name": "r-plain", "host": routeHost, "path_prefix": plainPath, "kind": d.plainKind, "timeout_ms": d.plainTimeoutMs, "target_latency_ms": 150, "priority": 2, "service": plainName, "max_attempts": 2, "public": false},
 			{"name": "r-engine", "host": routeHost, "path_prefix": enginePath, "kind": "streaming", "timeout_ms": 15000, "target_latency_ms": 400, "priority": 0, "service": engineName, "max_attempts": 2, "public": false, "sticky": true, "resumable": false, "gap_target_ms": 300},
 		},
-		"services": []map[string]any{
-			{"name": plainName, "health_path": "/health", "max_connections": 400, "protocol": "h1", "tls": false},
-			{"name": engineName, "health_path": "/health", "max_connections": 360, "protocol": "h1", "tls": false, "engine": map[string]any{
-				"slots": 64, "kv_capacity_tokens": 103909, "kv_token_bytes": 163840, "link_mbps": 550000.0, "managed": true, "max_concurrent": 12, "models": []map[string]any{{"name": modelName}},
-			}},
-		},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": d.tenants,
+		"services": services,
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants":  d.tenants,
 	})
 }
 
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -23,9 +23,10 @@
 
 var scenarios = map[string]scenario{
 	"unsigned-success": unsignedSuccess,
-	"slow-reader":      slowReader,
+	"late-record":      lateRecord,
+	"held-answers":     heldAnswers,
 	"revoked-key":      revokedKey,
-	"isolation":        isolation,
+	"partial-fetch":    partialFetch,
 }
 
 var errUnknownCase = errors.New("unknown case")
--- a/review/standins-2/store.go
+++ b/review/standins-2/store.go
@@ -63,6 +63,14 @@
 	return time.Now()
 }
 
+// remove drops a key of a keyed topic and returns the time of the acknowledgement.
+func (s *store) remove(name, key string) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.add(name, append([]byte{byte(len(key))}, key...))
+	return time.Now()
+}
+
 // topic returns a topic, which it creates on first use; s.mu is held.
 func (s *store) topic(name string) *topic {
 	t := s.topics[name]
@@ -76,7 +84,7 @@
 // add appends a record; s.mu is held.
 func (s *store) add(name string, rec []byte) {
 	t := s.topic(name)
-	if strings.HasPrefix(name, "keyed.") && len(rec) > int(rec[0]) {
+	if strings.HasPrefix(name, "keyed.") && len(rec) >= 1+int(rec[0]) {
 		key := string(rec[1 : 1+rec[0]])
 		if _, ok := t.newest[key]; !ok {
 			t.keys = append(t.keys, key)
--- a/review/standins-2/worker.go
+++ b/review/standins-2/worker.go
@@ -28,9 +28,15 @@
 	answerBytes int
 	duration    time.Duration
 	born        int64
+	// beforeAnswer is called when a request begins; it may be nil.
+	beforeAnswer func(h http.Header)
 
 	mu   sync.Mutex
 	runs []run
+	// sequence is that of the last record, left reports that the worker writes no more.
+	sequence int
+	left     bool
+	server   *http.Server
 }
 
 // start serves requests and writes heartbeats to the store.
@@ -40,28 +46,45 @@
 		return err
 	}
 	w.address, w.born = ln.Addr().String(), time.Now().UnixMilli()
-	srv := &http.Server{Handler: http.HandlerFunc(w.serve)}
-	go func() { _ = srv.Serve(ln) }()
-	sequence := 0
-	beat := func() {
-		sequence++
-		rec := map[string]any{
-			"service": w.service, "address": w.address, "zone": w.zone, "version": "v1", "slots": 64, "state": "ready", "cold_remaining_ms": 0, "sequence": sequence, "born": w.born,
-		}
-		if w.model != "" {
-			rec["stage"], rec["models"] = "colocated", []map[string]any{{"name": w.model, "version": 1, "adapters": []string{}}}
-		}
-		s.put("keyed.servers", w.id, rec)
-	}
-	beat()
+	w.server = &http.Server{Handler: http.HandlerFunc(w.serve)}
+	go func() { _ = w.server.Serve(ln) }()
+	s.put("keyed.servers", w.id, w.nextRecord())
 	go func() {
 		for range time.Tick(heartbeatInterval) {
-			beat()
+			w.mu.Lock()
+			left := w.left
+			w.mu.Unlock()
+			if left {
+				return
+			}
+			s.put("keyed.servers", w.id, w.nextRecord())
 		}
 	}()
 	return nil
 }
 
+// nextRecord returns the record of the next heartbeat.
+func (w *worker) nextRecord() map[string]any {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sequence++
+	rec := map[string]any{
+		"service": w.service, "address": w.address, "zone": w.zone, "version": "v1", "slots": 64, "state": "ready", "cold_remaining_ms": 0, "sequence": w.sequence, "born": w.born,
+	}
+	if w.model != "" {
+		rec["stage"], rec["models"] = "colocated", []map[string]any{{"name": w.model, "version": 1, "adapters": []string{}}}
+	}
+	return rec
+}
+
+// leave ends the heartbeats and removes the worker's record. It returns the time of the acknowledgement. The worker goes on serving.
+func (w *worker) leave(s *store) time.Time {
+	w.mu.Lock()
+	w.left = true
+	w.mu.Unlock()
+	return s.remove("keyed.servers", w.id)
+}
+
 // allRuns returns the requests that the worker has run.
 func (w *worker) allRuns() []run {
 	w.mu.Lock()
@@ -96,6 +119,9 @@
 	w.runs = append(w.runs, run{id: h.Get("Request-Id"), worker: w.id, tenant: h.Get("Tenant"), salt: h.Get("Cache-Salt"), prefix: h.Get("Prompt-Prefix-Hash"), at: time.Now()})
 	w.mu.Unlock()
 	time.Sleep(w.duration)
+	if w.beforeAnswer != nil {
+		w.beforeAnswer(h)
+	}
 	rw.Header().Set("Upstream-Signature", w.id+"."+h.Get("Request-Id"))
 	if w.model != "" {
 		rw.Header().Set("Content-Type", "text/event-stream")
