fix(listener): no empty success for a request beside a closing connection

Cause: CloseIdle marked all idle connections and then closed them one after the other. A request read in between was not passed to the handler, and the HTTP library sends an empty 200 for a handler that has written nothing.

Change: a connection is closed as idle in one step with the check, under the lock with which bytes are passed to the library. A request that was read before is handled and keeps its connection open until the library has written its response; bytes that come later are discarded. The same function closes connections above the limit and after the idle timeout. A handler that returns without a response, or panics, closes its connection. Nothing is refused while bytes are being passed to the library, since they may complete the request. Server.Stop closes idle connections in the same way.

--- a/internal/listener/closing.go
+++ b/internal/listener/closing.go
@@ -1,9 +1,6 @@
 package listener
 
-import (
-	"net"
-	"net/http"
-)
+import "net/http"
 
 // CloseAfter closes the connection after the response has been sent and announces this to the caller by the header
 // "Connection: close". It must be called before the first byte of the response is written.
@@ -14,21 +11,27 @@
 	}
 }
 
-// CloseIdle closes the connections without a request in progress. A request that the library still reads from one of
-// them is not passed to the handler.
+// CloseIdle closes the connections without a request in progress. A request that was read before its connection is closed
+// is handled, and keeps the connection open until its response is written.
 func (s *Server) CloseIdle() {
-	s.mu.Lock()
-	var idle []net.Conn
-	for c := range s.conns {
-		if _, busy := s.active[unwrap(c)]; !busy {
-			s.closedIdle[unwrap(c)] = true
-			idle = append(idle, c)
-		}
-	}
-	s.mu.Unlock()
-	for _, c := range idle {
-		_ = c.Close()
+	s.connections.Range(func(_, v any) bool {
+		v.(*connection).closeUnlessBusy()
+		return true
+	})
+}
+
+// closeUnlessBusy closes the connection unless a request is in progress on it, and reports whether it did. Bytes that arrive
+// after the check are discarded, so that no request is handled whose response could not be sent.
+func (x *connection) closeUnlessBusy() bool {
+	x.mu.Lock()
+	if x.closed || x.feeding || x.pending > 0 {
+		x.mu.Unlock()
+		return false
 	}
+	x.refused = true
+	x.mu.Unlock()
+	_ = x.conn.Close()
+	return true
 }
 
 // OpenConnections returns the number of open connections.
--- /dev/null
+++ b/internal/listener/closing_test.go
@@ -0,0 +1,109 @@
+package listener
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against an empty 200 for a request that arrives while idle connections are closed, and against a connection that is closed
+// before the response of a handled request is written.
+func TestCloseIdleBesideRequests(t *testing.T) {
+	const connections, rounds = 200, 100
+	var handled, answered, empty atomic.Int64
+	s := &Server{Addr: "127.0.0.1:0", Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		handled.Add(1)
+		_, _ = io.WriteString(w, "done")
+	})}
+	addr, err := s.Start()
+	require.NoError(t, err)
+	t.Cleanup(s.Kill)
+	done := make(chan struct{})
+	var clients sync.WaitGroup
+	for range connections {
+		clients.Go(func() {
+			for {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				c, err := net.Dial("tcp", addr)
+				if !assert.NoError(t, err) {
+					return
+				}
+				for r := bufio.NewReader(c); ; {
+					body, err := exchange(c, r)
+					if err != nil {
+						break
+					}
+					if body == "" {
+						empty.Add(1)
+						continue
+					}
+					answered.Add(1)
+				}
+				_ = c.Close()
+			}
+		})
+	}
+	for range rounds {
+		time.Sleep(2 * time.Millisecond)
+		s.CloseIdle()
+	}
+	close(done)
+	stop := time.Now().Add(10 * time.Second)
+	for s.OpenConnections() > 0 && time.Now().Before(stop) {
+		s.CloseIdle()
+		time.Sleep(time.Millisecond)
+	}
+	clients.Wait()
+	assert.Zero(t, empty.Load(), "empty successes")
+	require.Equal(t, handled.Load(), answered.Load(), "handled requests and responses")
+}
+
+// exchange sends a request and returns the body of its response.
+func exchange(c net.Conn, r *bufio.Reader) (string, error) {
+	if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		return "", err
+	}
+	res, err := http.ReadResponse(r, nil)
+	if err != nil {
+		return "", err
+	}
+	body, err := io.ReadAll(res.Body)
+	return string(body), err
+}
+
+// Guards against an empty 200 for a request whose handler has failed without a response.
+func TestHandlerWithoutResponse(t *testing.T) {
+	tests := map[string]http.HandlerFunc{
+		"returns": func(http.ResponseWriter, *http.Request) {},
+		"panics":  func(http.ResponseWriter, *http.Request) { panic("handler failed") },
+	}
+	for name, h := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := &Server{Addr: "127.0.0.1:0", Handler: h}
+			addr, err := s.Start()
+			require.NoError(t, err)
+			t.Cleanup(s.Kill)
+			c, err := net.Dial("tcp", addr)
+			require.NoError(t, err)
+			defer func() { _ = c.Close() }()
+			require.NoError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
+			_, err = exchange(c, bufio.NewReader(c))
+			require.Error(t, err)
+			require.False(t, errors.Is(err, os.ErrDeadlineExceeded), "the connection stays open")
+		})
+	}
+}
--- a/internal/listener/guard.go
+++ b/internal/listener/guard.go
@@ -39,11 +39,16 @@
 	// written is the number of bytes that have been sent.
 	written atomic.Int64
 
+	// tracked reports that the library's tasks for the connection call Server.finish; used by the goroutine that reads.
+	tracked bool
+
 	mu     sync.Mutex
 	framer framer.Framer
+	// feeding reports that bytes are being passed to the library. A request that they complete is not counted in pending yet.
+	feeding bool
 	// parsed is the number of requests that the library has read since the last call of feed.
 	parsed int
-	// pending is the number of requests whose handlers have not returned. pendingBytes and currentBytes are the bytes of them and of the
+	// pending is the number of requests whose responses are not written. pendingBytes and currentBytes are the bytes of them and of the
 	// request that is being read, countedBytes their sum as it counts in Server.held.
 	pending                                  int
 	pendingBytes, currentBytes, countedBytes int64
@@ -98,6 +103,7 @@
 	n, err := x.framer.Feed(data)
 	completed := x.framer.Completed()
 	x.parsed = 0
+	x.feeding = true
 	x.mu.Unlock()
 
 	passed := data[:n]
@@ -110,6 +116,7 @@
 	}
 
 	x.mu.Lock()
+	x.feeding = false
 	if x.closed {
 		x.mu.Unlock()
 		return
@@ -148,27 +155,32 @@
 	x.countedBytes = bytes
 }
 
-// finish records that the handler of a request has returned.
+// finish records that the response of a request is written.
 func (s *Server) finish(x *connection) {
 	x.mu.Lock()
+	defer x.mu.Unlock()
 	if x.closed || x.pending == 0 {
-		x.mu.Unlock()
 		return
 	}
 	x.pendingBytes -= x.pendingBytes / int64(x.pending)
 	x.pending--
+	if x.pending == 0 {
+		s.mu.Lock()
+		delete(s.active, unwrap(x.conn))
+		s.mu.Unlock()
+	}
 	if x.refused || !x.framer.InRequest() {
 		x.since = s.tick.Load()
 	}
 	s.account(x)
-	x.mu.Unlock()
 }
 
 // refuse refuses the request that is being read, and reads nothing more from the connection. The response is left out while those of
-// earlier requests are not complete; the connection is closed after them.
+// earlier requests are not complete; the connection is closed after them. Nothing is refused while bytes are being passed to the library,
+// since these may complete the request.
 func (s *Server) refuse(x *connection, r Refusal) {
 	x.mu.Lock()
-	if x.refused || x.closed {
+	if x.refused || x.closed || x.feeding {
 		x.mu.Unlock()
 		return
 	}
@@ -245,12 +257,11 @@
 	})
 }
 
-// drop closes a connection without a response.
+// drop closes a connection without a response, unless a request is in progress on it.
 func (s *Server) drop(x *connection, reason string) {
-	if s.OnRefuse != nil {
+	if x.closeUnlessBusy() && s.OnRefuse != nil {
 		s.OnRefuse(reason)
 	}
-	_ = x.conn.Close()
 }
 
 // admit makes room for a connection that was accepted: it closes the one that has been idle, or with an incomplete request, for the longest
@@ -317,5 +328,5 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
-	delete(s.closedIdle, unwrap(c))
+	delete(s.active, unwrap(c))
 }
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -98,8 +98,6 @@
 	// tick counts the intervals of closeCheckInterval since Start. It is the clock of time limits: it needs no system call, and time in
 	// which the machine was suspended does not count against clients.
 	tick atomic.Int64
-	// closedIdle are the connections that CloseIdle has closed and the library has not yet reported as closed.
-	closedIdle map[net.Conn]bool
 	// runningTasks counts the library's tasks for requests: running handlers and the sending of their responses.
 	runningTasks atomic.Int64
 }
@@ -130,7 +128,6 @@
 	}
 	s.active = map[net.Conn]context.CancelFunc{}
 	s.conns = map[net.Conn]struct{}{}
-	s.closedIdle = map[net.Conn]bool{}
 	s.done = make(chan struct{})
 	ln, err := net.Listen("tcp", s.Addr)
 	if err != nil {
@@ -188,48 +185,64 @@
 		return
 	}
 	conn := unwrap(res.Parser.Conn)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	// A request of a connection that was closed as idle is not passed to the handler.
 	x := s.connection(conn)
-	if x != nil && !s.closedIdle[conn] {
-		s.active[conn] = func() {}
+	if x == nil {
+		return
 	}
-	if x != nil {
-		x.mu.Lock()
-		x.parsed++
-		x.pending++
+	x.mu.Lock()
+	if x.refused || x.closed {
 		x.mu.Unlock()
+		return
+	}
+	x.parsed++
+	x.pending++
+	x.mu.Unlock()
+	s.mu.Lock()
+	if s.active[conn] == nil {
+		s.active[conn] = func() {}
+	}
+	s.mu.Unlock()
+	if !x.tracked {
+		x.tracked = true
+		s.trackTasks(res.Parser, x)
 	}
 }
 
+// trackTasks makes a request count as in progress until the library has written all of its response: a small response is
+// written only after the handler has returned.
+func (s *Server) trackTasks(p *nbhttp.Parser, x *connection) {
+	execute := p.Execute
+	p.Execute = func(f func()) bool {
+		return execute(func() {
+			defer s.finish(x)
+			f()
+		})
+	}
+}
+
+// serve passes a request to the handler. The library sends an empty 200 for a handler that has written nothing, so the
+// connection of such a request is closed, and that of a handler that panics.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	if res, ok := w.(*nbhttp.Response); ok && res.Parser != nil {
-		conn := unwrap(res.Parser.Conn)
-		if x := s.connection(conn); x != nil {
-			defer s.finish(x)
-		}
-		w = &responseWriter{res: res, req: r, flow: s.newFlow(conn)}
-		s.mu.Lock()
-		closing := s.closedIdle[conn] || isClosed(conn)
-		if closing {
-			delete(s.active, conn)
-		} else {
-			s.active[conn] = cancel
-		}
-		s.mu.Unlock()
-		if closing {
-			return // the response could not be delivered
-		}
-		defer func() {
-			s.mu.Lock()
-			delete(s.active, conn)
-			s.mu.Unlock()
-		}()
+	res, ok := w.(*nbhttp.Response)
+	if !ok || res.Parser == nil {
+		s.Handler.ServeHTTP(w, r.WithContext(ctx))
+		return
 	}
-	s.Handler.ServeHTTP(w, r.WithContext(ctx))
+	conn := unwrap(res.Parser.Conn)
+	out := &responseWriter{res: res, req: r, flow: s.newFlow(conn)}
+	s.mu.Lock()
+	s.active[conn] = cancel
+	s.mu.Unlock()
+	returned := false
+	defer func() {
+		if !returned || !out.started {
+			_ = conn.Close()
+		}
+	}()
+	s.Handler.ServeHTTP(out, r.WithContext(ctx))
+	returned = true
 }
 
 // cancelClosed cancels the contexts of requests whose connection has closed, until the server is killed. It polls because
@@ -309,19 +322,23 @@
 // CloseListener closes the listening socket; open connections and requests in progress are unaffected.
 func (s *Server) CloseListener() { _ = s.socket.Close() }
 
-// Stop closes the listening socket, waits until the requests in progress have ended or ctx ends, and closes every
-// connection. It returns an error if ctx ended first.
+// Stop closes the listening socket and the idle connections, waits until the requests in progress have ended or ctx ends,
+// and closes every connection. It returns an error if requests were in progress when ctx ended.
 func (s *Server) Stop(ctx context.Context) error {
 	s.CloseListener()
 	t := time.NewTicker(drainCheckInterval)
 	defer t.Stop()
 	var err error
-	for s.runningTasks.Load() > 0 && err == nil {
+	for s.CloseIdle(); s.OpenConnections() > 0 || s.runningTasks.Load() > 0; s.CloseIdle() {
 		select {
 		case <-t.C:
+			continue
 		case <-ctx.Done():
+		}
+		if s.ActiveRequests() > 0 {
 			err = failer.Wrap(ctx.Err(), "finish requests on", s.Addr, "stop")
 		}
+		break
 	}
 	s.Kill()
 	return err
@@ -350,8 +367,7 @@
 		conns = append(conns, conn)
 	}
 	s.mu.Unlock()
-	// Connections are closed before contexts are cancelled: for a handler that returns without writing, the library would
-	// send an empty 200.
+	// Connections are closed before contexts are cancelled, so that no handler answers because of its cancelled context.
 	for _, c := range conns {
 		_ = c.Close()
 	}
--- a/internal/listener/writer.go
+++ b/internal/listener/writer.go
@@ -19,16 +19,22 @@
 	req       *http.Request
 	unflushed int
 	flow      *flow
+	// started reports that the handler has written the header or a part of the body.
+	started bool
 }
 
 // Header implements http.ResponseWriter.
 func (w *responseWriter) Header() http.Header { return w.res.Header() }
 
 // WriteHeader implements http.ResponseWriter.
-func (w *responseWriter) WriteHeader(status int) { w.res.WriteHeader(status) }
+func (w *responseWriter) WriteHeader(status int) {
+	w.started = true
+	w.res.WriteHeader(status)
+}
 
 // Write implements http.ResponseWriter.
 func (w *responseWriter) Write(p []byte) (int, error) {
+	w.started = true
 	done := 0
 	for done < len(p) {
 		chunk := p[done:min(len(p), done+maxUnflushedBytes)]
@@ -50,6 +56,7 @@
 
 // Flush implements http.Flusher.
 func (w *responseWriter) Flush() {
+	w.started = true
 	w.res.Flush()
 	w.unflushed = 0
 }
