fix(archiver): no fetch of a block that a restarted KV store gets again

Cause: neither a fetch nor a save names the start of the store that it was planned for. An instance learns of a restart up to 0.8 s late and plans fetches of blocks that were complete before. Meanwhile another instance saves them anew, or a save that was planned before the restart and has waited at its engine writes them again. The record of the case shows the latter: the second of two equal prompts waits 0.6 s and begins to save 0.2 s after the restart.

Change: a fetch ends at most 2.5 s after the store last confirmed its epoch, by the targets' clock, and no save is planned for as long after an instance has noticed a new epoch. Instances state in their announcements which blocks have a save that waits at an engine; none fetches or saves them meanwhile. Two tests of the archiver look at a store that is in its first seconds now wait for the first 2.5 s to pass; their checks are the same.

The new tests use what the change adds and do not build before it.

--- a/internal/announcer/regional.go
+++ b/internal/announcer/regional.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/papayaworks/papayaworks/internal/archiver"
 	"github.com/papayaworks/papayaworks/internal/hasher"
 	"github.com/papayaworks/papayaworks/internal/logger"
 	"github.com/papayaworks/papayaworks/internal/sleeper"
@@ -37,6 +38,8 @@
 	Targets          watcher.TargetsProgress `msgpack:"t"`
 	// Slowdowns holds the targets that were recently slow. A digest repeats those that the sender has learned from others.
 	Slowdowns map[TargetHash]Slowdown `msgpack:"w,omitempty"`
+	// Saves holds the saves to KV stores that wait at targets, those that the sender has learned of from others included.
+	Saves []archiver.SaveStatement `msgpack:"s,omitempty"`
 }
 
 // digest is the load of all instances of one data centre, with their signs of life. Its size depends on the numbers of targets and of
--- a/internal/archiver/archiver.go
+++ b/internal/archiver/archiver.go
@@ -7,8 +7,15 @@
 // A store evicts nothing by itself and does not track its readers. A block may
 // therefore be fetched only if it is known to be complete, and freed only if no
 // target can be reading it. This package follows the event stream of each store.
-// It discards its state of a store that is unreachable or has restarted, because
-// it could otherwise treat a block that is being rewritten as complete.
+// It discards its state of a store that is unreachable or has restarted.
+//
+// It learns of a restart late, and neither a fetch nor a save names the start of the
+// store that it was planned for. A fetch therefore ends, by the clock of the
+// targets, at most fetchLease after the store was last known not to have restarted
+// ([Plan].FetchBefore), and no save is planned for as long after a restart was
+// noticed: while a block that was complete before may still be fetched, it is not
+// written again. The same holds for saves that were planned before and wait at
+// their targets (see [Save]).
 //
 // A store supports only a few readers of its event stream. In larger deployments
 // a subset of the instances, chosen by rendezvous hashing, follows each store, and
@@ -28,6 +35,7 @@
 package archiver
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -59,6 +67,8 @@
 	// updateTTL is how long the state of a store is valid after the last successful read of its events or the last update
 	// from a follower.
 	updateTTL = 2 * time.Second
+	// fetchLease is how long after the last confirmation that a store has not restarted a fetch from it may end.
+	fetchLease = updateTTL + 500*time.Millisecond
 	// clockSampleTTL is how long the largest offset of the target clock is kept before a smaller one replaces it.
 	clockSampleTTL = 10 * time.Second
 	// maxPendingSaves is the number of recorded saves above which timed-out ones are removed.
@@ -89,6 +99,8 @@
 	Events []Event
 	// Clock is the time on the clock of targets and stores when the response was made; 0 if it was not reported.
 	Clock time.Duration
+	// ConfirmedAt is a time on that clock at which the store had the epoch; 0 means Clock.
+	ConfirmedAt time.Duration
 }
 
 // Client calls KV stores.
@@ -112,6 +124,10 @@
 	instances    []string
 	stores       []*store
 	pendingSaves map[uint64]time.Time
+	// waiting holds the saves of this instance that wait at a target, stated when other instances have stated that a save of a block
+	// waits, by the key of the block.
+	waiting map[*Save]struct{}
+	stated  map[uint64]time.Time
 	// offset is the target clock minus the local clock, as sampled at the local time offsetAt.
 	offset, offsetAt time.Duration
 }
@@ -122,7 +138,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.pendingSaves == nil {
-		a.pendingSaves = map[uint64]time.Time{}
+		a.pendingSaves, a.waiting, a.stated = map[uint64]time.Time{}, map[*Save]struct{}{}, map[uint64]time.Time{}
 	}
 	var current []*store
 	for _, s := range stores {
@@ -179,6 +195,7 @@
 func (a *Archiver) follow(ctx context.Context, s *store) {
 	for ctx.Err() == nil {
 		rctx, cancel := context.WithTimeout(ctx, longPollTimeout+readTimeout)
+		sentAt, _ := a.TargetClock()
 		ev, err := a.read(rctx, s)
 		cancel()
 		if ctx.Err() != nil {
@@ -189,6 +206,9 @@
 			sleeper.Sleep(ctx, retryDelay)
 			continue
 		}
+		if ev.Clock == 0 {
+			ev.ConfirmedAt = sentAt
+		}
 		a.apply(s, ev, time.Now())
 	}
 }
@@ -229,7 +249,8 @@
 		a.Log.WithField("store", s.Address).WithField("parts", len(ev.Events)).Info("KV store synchronized")
 		s.reset()
 	}
-	s.synced, s.epoch, s.nextOffset, s.updatedAt = true, ev.Epoch, ev.NextOffset, now
+	s.observeEpoch(ev.Epoch, cmp.Or(ev.ConfirmedAt, ev.Clock), now)
+	s.synced, s.nextOffset = true, ev.NextOffset
 	a.syncClock(ev.Clock)
 	for _, e := range ev.Events {
 		key := e.Block.Key()
--- a/internal/archiver/archiver_test.go
+++ b/internal/archiver/archiver_test.go
@@ -75,10 +75,71 @@
 	require.Empty(t, a.Plan("m/2", []string{"x"}, nil, now).FetchFrom[0], "other weights")
 }
 
+// Guards against fetching a block that is written again after a restart of its store that this instance has not noticed: no save begins
+// before the last fetch must have ended that was planned for the store's previous start.
+func TestNoSaveDuringFetchesFromPreviousStart(t *testing.T) {
+	clock, now := 100*time.Second, time.Now()
+	unaware, _ := newArchiver(t, "a", "a")
+	unaware.apply(unaware.stores[0], EventBatch{Epoch: 1, Clock: clock, Events: []Event{completeX}}, now)
+	fetch := unaware.Plan("m/1", []string{"x"}, nil, now)
+	require.NotEmpty(t, fetch.FetchFrom[0])
+	require.Equal(t, clock+fetchLease, fetch.FetchBefore)
+	// The store restarts right after that, and another instance notices it at once.
+	aware, _ := newArchiver(t, "b", "b")
+	s := aware.stores[0]
+	aware.apply(s, EventBatch{Epoch: 1}, now.Add(-time.Minute))
+	aware.apply(s, EventBatch{Epoch: 2}, now)
+	for _, after := range []time.Duration{0, time.Second, fetchLease - 1} {
+		aware.apply(s, EventBatch{Epoch: 2, Clock: clock + after}, now.Add(after))
+		require.Empty(t, aware.Plan("m/1", []string{"x"}, nil, now.Add(after)).SaveTo[0], "%v after the restart", after)
+	}
+	require.NotEmpty(t, aware.Plan("m/1", []string{"x"}, nil, now.Add(fetchLease)).SaveTo[0])
+}
+
+// Guards against fetching a block while a second save of it waits at a busy target: it would write the block again if the store restarted.
+func TestNoFetchWhileSaveWaits(t *testing.T) {
+	now := time.Now()
+	newSynced := func(id string) *Archiver {
+		a, _ := newArchiver(t, id, id)
+		a.apply(a.stores[0], EventBatch{Epoch: 1}, now.Add(-fetchLease))
+		a.apply(a.stores[0], EventBatch{Epoch: 1}, now)
+		return a
+	}
+	tests := map[string]struct {
+		end           func(s *Save)
+		after         time.Duration
+		wantFetchable bool
+	}{
+		"save waits":                {func(*Save) {}, time.Second, false},
+		"save has begun":            {func(s *Save) { s.End() }, 0, true},
+		"request abandoned":         {func(s *Save) { s.Abandon(now) }, time.Second, false},
+		"request abandoned earlier": {func(s *Save) { s.Abandon(now) }, abandonedSaveTime + 1, true},
+		"deadline reached":          {func(s *Save) { s.ExpireAt(now.Add(time.Second)) }, time.Second + 1, true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			saver, other := newSynced("a"), newSynced("b")
+			save := saver.Plan("m/1", []string{"x"}, nil, now).Save
+			require.NotNil(t, save)
+			tc.end(save)
+			at := now.Add(tc.after)
+			other.MergeSaves(saver.Saves(at), at)
+			for _, a := range []*Archiver{saver, other} {
+				a.apply(a.stores[0], EventBatch{Epoch: 1, Events: []Event{completeX}}, at)
+				p := a.Plan("m/1", []string{"x"}, nil, at)
+				require.Equal(t, tc.wantFetchable, p.FetchFrom[0] != "")
+				require.Empty(t, p.SaveTo[0])
+			}
+			require.NotEmpty(t, other.Plan("m/1", []string{"x"}, nil, at.Add(saveStatementTTL+1)).FetchFrom[0], "the statement is not repeated")
+		})
+	}
+}
+
 // Guards against saving a block with each request while the first save is in progress.
 func TestSavesOnce(t *testing.T) {
 	a, _ := newArchiver(t, "a", "a")
 	now := time.Now()
+	a.apply(a.stores[0], EventBatch{Epoch: 1}, now.Add(-fetchLease))
 	a.apply(a.stores[0], EventBatch{Epoch: 1}, now)
 	require.Equal(t, "s:1", a.Plan("m/1", []string{"x"}, nil, now).SaveTo[0])
 	require.Empty(t, a.Plan("m/1", []string{"x"}, nil, now.Add(time.Second)).SaveTo[0])
@@ -194,6 +255,7 @@
 		complete = append(complete, Event{Block: Block{"m/1", ids[i]}, Complete: true})
 	}
 	for _, s := range a.stores {
+		a.apply(s, EventBatch{Epoch: 1, NextOffset: 1}, now.Add(-fetchLease))
 		a.apply(s, EventBatch{Epoch: 1, NextOffset: 1, Events: complete}, now)
 	}
 	home := func(dataCentre string) bool { return dataCentre == "home" }
--- a/internal/archiver/plan.go
+++ b/internal/archiver/plan.go
@@ -11,6 +11,10 @@
 // none.
 type Plan struct {
 	FetchFrom, SaveTo []string
+	// FetchBefore is the time on the targets' clock at which an unfinished fetch must be aborted; 0 if it is unknown.
+	FetchBefore time.Duration
+	// Save is the save of the blocks with SaveTo, which waits until Save.End is called; nil if nothing is saved.
+	Save *Save
 }
 
 // Allowed reports whether the KV stores of a data centre may be used; nil allows all.
@@ -37,23 +41,34 @@
 }
 
 // Plan returns where to fetch and save the blocks of a prompt, among the allowed stores. The saves are recorded as pending, so that concurrent
-// requests do not save the same blocks.
+// requests do not save the same blocks. A block is neither fetched nor saved while a save of it waits anywhere.
 func (a *Archiver) Plan(scope string, ids []string, allowed Allowed, now time.Time) Plan {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	p := Plan{FetchFrom: make([]string, len(ids)), SaveTo: make([]string, len(ids))}
+	own := a.ownSaves(now)
+	var saved []uint64
 	for i, id := range ids {
 		key := Block{scope, id}.Key()
 		s := a.storeFor(key, allowed)
 		switch {
-		case s == nil || !s.usable(now):
+		case s == nil || !s.usable(now) || a.isSaveWaiting(key, own, now):
 		case s.contains(key, now):
 			p.FetchFrom[i] = s.Address
+			if before := s.confirmedAt + fetchLease; s.confirmedAt > 0 && (p.FetchBefore == 0 || before < p.FetchBefore) {
+				p.FetchBefore = before
+			}
+		case now.Before(s.noSaveBefore):
 		case now.Sub(a.pendingSaves[key]) > saveTimeout:
 			a.recordSave(key, now)
 			p.SaveTo[i] = s.Address
+			saved = append(saved, key)
 		}
 	}
+	if len(saved) > 0 {
+		p.Save = &Save{a: a, keys: saved, expiresAt: now.Add(saveTimeout)}
+		a.waiting[p.Save] = struct{}{}
+	}
 	return p
 }
 
--- a/internal/archiver/store.go
+++ b/internal/archiver/store.go
@@ -23,6 +23,11 @@
 	synced    bool
 	updatedAt time.Time
 	epoch     int64
+	// confirmedAt is the last time on the targets' clock at which the store is known to have had the epoch; 0 if unknown.
+	confirmedAt time.Duration
+	// noSaveBefore is the time before which no save is planned, because blocks may still be fetched that were complete before the
+	// store restarted.
+	noSaveBefore time.Time
 	// previousEpoch is the epoch before the current one. Updates with it are ignored: they come from followers that
 	// have not noticed the restart yet.
 	previousEpoch int64
@@ -39,6 +44,14 @@
 	s.synced, s.blocks, s.completed, s.resendQueue = false, map[uint64]Block{}, nil, nil
 }
 
+// observeEpoch records that the store had an epoch at a time on the targets' clock, which may be unknown.
+func (s *store) observeEpoch(epoch int64, confirmedAt time.Duration, now time.Time) {
+	if epoch != s.epoch {
+		s.noSaveBefore, s.confirmedAt = now.Add(fetchLease), 0
+	}
+	s.epoch, s.updatedAt, s.confirmedAt = epoch, now, max(confirmedAt, s.confirmedAt)
+}
+
 // contains reports whether a block can be fetched from the store; a.mu is held.
 func (s *store) contains(key uint64, now time.Time) bool {
 	if !s.usable(now) {
--- a/internal/archiver/updates.go
+++ b/internal/archiver/updates.go
@@ -16,6 +16,8 @@
 	Epoch int64
 	// Blocks holds the keys of blocks that became complete since the last update, and of some earlier ones.
 	Blocks []uint64
+	// ConfirmedAtMs is the last time on the targets' clock at which the follower knows the store to have had the epoch.
+	ConfirmedAtMs int64
 }
 
 // Updates returns the updates of the followed stores for the next announcement. Each call continues with
@@ -31,7 +33,7 @@
 		if !s.synced || s.cancel == nil {
 			continue
 		}
-		u := StoreUpdate{Store: s.key, Epoch: s.epoch}
+		u := StoreUpdate{Store: s.key, Epoch: s.epoch, ConfirmedAtMs: s.confirmedAt.Milliseconds()}
 		k := min(maxNewBlocks, len(s.completed))
 		u.Blocks = append(slices.Clone(s.completed[:k]), s.nextResend()...)
 		s.completed = s.completed[k:]
@@ -81,7 +83,8 @@
 				s.previousEpoch = s.epoch
 				s.reset()
 			}
-			s.synced, s.epoch, s.updatedAt = true, u.Epoch, now
+			s.observeEpoch(u.Epoch, time.Duration(u.ConfirmedAtMs)*time.Millisecond, now)
+			s.synced = true
 			for _, key := range u.Blocks {
 				s.blocks[key] = Block{}
 				delete(a.pendingSaves, key)
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/papayaworks/papayaworks/internal/archiver"
 	"github.com/papayaworks/papayaworks/internal/balancer"
 	"github.com/papayaworks/papayaworks/internal/cataloger"
 	"github.com/papayaworks/papayaworks/internal/pooler"
@@ -180,4 +181,6 @@
 	// events is the number of complete events, sample what the estimator learns from the response; nil if nothing.
 	events int
 	sample *attemptSample
+	// save is the save of the prompt's blocks; nil if there is none.
+	save *archiver.Save
 }
--- a/internal/forwarder/deliver.go
+++ b/internal/forwarder/deliver.go
@@ -99,6 +99,7 @@
 		n, err := res.Stream.Body.Read(buf)
 		if n > 0 {
 			res.InFlight.ResponseStarted(time.Now())
+			res.save.End()
 		}
 		pending = append(pending, buf[:n]...)
 		complete := completeEventsLen(pending)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -285,22 +285,29 @@
 	a := s.Announcer
 	a.LocalLoad = func() announcer.Load {
 		p := s.Watcher.Progress()
-		return announcer.Load{
+		l := announcer.Load{
 			InFlightByTarget: announcer.HashTargets(s.loads.InFlightByTarget(time.Now())), Progress: p, ConfirmedAgeMs: p.ConfirmedAgeMs, Targets: s.Watcher.TargetsProgress(),
 			Slowdowns: s.recentSlowdowns(time.Now()),
 		}
+		if s.Archiver != nil {
+			l.Saves = s.Archiver.Saves(time.Now())
+		}
+		return l
 	}
 	a.OnLoad = func(l announcer.Load) {
 		l.Progress.ConfirmedAgeMs = l.ConfirmedAgeMs
 		s.Watcher.MergeProgress(l.Progress)
 		s.Watcher.MergeTargetsProgress(l.Targets)
 		s.mergeSlowdowns(l.Slowdowns, time.Now())
+		if s.Archiver != nil {
+			s.Archiver.MergeSaves(l.Saves, time.Now())
+		}
 	}
 	a.LocalState = func() announcer.State {
 		now := time.Now()
 		st := s.loads.LocalState(now)
 		if s.Archiver != nil {
-			st.StoreUpdates = s.Archiver.Updates()
+			st.StoreUpdates, st.Saves = s.Archiver.Updates(), s.Archiver.Saves(now)
 		}
 		if s.Updater != nil {
 			st.Swapping = s.Updater.SwappingTargets()
@@ -333,8 +340,9 @@
 		if len(st.Crashes)+len(st.Quarantined) > 0 {
 			s.quarantine.Merge(st.Crashes, st.Quarantined, now)
 		}
-		if s.Archiver != nil && len(st.StoreUpdates) > 0 {
+		if s.Archiver != nil {
 			s.Archiver.Merge(st.StoreUpdates, now)
+			s.Archiver.MergeSaves(st.Saves, now)
 		}
 	}
 	a.OnMembersChanged = func(ids []string) {
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/papayaworks/papayaworks/internal/archiver"
 	"github.com/papayaworks/papayaworks/internal/balancer"
 	"github.com/papayaworks/papayaworks/internal/cataloger"
 	"github.com/papayaworks/papayaworks/internal/pooler"
@@ -44,11 +45,14 @@
 	// knownRequests is the number of requests, this one included, that the target was taken to have when it was chosen; 0 if it was chosen
 	// without estimates.
 	knownRequests int
+	// save is the save of the prompt's blocks; nil if there is none.
+	save *archiver.Save
 }
 
 // release ends the attempt: it cancels the context and removes the call from the in-flight load of the target.
 func (x *targetRequest) release() {
 	x.cancel()
+	x.save.Abandon(time.Now())
 	x.inFlight.End()
 	x.s.placeFreed(x)
 }
@@ -66,6 +70,9 @@
 	})
 	x.s.waiting.remove(x)
 	if err != nil {
+		if !pooler.MaybeSent(err) {
+			x.save.End()
+		}
 		return x.handleFailure(ctx, err)
 	}
 	if x.s.Codec.ResponseID(ex.Header) == "" {
@@ -83,10 +90,12 @@
 	if headers.Misdirected {
 		// The call may be sent to the same target again. A second copy of this response would be taken for the one to that.
 		ex.Close()
+		x.save.End()
 		return x.handleNotRun(headers, ex.StatusCode)
 	}
 	if headers.NotRun {
 		x.endRefusal(ex)
+		x.save.End()
 		return x.handleNotRun(headers, ex.StatusCode)
 	}
 	if !isValid(ex.StatusCode, headers) {
@@ -95,7 +104,7 @@
 	}
 	if isStream(ex) {
 		c.MayHaveRun = true
-		c.Response = &Response{Target: x.t, Status: ex.StatusCode, Header: ex.Header, Stream: ex, InFlight: x.inFlight, Release: x.release, sample: x.sample}
+		c.Response = &Response{Target: x.t, Status: ex.StatusCode, Header: ex.Header, Stream: ex, InFlight: x.inFlight, Release: x.release, sample: x.sample, save: x.save}
 		return retrier.Done, nil
 	}
 	return x.readResponse(ctx, ex)
@@ -119,6 +128,7 @@
 		return x.handleFailure(ctx, &pooler.Error{Err: err, MaybeSent: true})
 	}
 	ex.Finish()
+	x.save.End()
 	c.MayHaveRun = true
 	x.s.health.observe(x.t.ID, ex.StatusCode < http.StatusInternalServerError, time.Now())
 	c.Response = &Response{Target: x.t, Status: ex.StatusCode, Header: ex.Header, Body: body}
@@ -256,6 +266,11 @@
 	plan := a.Plan(c.Scope, c.Headers.Prompt.sharedBlockIDs(), x.s.storesAllowed(c), time.Now())
 	headers.FetchFrom, headers.SaveTo = append(plan.FetchFrom, ""), append(plan.SaveTo, "")
 	headers.FetchDeadline = clock + time.Duration(fetchFraction*float64(c.Route.Objective)) + balancer.PrefillTime(c.Headers.Prompt.SharedTokens())
+	if plan.FetchBefore > 0 {
+		headers.FetchDeadline = min(headers.FetchDeadline, plan.FetchBefore)
+	}
+	x.save = plan.Save
+	x.save.ExpireAt(c.Deadline)
 }
 
 // priority returns the priority of the call; 0 is the most urgent. That of the account takes precedence over the route's.
