fix(watcher): a late write does not bring a removed target back

Cause: removals were compared only with records of another era of the store. Likewise an older record ended the grace of a target whose record had expired in an outage.

Change: a record counts after the removal of its target only if it is newer than the last one before. Records without a sequence cannot be ordered and are taken in the same era, as before. Where another writer had given the last record an odd sequence, three later records overrule it, once no late write can come any more.

--- a/internal/watcher/removals.go
+++ b/internal/watcher/removals.go
@@ -6,12 +6,16 @@
 	"github.com/papayaworks/papayaworks/internal/cataloger"
 )
 
-// removalTTL is how long removals are remembered. The copies from which the metadata store is restored are some seconds old.
-const removalTTL = 10 * time.Minute
+const (
+	// removalTTL is how long removals are remembered. The copies from which the metadata store is restored are some seconds old.
+	removalTTL = 10 * time.Minute
+	// lateWriteTime is how long after a removal the metadata store may still apply writes that were sent before it.
+	lateWriteTime = 10 * time.Second
+)
 
 // removal is the last record of a target that was removed.
 type removal struct {
-	startedUnixMs, sequence int64
+	target *cataloger.Target
 	// era is the era of the metadata store in which the target was removed.
 	era int64
 	at  time.Time
@@ -22,14 +26,22 @@
 
 // add remembers that a target was removed in an era.
 func (r removals) add(t *cataloger.Target, era int64, now time.Time) {
-	r[t.ID] = removal{startedUnixMs: t.StartedUnixMs, sequence: t.Sequence, era: era, at: now}
+	r[t.ID] = removal{target: t, era: era, at: now}
 }
 
-// contains reports whether a record read in an era was written before its target was removed in an earlier one. The copy from which
-// the store was restored then has the record still.
-func (r removals) contains(t *cataloger.Target, era int64) bool {
+// find returns the removal of a target if a record read in an era was written before it. The copy from which the store was restored
+// may have such a record still, and a write that got no response may be applied after the removal. A record without a sequence cannot be
+// ordered against a removal in its own era.
+func (r removals) find(t *cataloger.Target, era int64) (removal, bool) {
 	old, ok := r[t.ID]
-	return ok && era != old.era && (t.StartedUnixMs < old.startedUnixMs || t.StartedUnixMs == old.startedUnixMs && t.Sequence <= old.sequence)
+	if !ok {
+		return removal{}, false
+	}
+	last := old.target
+	if t.StartedUnixMs != last.StartedUnixMs {
+		return old, t.StartedUnixMs < last.StartedUnixMs
+	}
+	return old, t.Sequence <= last.Sequence && (t.Sequence > 0 || era != old.era)
 }
 
 // prune forgets old removals.
--- a/internal/watcher/targets.go
+++ b/internal/watcher/targets.go
@@ -25,14 +25,33 @@
 	switch {
 	case !ok || !t.IsOlderThan(inForce):
 		delete(w.outliers, t.ID)
+		delete(w.expired, t.ID)
 		w.logTarget(d, t)
 		d.Replace(t)
 	case w.outliers.overrules(t, inForce):
 		w.Log.WithField("target", t.ID).WithField("sequence", inForce.Sequence).Warn("odd record of a target overruled by later ones")
+		delete(w.expired, t.ID)
 		d.Replace(t)
 	}
 }
 
+// isBeforeRemoval reports whether a record was written before its target was removed. Several such records in sequence that come too late
+// to be late writes show that the sequence of the last record before the removal was odd.
+func (w *Watcher) isBeforeRemoval(t *cataloger.Target, era int64, now time.Time) bool {
+	removed, ok := w.removed.find(t, era)
+	if !ok {
+		return false
+	}
+	l := w.Log.WithField("target", t.ID).WithField("sequence", t.Sequence).WithField("lastSequence", removed.target.Sequence)
+	if now.Sub(removed.at) > lateWriteTime && w.outliers.overrules(t, removed.target) {
+		l.Warn("odd record of a removed target overruled by later ones")
+		delete(w.removed, t.ID)
+		return false
+	}
+	l.Info("record of a removed target ignored")
+	return true
+}
+
 func (w *Watcher) logTarget(d *cataloger.Draft, t *cataloger.Target) {
 	old, ok := d.Target(t.ID)
 	l := w.Log.WithField("target", t.ID)
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -316,12 +316,10 @@
 		if err := checkTarget(v, d, c.Target, now); err != nil {
 			return w.applyChange(v, d, InvalidRecord{Key: c.Target.ID, Err: err}, e, now, present)
 		}
-		if w.removed.contains(c.Target, e.batch.Era) {
-			w.Log.WithField("target", c.Target.ID).Info("record of a removed target ignored")
+		if w.isBeforeRemoval(c.Target, e.batch.Era, now) {
 			return v
 		}
 		present[c.Target.ID] = true
-		delete(w.expired, c.Target.ID)
 		w.putTarget(d, c.Target)
 	case TargetRemoved:
 		w.removeTarget(d, c.ID, e.afterOutage, now)
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -81,6 +81,48 @@
 	require.Same(t, before, w.View())
 }
 
+// Guards against a target that is used again after its removal because of a write that was sent before, and against one that is lost
+// although it goes on registering.
+func TestLateRecordOfRemovedTarget(t *testing.T) {
+	record := func(started, sequence int64) []Change {
+		return []Change{TargetUpdated{&cataloger.Target{ID: "a", Service: "s", StartedUnixMs: started, Sequence: sequence}}}
+	}
+	removed := []Change{TargetRemoved{"a"}}
+	type step struct {
+		at          time.Duration
+		afterOutage bool
+		changes     []Change
+	}
+	tests := map[string]struct {
+		steps          []step
+		wantRegistered bool
+	}{
+		"late write":                     {[]step{{changes: removed}, {at: 2 * time.Second, changes: record(100, 6)}}, false},
+		"write of the last record again": {[]step{{changes: removed}, {at: 2 * time.Second, changes: record(100, 7)}}, false},
+		"late write of an older process": {[]step{{changes: removed}, {at: 2 * time.Second, changes: record(99, 9)}}, false},
+		"newer record":                   {[]step{{changes: removed}, {at: 2 * time.Second, changes: record(100, 8)}}, true},
+		"started again":                  {[]step{{changes: removed}, {at: 2 * time.Second, changes: record(101, 1)}}, true},
+		"late write while its record has expired": {[]step{{afterOutage: true, changes: removed}, {at: time.Second, changes: record(100, 6)},
+			{at: reregistrationGrace + time.Millisecond}}, false},
+		"removed with an odd sequence": {[]step{{changes: removed}, {at: lateWriteTime + time.Second, changes: record(100, 3)},
+			{at: lateWriteTime + 2*time.Second, changes: record(100, 4)}, {at: lateWriteTime + 3*time.Second, changes: record(100, 5)}}, true},
+		"three late writes": {[]step{{changes: removed}, {at: time.Second, changes: record(100, 3)},
+			{at: 2 * time.Second, changes: record(100, 4)}, {at: 3 * time.Second, changes: record(100, 5)}}, false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWatcher()
+			w.handle(event{batch: Batch{Changes: record(100, 7)}}, epoch)
+			for _, s := range tc.steps {
+				w.handle(event{batch: Batch{Changes: s.changes}, afterOutage: s.afterOutage}, epoch.Add(s.at))
+				w.expire(epoch.Add(s.at))
+			}
+			_, ok := w.View().Target("a")
+			require.Equal(t, tc.wantRegistered, ok)
+		})
+	}
+}
+
 // Guards against sound targets that are removed because the newest record of one, or the configuration, cannot be decoded in a snapshot.
 func TestInvalidRecordInSnapshotRemovesTarget(t *testing.T) {
 	tests := map[string][]Change{
