fix(forwarder): cache of an account is out of reach once it is isolated

Cause: the scope of the cache that accounts share named the model and the version of the weights alone, so it stayed the same when an account became isolated. Calls that were sent again also kept the configuration with which they had begun.

Change: the shared scope contains a hash of the names of the isolated accounts; without any it is as before. Only accounts outside the set ever use the scope of a set, so nothing needs to be remembered. Each attempt takes the newest configuration.

--- a/internal/cataloger/catalog.go
+++ b/internal/cataloger/catalog.go
@@ -15,9 +15,13 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
+
+	"github.com/papayaworks/papayaworks/internal/hasher"
 )
 
 // Kind is the execution semantics of a route's requests: whether they may be executed more than once.
@@ -144,6 +148,9 @@
 
 	routes map[string][]Route
 	keys   map[string]*Account
+	// isolated holds the names of the isolated accounts, isolationKey the hash of them.
+	isolated     map[string]bool
+	isolationKey string
 }
 
 // New returns an immutable catalog; it takes ownership of the slices. Nil accounts stand for a deployment without accounts, an empty
@@ -151,7 +158,7 @@
 func New(version int64, routes []Route, services []Service, accounts []Account, limits Limits) *Catalog {
 	c := &Catalog{
 		Version: version, Services: map[string]*Service{}, Accounts: accounts, Limits: limits,
-		routes: map[string][]Route{}, keys: map[string]*Account{},
+		routes: map[string][]Route{}, keys: map[string]*Account{}, isolated: map[string]bool{},
 	}
 	for i := range services {
 		c.Services[services[i].Name] = &services[i]
@@ -168,10 +175,22 @@
 				c.keys[k] = &accounts[i]
 			}
 		}
+		if accounts[i].Isolated {
+			c.isolated[accounts[i].Name] = true
+		}
+	}
+	if len(c.isolated) > 0 {
+		c.isolationKey = strconv.FormatUint(hasher.Hash(slices.Sorted(maps.Keys(c.isolated))...), 36)
 	}
 	return c
 }
 
+// IsIsolated reports whether an account is isolated.
+func (c *Catalog) IsIsolated(account string) bool { return c.isolated[account] }
+
+// IsolationKey identifies the set of isolated accounts; it is empty if no account is isolated.
+func (c *Catalog) IsolationKey() string { return c.isolationKey }
+
 // Match returns the route of a host whose prefix is the longest match for the path.
 func (c *Catalog) Match(host, path string) (*Route, bool) {
 	rs := c.routes[host]
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -361,17 +361,17 @@
 }
 
 // versionAndScope returns the weight version on which the target runs the call, and the scope of the call's KV cache. The scope
-// contains the version, and the account if it is isolated. Plain services have neither.
+// is that of the newest configuration, which may isolate accounts while the call is in progress. Plain services have neither.
 func (s *Server) versionAndScope(c *Call, t *cataloger.Target) (int64, string) {
 	if c.Service.Engine == nil {
 		return 0, ""
 	}
 	account := ""
-	if c.Account != nil && c.Account.Isolated {
+	if c.Account != nil {
 		account = c.Account.Name
 	}
 	v := s.callVersion(c, t)
-	return v, cacheScope(c.Headers.Prompt.Model, v, account)
+	return v, cacheScope(c.Headers.Prompt.Model, v, account, s.Watcher.View().Catalog)
 }
 
 func scopedKeys(scope string, keys []string) []string {
--- a/internal/forwarder/kvcache.go
+++ b/internal/forwarder/kvcache.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/papayaworks/papayaworks/internal/cataloger"
 	"github.com/papayaworks/papayaworks/internal/sleeper"
 )
 
@@ -17,11 +18,16 @@
 	freeInterval = 500 * time.Millisecond
 )
 
-// cacheScope returns the scope of the KV cache of a model's weight version. The account is empty unless it is isolated.
-func cacheScope(model string, version int64, account string) string {
+// cacheScope returns the scope of the KV cache of a model's weight version that an account may use. An isolated account has a scope of its
+// own. All others share one, which changes with the set of isolated accounts: an account that becomes isolated has made a part of the cache
+// in the scope before.
+func cacheScope(model string, version int64, account string, c *cataloger.Catalog) string {
 	scope := model + "/" + strconv.FormatInt(version, 10)
-	if account != "" {
-		scope += "/" + account
+	switch {
+	case c.IsIsolated(account):
+		scope += "/account/" + account
+	case c.IsolationKey() != "":
+		scope += "/shared/" + c.IsolationKey()
 	}
 	return scope
 }
