fix: responses with an invalid status are failures

Reports, commands and calls of KV stores took a status below 200 for a success.

Cause: the libraries accept any three digits, and a status was compared with the limit of the errors alone.

Change: a status that is no success and no error of HTTP is a failure of the exchange, wherever responses are read.

Result: TestInvalidResponses failed before with the response, TestInvalidStatus with no error within 10 s.

--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -29,7 +29,7 @@
 	minErrorStatus   = http.StatusMultipleChoices
 )
 
-// StatusError is a response with a status of 300 or above: the peer received the request and refused it.
+// StatusError is a response that is no success: the peer received the request and refused it, or its status is invalid.
 type StatusError struct {
 	Status int
 	Body   string
@@ -238,7 +238,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if res.StatusCode >= minErrorStatus {
+	if res.StatusCode < http.StatusOK || res.StatusCode >= minErrorStatus {
 		defer res.Body.Close()
 		text, _ := io.ReadAll(io.LimitReader(res.Body, 1024))
 		return nil, &StatusError{Status: res.StatusCode, Body: string(bytes.TrimSpace(text))}
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -214,6 +214,9 @@
 		if err != nil {
 			return err
 		}
+		if res.StatusCode < http.StatusContinue {
+			return failer.New("response has the invalid status %03d", res.StatusCode)
+		}
 		if res.StatusCode >= http.StatusOK && belongs(res.Header) {
 			ex.body = &body{ReadCloser: res.Body, ended: res.Body == http.NoBody}
 			res.Body, ex.Response = ex.body, res
--- a/internal/pooler/truncated_test.go
+++ b/internal/pooler/truncated_test.go
@@ -1,10 +1,12 @@
 package pooler
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -56,3 +58,17 @@
 		require.True(t, e.MaybeSent, "the request may have run")
 	}
 }
+
+// Guards against a response with an invalid status that is skipped as an interim one, so that the caller waits until its deadline.
+func TestInvalidStatus(t *testing.T) {
+	for _, status := range []string{"000", "099"} {
+		s := startTarget(t, "HTTP/1.1 "+status+" Trouble\r\nContent-Length: 0\r\n\r\n")
+		close(s.respond)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		_, err := New().Do(ctx, Peer{Address: s.address}, http.MethodPost, []byte(testRequest), func(http.Header) bool { return true })
+		require.NoError(t, ctx.Err(), "status %s", status)
+		cancel()
+		require.Error(t, err, "status %s", status)
+		require.True(t, MaybeSent(err), "the request may have run")
+	}
+}
--- a/internal/server/dispatcher/call.go
+++ b/internal/server/dispatcher/call.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -21,6 +22,8 @@
 	maxResponseBytes = 1 << 20
 	// notRunRetryAfter is the time after which a caller should retry a call that was not run.
 	notRunRetryAfter = 250 * time.Millisecond
+	// maxStatus is the highest valid status of a response.
+	maxStatus = 599
 )
 
 // call sends a call of a plain service to its target and sets the response.
@@ -110,8 +113,12 @@
 	}
 	defer in.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(in.Body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
+	switch {
+	case err != nil:
+	case len(body) > maxResponseBytes:
 		err = errors.New("response exceeds the size limit")
+	case in.StatusCode < http.StatusOK || in.StatusCode > maxStatus:
+		err = fmt.Errorf("response has the invalid status %03d", in.StatusCode)
 	}
 	if err != nil {
 		return nil, true, failer.Wrap(err, "read response of target", r.Target.Address, "dispatch")
--- a/internal/server/dispatcher/call_test.go
+++ b/internal/server/dispatcher/call_test.go
@@ -1,10 +1,14 @@
 package dispatcher
 
 import (
+	"bufio"
 	"bytes"
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -120,3 +124,60 @@
 	}
 	require.Equal(t, map[string]int{reusedKey: 1, droppedKey: 1}, sv.RunCounts())
 }
+
+// startRawService serves each connection with a function on a loopback address.
+func startRawService(t *testing.T, serve func(c *net.TCPConn)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				serve(c.(*net.TCPConn))
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// Guards against a response that is passed on although it is none, with an invalid status.
+func TestInvalidResponses(t *testing.T) {
+	respond := func(status string) func(c *net.TCPConn) {
+		return func(c *net.TCPConn) {
+			for r := bufio.NewReader(c); ; {
+				req, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, req.Body)
+				_, _ = io.WriteString(c, "HTTP/1.1 "+status+" Trouble\r\nContent-Length: 2\r\n\r\nok")
+			}
+		}
+	}
+	tests := map[string]struct {
+		bodyBytes int
+		serve     func(c *net.TCPConn)
+	}{
+		"status 000": {2, respond("000")},
+		"status 999": {2, respond("999")},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			address := startRawService(t, tc.serve)
+			client := dialer.New()
+			for range 20 {
+				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+				res, _, err := exchange(ctx, client.HTTP(), call(address, "", strings.Repeat("b", tc.bodyBytes), true))
+				cancel()
+				require.Error(t, err, "response %+v", res)
+				require.NotErrorIs(t, err, context.DeadlineExceeded)
+			}
+		})
+	}
+}
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -259,7 +259,7 @@
 		return nil, err
 	}
 	defer res.Body.Close()
-	if res.StatusCode >= http.StatusMultipleChoices {
+	if res.StatusCode < http.StatusOK || res.StatusCode >= http.StatusMultipleChoices {
 		return nil, readRefusal(res)
 	}
 	return readAll(res.Body)
