fix(dispatcher): a cut response is not whole while its call is being sent

Cause: the kernel reports a reset once. net/http writes and reads in two goroutines; if the write gets the error, the reader sees the ordinary end of the connection, which ends a body without framing.

Change: a response without framing counts only if the call was written completely.

--- a/internal/pooler/truncated_test.go
+++ b/internal/pooler/truncated_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -72,3 +73,36 @@
 		require.True(t, MaybeSent(err), "the request may have run")
 	}
 }
+
+// Guards against a response without framing that looks complete although its connection was reset while the request was being sent.
+func TestResetDuringUpload(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				_, _ = io.ReadFull(c, make([]byte, len(testRequest)))
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nUpstream-Signature: s\r\n\r\nfirst part")
+				time.Sleep(10 * time.Millisecond)
+				_ = c.(*net.TCPConn).SetLinger(0)
+			}()
+		}
+	}()
+	for _, n := range []int{64 << 10, 1 << 20, 16 << 20} { // within the buffers of the kernel, and beyond
+		for range 10 {
+			ex, err := New().Do(t.Context(), Peer{Address: ln.Addr().String()}, http.MethodPost, append([]byte(testRequest), make([]byte, n)...), func(http.Header) bool { return true })
+			if err == nil {
+				_, err = io.ReadAll(ex.Body)
+				ex.Close()
+			}
+			require.Error(t, err, "%d bytes", n)
+			require.True(t, MaybeSent(err))
+		}
+	}
+}
--- a/internal/server/dispatcher/call.go
+++ b/internal/server/dispatcher/call.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"github.com/papayaworks/papayaworks/internal/failer"
@@ -98,7 +99,11 @@
 // of the call, which is assumed from the moment a connection was available.
 func exchange(ctx context.Context, client *http.Client, r *request.Request) (res *ledger.Response, sent bool, err error) {
 	u := "http://" + r.Target.Address + "/v1/operations/" + r.Call.Operation.Name
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent = true }})
+	var written atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn:      func(httptrace.GotConnInfo) { sent = true },
+		WroteRequest: func(i httptrace.WroteRequestInfo) { written.Store(i.Err == nil) },
+	})
 	req, err := http.NewRequestWithContext(ctx, r.Call.Method, u, bytes.NewReader(r.Call.Body))
 	if err != nil {
 		return nil, false, failer.Wrap(err, "call target", r.Target.Address, "dispatch")
@@ -119,9 +124,17 @@
 		err = errors.New("response exceeds the size limit")
 	case in.StatusCode < http.StatusOK || in.StatusCode > maxStatus:
 		err = fmt.Errorf("response has the invalid status %03d", in.StatusCode)
+	case !isFramed(in) && !written.Load():
+		// A failed write hides the reset of the connection from the reader, which then sees the end of the body.
+		err = errors.New("response without framing ended before the request was written")
 	}
 	if err != nil {
 		return nil, true, failer.Wrap(err, "read response of target", r.Target.Address, "dispatch")
 	}
 	return &ledger.Response{Status: in.StatusCode, ContentType: in.Header.Get("Content-Type"), Body: body}, true, nil
 }
+
+// isFramed reports whether the response states where its body ends. Otherwise it ends with the connection.
+func isFramed(res *http.Response) bool {
+	return res.ContentLength >= 0 || len(res.TransferEncoding) > 0
+}
--- a/internal/server/dispatcher/call_test.go
+++ b/internal/server/dispatcher/call_test.go
@@ -146,7 +146,8 @@
 	return ln.Addr().String()
 }
 
-// Guards against a response that is passed on although it is none, with an invalid status.
+// Guards against a response that is passed on although it is none: one with an invalid status, or one without framing whose connection was
+// reset while the call was being sent, of which only a part has arrived.
 func TestInvalidResponses(t *testing.T) {
 	respond := func(status string) func(c *net.TCPConn) {
 		return func(c *net.TCPConn) {
@@ -166,6 +167,12 @@
 	}{
 		"status 000": {2, respond("000")},
 		"status 999": {2, respond("999")},
+		"reset during the upload": {64 << 20, func(c *net.TCPConn) {
+			_, _ = io.ReadFull(c, make([]byte, 4<<10))
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nfirst part")
+			time.Sleep(20 * time.Millisecond)
+			_ = c.SetLinger(0)
+		}},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
