fix(forwarder): all responses together have a bound in memory

A target that sent bodies without end made the process of an instance exceed its memory: 40 calls at a time took 295 to 411 MiB where 96 MB are allowed. The calls of other callers would end with it.

Cause: a response that is not a stream is kept until it is complete.

--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -23,6 +23,8 @@
 	maxEventBytes = 1 << 20
 	// maxResponseBytes is how much of a response that is not a stream is read at most.
 	maxResponseBytes = 1 << 20
+	// maxHeaderBytes bounds a response header.
+	maxHeaderBytes   = 64 << 10
 	connectTimeout   = 2 * time.Second
 	idleConnsPerPeer = 128
 	idleConnTimeout  = 90 * time.Second
@@ -69,13 +71,14 @@
 func NewWithDial(dial DialFunc) *Client {
 	return &Client{
 		http: &http.Client{Transport: &http.Transport{
-			DialContext:         dial,
-			MaxIdleConnsPerHost: idleConnsPerPeer,
-			IdleConnTimeout:     idleConnTimeout,
-			DisableCompression:  true,
+			DialContext:            dial,
+			MaxIdleConnsPerHost:    idleConnsPerPeer,
+			IdleConnTimeout:        idleConnTimeout,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxHeaderBytes,
 		}},
 		withoutRetry: &http.Client{
-			Transport:     &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true},
+			Transport:     &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -155,6 +155,8 @@
 	ExpectedLatency time.Duration
 	// queue is what the queue of the service keeps of the call.
 	queue queueState
+	// heldBytes is the number of bytes that responses to the call hold in memory.
+	heldBytes int
 	// HeaderSent reports whether the response header of a stream was sent to the caller.
 	HeaderSent bool
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -182,6 +182,7 @@
 	health        *health
 	retryBudgets  *retryBudgets
 	pool          *pooler.Pool
+	responses     *responseMemory
 	waiting       waitingAttempts
 	queues        queues
 	throttle      *throttler.Table
@@ -227,6 +228,7 @@
 	s.health = newHealth()
 	s.retryBudgets = newRetryBudgets()
 	s.pool = pooler.New()
+	s.responses = newResponseMemory(s.Settings.MemoryBytes)
 	s.throttle = throttler.New(s.Settings.Instance)
 	s.throttle.Log = s.Log
 	if s.Announcer == nil {
@@ -427,6 +429,7 @@
 	if c.View.Draining {
 		listener.CloseAfter(w)
 	}
+	defer func() { s.responses.release(c.heldBytes) }()
 	step, err := request.RunStages(hr.Context(), s.steps, c)
 	if err != nil {
 		s.fail(c, step, err)
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -113,12 +112,17 @@
 // readResponse reads a response that is not a stream and returns the outcome.
 func (x *targetRequest) readResponse(ctx context.Context, ex *pooler.Exchange) (retrier.Outcome, error) {
 	c := x.c
-	body, err := io.ReadAll(io.LimitReader(ex.Body, maxResponseBytes+1))
-	if len(body) > maxResponseBytes {
+	length := ex.ContentLength
+	if c.HTTP.Method == http.MethodHead {
+		length = 0
+	}
+	body, err := x.s.responses.read(ex.Body, length)
+	c.heldBytes += cap(body)
+	if errors.Is(err, errResponseTooLong) || errors.Is(err, errResponseMemory) {
 		// Another run would be as long, so the call is not retried.
 		ex.Close()
 		c.MayHaveRun = true
-		return retrier.Unknown, fmt.Errorf("response of target %s is longer than %d bytes", x.t.ID, maxResponseBytes)
+		return retrier.Unknown, fmt.Errorf("response of target %s: %w", x.t.ID, err)
 	}
 	if err == nil && ex.Framing() == pooler.FramingNone && !x.s.crashes.isAlive(ctx, x.t) {
 		err = errTargetEnded
