fix(archiver): instances that have just started take statements of saves

A statement holds for 200 ms, or 3 ms times the number of instances, instead of 600 ms: announcements repeat it each 60 ms in a small deployment, and as long as it holds the block is read again instead of fetched.

Result: TestSavesBeforeConfiguration panicked before.

--- a/internal/archiver/archiver.go
+++ b/internal/archiver/archiver.go
@@ -138,7 +138,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.pendingSaves == nil {
-		a.pendingSaves, a.waiting, a.stated = map[uint64]time.Time{}, map[*Save]struct{}{}, map[uint64]time.Time{}
+		a.pendingSaves, a.waiting = map[uint64]time.Time{}, map[*Save]struct{}{}
 	}
 	var current []*store
 	for _, s := range stores {
--- a/internal/archiver/archiver_test.go
+++ b/internal/archiver/archiver_test.go
@@ -130,11 +130,19 @@
 				require.Equal(t, tc.wantFetchable, p.FetchFrom[0] != "")
 				require.Empty(t, p.SaveTo[0])
 			}
-			require.NotEmpty(t, other.Plan("m/1", []string{"x"}, nil, at.Add(saveStatementTTL+1)).FetchFrom[0], "the statement is not repeated")
+			require.NotEmpty(t, other.Plan("m/1", []string{"x"}, nil, at.Add(minStatementTTL+1)).FetchFrom[0], "the statement is not repeated")
 		})
 	}
 }
 
+// Guards against a panic of an instance that has just started and is told of saves before it has read a configuration.
+func TestSavesBeforeConfiguration(t *testing.T) {
+	a, now := &Archiver{Self: "a", Client: &fakeClient{}, Log: logger.Discard()}, time.Now()
+	a.MergeSaves([]SaveStatement{{Key: 1}}, now)
+	require.Equal(t, []SaveStatement{{Key: 1}}, a.Saves(now))
+	require.Nil(t, a.Plan("m/1", []string{"x"}, nil, now).Save)
+}
+
 // Guards against saving a block with each request while the first save is in progress.
 func TestSavesOnce(t *testing.T) {
 	a, _ := newArchiver(t, "a", "a")
--- a/internal/archiver/saves.go
+++ b/internal/archiver/saves.go
@@ -3,8 +3,10 @@
 import "time"
 
 const (
-	// saveStatementTTL is how long a statement that a save is waiting holds. Instances repeat it several times in this time.
-	saveStatementTTL = 600 * time.Millisecond
+	// A statement that a save is waiting holds for minStatementTTL, and in larger deployments for statementTTLPerInstance times the number
+	// of instances. Announcements repeat it about three times meanwhile.
+	minStatementTTL         = 200 * time.Millisecond
+	statementTTLPerInstance = 3 * time.Millisecond
 	// abandonedSaveTime is how long the save of an abandoned request counts as waiting. Targets drop a request that waits when its
 	// connection closes.
 	abandonedSaveTime = 2 * time.Second
@@ -73,7 +75,7 @@
 		out = append(out, SaveStatement{Key: key})
 	}
 	for key, at := range a.stated {
-		if age := now.Sub(at); age > saveStatementTTL {
+		if age := now.Sub(at); age > a.statementTTL() {
 			delete(a.stated, key)
 		} else if !own[key] {
 			out = append(out, SaveStatement{Key: key, AgeMs: age.Milliseconds()})
@@ -89,14 +91,22 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.stated == nil { // no configuration has been read yet
+		a.stated = map[uint64]time.Time{}
+	}
 	for _, s := range in {
 		age := time.Duration(s.AgeMs) * time.Millisecond
-		if at := now.Add(-age); age >= 0 && age < saveStatementTTL && at.After(a.stated[s.Key]) {
+		if at := now.Add(-age); age >= 0 && age < a.statementTTL() && at.After(a.stated[s.Key]) {
 			a.stated[s.Key] = at
 		}
 	}
 }
 
+// statementTTL returns how long a statement holds; a.mu is held.
+func (a *Archiver) statementTTL() time.Duration {
+	return max(minStatementTTL, time.Duration(len(a.instances))*statementTTLPerInstance)
+}
+
 // ownSaves returns the keys of the blocks whose saves wait at this instance, and forgets expired ones; a.mu is held.
 func (a *Archiver) ownSaves(now time.Time) map[uint64]bool {
 	out := map[uint64]bool{}
@@ -115,5 +125,5 @@
 // isSaveWaiting reports whether a save of a block waits at any instance; a.mu is held.
 func (a *Archiver) isSaveWaiting(key uint64, own map[uint64]bool, now time.Time) bool {
 	at, ok := a.stated[key]
-	return own[key] || ok && now.Sub(at) <= saveStatementTTL
+	return own[key] || ok && now.Sub(at) <= a.statementTTL()
 }
