fix(listener): a stop does not cut a request that is being read

A connection on which a part of a request had arrived was closed as idle when a stop began to close connections: the caller got a reset in the middle of its upload, and cannot know whether the request was read.

Cause: CloseIdle looked for complete requests alone.

Change: such a connection stays open until its request is read and answered, within the time limits of heads and bodies.

--- a/internal/listener/closing.go
+++ b/internal/listener/closing.go
@@ -11,20 +11,22 @@
 	}
 }
 
-// CloseIdle closes the connections without a request in progress. A request that was read before its connection is closed
-// is handled, and keeps the connection open until its response is written.
+// CloseIdle closes the connections without a request in progress. A request of which a part was read before its connection is
+// closed is read and handled, and keeps the connection open until its response is written.
 func (s *Server) CloseIdle() {
 	s.connections.Range(func(_, v any) bool {
-		v.(*connection).closeUnlessBusy()
+		x := v.(*connection)
+		x.closeIf(func() bool { return !x.framer.InRequest() })
 		return true
 	})
 }
 
-// closeUnlessBusy closes the connection unless a request is in progress on it, and reports whether it did. Bytes that arrive
-// after the check are discarded, so that no request is handled whose response could not be sent.
-func (x *connection) closeUnlessBusy() bool {
+// closeIf closes the connection if no complete request is in progress on it and the condition holds, which is checked with x.mu held. It
+// reports whether it did. Bytes that arrive after the check are discarded, so that no request is handled whose response could not be
+// sent.
+func (x *connection) closeIf(condition func() bool) bool {
 	x.mu.Lock()
-	if x.closed || x.feeding || x.pending > 0 {
+	if x.closed || x.feeding || x.pending > 0 || !condition() {
 		x.mu.Unlock()
 		return false
 	}
--- a/internal/listener/closing_test.go
+++ b/internal/listener/closing_test.go
@@ -72,6 +72,34 @@
 	require.Equal(t, handled.Load(), answered.Load(), "handled requests and responses")
 }
 
+// Guards against a stop that closes a connection in the middle of a request.
+func TestCloseIdleKeepsRequestBeingRead(t *testing.T) {
+	s := &Server{Addr: "127.0.0.1:0", Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })}
+	addr, err := s.Start()
+	require.NoError(t, err)
+	t.Cleanup(s.Kill)
+	for _, parts := range [][2]string{
+		{"POST / HTTP/1.1\r\nHo", "st: h\r\nContent-Length: 4\r\n\r\nbody"},
+		{"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbo", "dy"},
+	} {
+		c, err := net.Dial("tcp", addr)
+		require.NoError(t, err)
+		_, err = io.WriteString(c, parts[0])
+		require.NoError(t, err)
+		require.Eventually(t, func() bool { return s.held.Load() > 0 }, 10*time.Second, time.Millisecond)
+		s.CloseIdle()
+		_, err = io.WriteString(c, parts[1])
+		require.NoError(t, err)
+		res, err := http.ReadResponse(bufio.NewReader(c), nil)
+		require.NoError(t, err, "after %q", parts[0])
+		body, err := io.ReadAll(res.Body)
+		require.NoError(t, err)
+		require.Equal(t, "body", string(body))
+		_ = c.Close()
+		require.Eventually(t, func() bool { return s.held.Load() == 0 }, 10*time.Second, time.Millisecond)
+	}
+}
+
 // exchange sends a request and returns the body of its response.
 func exchange(c net.Conn, r *bufio.Reader) (string, error) {
 	if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
--- a/internal/listener/guard.go
+++ b/internal/listener/guard.go
@@ -257,9 +257,9 @@
 	})
 }
 
-// drop closes a connection without a response, unless a request is in progress on it.
+// drop closes a connection without a response, unless a complete request is in progress on it.
 func (s *Server) drop(x *connection, reason string) {
-	if x.closeUnlessBusy() && s.OnRefuse != nil {
+	if x.closeIf(func() bool { return true }) && s.OnRefuse != nil {
 		s.OnRefuse(reason)
 	}
 }
