fix(archiver): waiting saves cost no service in large deployments

Change: statements are 32-bit keys in the announcements of load, and a digest holds those of its data centre; nothing else is passed on. Blocks may be saved while another save waits, and only the fetch is not allowed. A call that is expected to wait more than 100 ms at its engine saves nothing, so that saves seldom wait.

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -48,6 +48,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"golang.org/x/time/rate"
 
+	"github.com/papayaworks/papayaworks/internal/archiver"
 	"github.com/papayaworks/papayaworks/internal/failer"
 	"github.com/papayaworks/papayaworks/internal/logger"
 	"github.com/papayaworks/papayaworks/internal/sleeper"
@@ -165,6 +166,8 @@
 	// isRegional reports whether the peer sends its load to its data centre only.
 	isRegional bool
 	load       loadReport
+	// saves holds the blocks whose saves wait at the peer's targets, if it is one of the same data centre.
+	saves []archiver.SaveKey
 }
 
 // Start binds the local address. It must be called before any other method.
@@ -453,6 +456,7 @@
 	case in.Load != nil:
 		p.receivedAt = now
 		a.applyLoad(p, in.Load.InFlightByTarget, in.Sequence, true, now)
+		p.saves = in.Load.Saves
 		a.onLoad(*in.Load)
 	case in.Sequence > p.sequence:
 		p.sequence, p.receivedAt = in.Sequence, now
--- a/internal/announcer/encoder.go
+++ b/internal/announcer/encoder.go
@@ -22,6 +22,7 @@
 	warming   []warmer.Announced
 	inFlight  map[string]InFlight
 	slowdowns map[TargetHash]Slowdown
+	saves     []archiver.SaveKey
 	regional  bool
 	// skipEmpty reports whether peers that learn of load, progress and signs of life otherwise get nothing if there is nothing else.
 	skipEmpty bool
@@ -39,7 +40,7 @@
 	isNew := now.UnixNano()-a.startedUnixNano < int64(helloTime)
 	return &encoder{
 		a: a, an: announcement{ID: a.Self.ID, DataCentre: a.Self.DataCentre, Sequence: a.sequence.Add(1), StartedUnixNano: a.startedUnixNano, State: st},
-		updates: st.StoreUpdates, published: st.Published, warming: st.Warming, inFlight: st.InFlightByTarget, slowdowns: st.Slowdowns, regional: regional, skipEmpty: regional && !isNew && st.isEmpty(), createdAt: now, encoded: map[string][]byte{},
+		updates: st.StoreUpdates, published: st.Published, warming: st.Warming, inFlight: st.InFlightByTarget, slowdowns: st.Slowdowns, saves: st.Saves, regional: regional, skipEmpty: regional && !isNew && st.isEmpty(), createdAt: now, encoded: map[string][]byte{},
 	}
 }
 
@@ -76,9 +77,9 @@
 func (e *encoder) encode(p Peer) []byte {
 	selection := make([]byte, len(e.updates)+1)
 	e.an.State.StoreUpdates = nil
-	e.an.State.InFlightByTarget, e.an.State.Slowdowns, e.an.State.LoadSeparate = e.inFlight, e.slowdowns, false
+	e.an.State.InFlightByTarget, e.an.State.Slowdowns, e.an.State.Saves, e.an.State.LoadSeparate = e.inFlight, e.slowdowns, e.saves, false
 	if e.regional && p.DataCentre != "" {
-		e.an.State.InFlightByTarget, e.an.State.Slowdowns, e.an.State.LoadSeparate = nil, nil, true
+		e.an.State.InFlightByTarget, e.an.State.Slowdowns, e.an.State.Saves, e.an.State.LoadSeparate = nil, nil, nil, true
 		selection[len(e.updates)] = 1
 	}
 	for k, u := range e.updates {
--- a/internal/announcer/regional.go
+++ b/internal/announcer/regional.go
@@ -38,8 +38,8 @@
 	Targets          watcher.TargetsProgress `msgpack:"t"`
 	// Slowdowns holds the targets that were recently slow. A digest repeats those that the sender has learned from others.
 	Slowdowns map[TargetHash]Slowdown `msgpack:"w,omitempty"`
-	// Saves holds the saves to KV stores that wait at targets, those that the sender has learned of from others included.
-	Saves []archiver.SaveStatement `msgpack:"s,omitempty"`
+	// Saves holds the blocks whose saves to KV stores wait at targets.
+	Saves []archiver.SaveKey `msgpack:"s,omitempty"`
 }
 
 // digest is the load of all instances of one data centre, with their signs of life. Its size depends on the numbers of targets and of
@@ -194,6 +194,7 @@
 		}
 		if p.load.isCounted && p.isRegional { // the others announce their load to all instances themselves
 			p.load.each(func(target TargetHash, f InFlight) { d.InFlightByTarget[target] = d.InFlightByTarget[target].Add(f) })
+			d.Saves = append(d.Saves, p.saves...)
 		}
 	}
 	a.mu.RUnlock()
--- a/internal/announcer/state.go
+++ b/internal/announcer/state.go
@@ -37,8 +37,8 @@
 	Versions []TargetVersion `msgpack:"v,omitempty"`
 	// StoreUpdates holds the updates of KV stores that this instance follows.
 	StoreUpdates []archiver.StoreUpdate `msgpack:"k,omitempty"`
-	// Saves holds the saves to KV stores that wait at targets.
-	Saves []archiver.SaveStatement `msgpack:"u,omitempty"`
+	// Saves holds the blocks whose saves to KV stores wait at targets; it is left out like InFlightByTarget.
+	Saves []archiver.SaveKey `msgpack:"u,omitempty"`
 	// Started holds the load of a request that has just started, by its target. It is set in start announcements only;
 	// all other fields are then empty.
 	Started map[string]InFlight `msgpack:"b,omitempty"`
--- a/internal/archiver/archiver.go
+++ b/internal/archiver/archiver.go
@@ -124,10 +124,11 @@
 	instances    []string
 	stores       []*store
 	pendingSaves map[uint64]time.Time
-	// waiting holds the saves of this instance that wait at a target, stated when other instances have stated that a save of a block
-	// waits, by the key of the block.
-	waiting map[*Save]struct{}
-	stated  map[uint64]time.Time
+	// waiting holds the saves of this instance that wait at a target, stated when other instances have last stated that a save of a block
+	// waits. Old statements were removed at prunedAt.
+	waiting  map[*Save]struct{}
+	stated   map[SaveKey]time.Time
+	prunedAt time.Time
 	// offset is the target clock minus the local clock, as sampled at the local time offsetAt.
 	offset, offsetAt time.Duration
 }
--- a/internal/archiver/plan.go
+++ b/internal/archiver/plan.go
@@ -41,8 +41,17 @@
 }
 
 // Plan returns where to fetch and save the blocks of a prompt, among the allowed stores. The saves are recorded as pending, so that concurrent
-// requests do not save the same blocks. A block is neither fetched nor saved while a save of it waits anywhere.
+// requests do not save the same blocks. A block is not fetched while a save of it waits anywhere.
 func (a *Archiver) Plan(scope string, ids []string, allowed Allowed, now time.Time) Plan {
+	return a.plan(scope, ids, allowed, true, now)
+}
+
+// PlanFetch returns where to fetch the blocks of a prompt and saves none, for a request that is expected to wait at its target.
+func (a *Archiver) PlanFetch(scope string, ids []string, allowed Allowed, now time.Time) Plan {
+	return a.plan(scope, ids, allowed, false, now)
+}
+
+func (a *Archiver) plan(scope string, ids []string, allowed Allowed, save bool, now time.Time) Plan {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	p := Plan{FetchFrom: make([]string, len(ids)), SaveTo: make([]string, len(ids))}
@@ -52,13 +61,16 @@
 		key := Block{scope, id}.Key()
 		s := a.storeFor(key, allowed)
 		switch {
-		case s == nil || !s.usable(now) || a.isSaveWaiting(key, own, now):
+		case s == nil || !s.usable(now):
 		case s.contains(key, now):
+			if a.isSaveWaiting(key, own, now) {
+				continue
+			}
 			p.FetchFrom[i] = s.Address
 			if before := s.confirmedAt + fetchLease; s.confirmedAt > 0 && (p.FetchBefore == 0 || before < p.FetchBefore) {
 				p.FetchBefore = before
 			}
-		case now.Before(s.noSaveBefore):
+		case !save, now.Before(s.noSaveBefore):
 		case now.Sub(a.pendingSaves[key]) > saveTimeout:
 			a.recordSave(key, now)
 			p.SaveTo[i] = s.Address
--- a/internal/archiver/saves.go
+++ b/internal/archiver/saves.go
@@ -1,6 +1,9 @@
 package archiver
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 const (
 	// A statement that a save is waiting holds for minStatementTTL, and in larger deployments for statementTTLPerInstance times the number
@@ -55,50 +58,39 @@
 	}
 }
 
-// SaveStatement is the part of an announcement that states that a save of a block is waiting. It is encoded as an array, so the order
-// of the fields is part of the format.
-type SaveStatement struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+// SaveKey identifies a block in announcements of waiting saves. It is half of the block's key: if two blocks share it, one of them is not
+// fetched for a short time.
+type SaveKey uint32
 
-	// Key is the key of the block. AgeMs is the time since the instance with the save has stated so.
-	Key   uint64
-	AgeMs int64
-}
+func saveKeyOf(key uint64) SaveKey { return SaveKey(key) }
 
-// Saves returns the waiting saves that this instance knows of, its own and those that others have stated, for the next announcement.
-func (a *Archiver) Saves(now time.Time) []SaveStatement {
+// Saves returns the blocks whose saves wait at this instance, for the next announcement.
+func (a *Archiver) Saves(now time.Time) []SaveKey {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	own := a.ownSaves(now)
-	var out []SaveStatement
-	for key := range own {
-		out = append(out, SaveStatement{Key: key})
-	}
-	for key, at := range a.stated {
-		if age := now.Sub(at); age > a.statementTTL() {
-			delete(a.stated, key)
-		} else if !own[key] {
-			out = append(out, SaveStatement{Key: key, AgeMs: age.Milliseconds()})
-		}
+	var out []SaveKey
+	for key := range a.ownSaves(now) {
+		out = append(out, saveKeyOf(key))
 	}
 	return out[:min(len(out), maxStatements)]
 }
 
 // MergeSaves applies what another instance states.
-func (a *Archiver) MergeSaves(in []SaveStatement, now time.Time) {
+func (a *Archiver) MergeSaves(in []SaveKey, now time.Time) {
 	if len(in) == 0 {
 		return
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.stated == nil { // no configuration has been read yet
-		a.stated = map[uint64]time.Time{}
+		a.stated = map[SaveKey]time.Time{}
 	}
-	for _, s := range in {
-		age := time.Duration(s.AgeMs) * time.Millisecond
-		if at := now.Add(-age); age >= 0 && age < a.statementTTL() && at.After(a.stated[s.Key]) {
-			a.stated[s.Key] = at
-		}
+	for _, key := range in {
+		a.stated[key] = now
+	}
+	if ttl := a.statementTTL(); now.Sub(a.prunedAt) > ttl {
+		a.prunedAt = now
+		maps.DeleteFunc(a.stated, func(_ SaveKey, at time.Time) bool { return now.Sub(at) > ttl })
 	}
 }
 
@@ -124,6 +116,6 @@
 
 // isSaveWaiting reports whether a save of a block waits at any instance; a.mu is held.
 func (a *Archiver) isSaveWaiting(key uint64, own map[uint64]bool, now time.Time) bool {
-	at, ok := a.stated[key]
+	at, ok := a.stated[saveKeyOf(key)]
 	return own[key] || ok && now.Sub(at) <= a.statementTTL()
 }
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -176,6 +176,7 @@
 		s.Announcer.AnnounceStart(t.ID, load)
 	}
 	x := &targetRequest{s: s, c: c, t: t, startedAt: now, weightVersion: c.WeightVersion, blocks: s.blockKeys(c), cancel: cancel, inFlight: s.loads.Start(t.ID, load, now)}
+	x.wait = d.Wait
 	x.expect(d)
 	out, err := x.send(ctx, remaining)
 	s.recordAttempt(c, Attempt{
--- a/internal/forwarder/places_test.go
+++ b/internal/forwarder/places_test.go
@@ -75,6 +75,23 @@
 	}
 }
 
+// Guards against blocks that no call can fetch for long, because a save of them waits at a busy target.
+func TestNoSaveAtBusyTarget(t *testing.T) {
+	s, c := serverWithTargets(t, 1)
+	s.Archiver = &archiver.Archiver{Self: "a", Client: emptyStores{}, Log: s.Log}
+	s.Archiver.SetStores(t.Context(), []*cataloger.Service{{Name: "s", Store: &cataloger.KVStore{Address: "s:0", CapacityTokens: 1000}}})
+	s.Archiver.SetInstances(t.Context(), []string{"a"})
+	saves := func(wait time.Duration, scope string) bool {
+		c.WeightVersion, c.Scope = 1, scope
+		x := &targetRequest{s: s, c: c, wait: wait}
+		var h TargetHeaders
+		x.addKVPlan(&h)
+		return len(h.SaveTo) > 0 && h.SaveTo[0] != ""
+	}
+	require.Eventually(t, func() bool { return saves(maxSaveWait, "m/1/a") }, 10*time.Second, 5*time.Millisecond)
+	require.False(t, saves(maxSaveWait+1, "m/1/b"))
+}
+
 // Guards against targets that are left out for their place without a reason in the log, or with one of each target outside the homes
 // although others are left.
 func TestLeftOutByPlace(t *testing.T) {
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -23,6 +23,10 @@
 // recomputed in time.
 const fetchFraction = 0.5
 
+// maxSaveWait is the longest expected wait of a call at its target with which its blocks are saved. None of them can be fetched while the
+// call waits.
+const maxSaveWait = 100 * time.Millisecond
+
 // targetRequest is one attempt of a call at one target.
 type targetRequest struct {
 	s         *Server
@@ -44,6 +48,8 @@
 	// knownRequests is the number of requests, this one included, that the target was taken to have when it was chosen; 0 if it was chosen
 	// without estimates.
 	knownRequests int
+	// wait is the expected time before the target starts the call.
+	wait time.Duration
 	// save is the save of the prompt's blocks; nil if there is none.
 	save *archiver.Save
 }
@@ -267,7 +273,11 @@
 	if !ok {
 		return
 	}
-	plan := a.Plan(c.Scope, c.Headers.Prompt.sharedBlockIDs(), x.s.storesAllowed(c), time.Now())
+	planFor := a.Plan
+	if x.wait > maxSaveWait {
+		planFor = a.PlanFetch
+	}
+	plan := planFor(c.Scope, c.Headers.Prompt.sharedBlockIDs(), x.s.storesAllowed(c), time.Now())
 	headers.FetchFrom, headers.SaveTo = append(plan.FetchFrom, ""), append(plan.SaveTo, "")
 	headers.FetchDeadline = clock + time.Duration(fetchFraction*float64(c.Route.Objective)) + balancer.PrefillTime(c.Headers.Prompt.SharedTokens())
 	if plan.FetchBefore > 0 {
