fix(listener): a request of a closed connection is not handled

Since the handler of a request ran although its connection had been closed before, for example while an earlier request of the connection was handled: the check went with the mark of connections that are closed as idle.

Result: TestRequestOfClosedConnectionIsNotHandled failed before with 2 requests handled.

--- a/internal/listener/closing_test.go
+++ b/internal/listener/closing_test.go
@@ -100,6 +100,29 @@
 	}
 }
 
+// Guards against handling a request whose caller has left while an earlier one of its connection was handled.
+func TestRequestOfClosedConnectionIsNotHandled(t *testing.T) {
+	var handled atomic.Int64
+	first := make(chan struct{})
+	s := &Server{Addr: "127.0.0.1:0", Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if handled.Add(1) == 1 {
+			close(first)
+			<-r.Context().Done()
+		}
+	})}
+	addr, err := s.Start()
+	require.NoError(t, err)
+	t.Cleanup(s.Kill)
+	c, err := net.Dial("tcp", addr)
+	require.NoError(t, err)
+	_, err = io.WriteString(c, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	<-first
+	require.NoError(t, c.Close())
+	require.Eventually(t, func() bool { return s.OpenConnections() == 0 }, 10*time.Second, time.Millisecond)
+	require.EqualValues(t, 1, handled.Load())
+}
+
 // exchange sends a request and returns the body of its response.
 func exchange(c net.Conn, r *bufio.Reader) (string, error) {
 	if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -231,6 +231,9 @@
 		return
 	}
 	conn := unwrap(res.Parser.Conn)
+	if isClosed(conn) {
+		return // the response could not be delivered
+	}
 	out := &responseWriter{res: res, req: r, flow: s.newFlow(conn)}
 	s.mu.Lock()
 	s.active[conn] = cancel
