--- a/internal/listener/closing_test.go
+++ b/internal/listener/closing_test.go
@@ -93,6 +93,7 @@
 		res, err := http.ReadResponse(bufio.NewReader(c), nil)
 		require.NoError(t, err, "after %q", parts[0])
 		body, err := io.ReadAll(res.Body)
+		_ = res.Body.Close()
 		require.NoError(t, err)
 		require.Equal(t, "body", string(body))
 		_ = c.Close()
@@ -132,6 +133,7 @@
 	if err != nil {
 		return "", err
 	}
+	defer func() { _ = res.Body.Close() }()
 	body, err := io.ReadAll(res.Body)
 	return string(body), err
 }
