fix: responses with invalid field names are failures

What callers saw: a target in trouble answered with a blank or a tab in the name of a header field. The caller got it as an answer, with the damaged line or with a body without its framing, such as the chunks as they are.

Cause: net/http accepts spaces in field names, and joins a line that begins with a space or a tab to the one before. The forwarder passed the result on, and a Content-Length or Transfer-Encoding in such a line was lost.

Change: package inspector follows the bytes of a response head as RFC 9112 defines it, without the obsolete folding.

Why it works: a head is parsed only after each of its field names has been found valid, so the parser has nothing left to repair.

Control bytes other than the tab were errors before.

--- a/internal/appender/client.go
+++ b/internal/appender/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/papayaworks/papayaworks/internal/failer"
+	"github.com/papayaworks/papayaworks/internal/inspector"
 )
 
 const (
@@ -25,11 +26,11 @@
 )
 
 // sharedHTTP is the connection pool of all clients that set none.
-var sharedHTTP = &http.Client{Transport: &http.Transport{
+var sharedHTTP = &http.Client{Transport: inspector.NewTransport(&http.Transport{
 	DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
 	MaxIdleConnsPerHost: maxIdleConns,
 	IdleConnTimeout:     90 * time.Second,
-}}
+})}
 
 // Client implements [Log] over the log's HTTP protocol. It is safe for concurrent use.
 type Client struct {
--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/papayaworks/papayaworks/internal/failer"
+	"github.com/papayaworks/papayaworks/internal/inspector"
 	"github.com/papayaworks/papayaworks/internal/keyer"
 )
 
@@ -70,15 +71,17 @@
 // NewWithDial returns a client that opens its connections with dial.
 func NewWithDial(dial DialFunc) *Client {
 	return &Client{
-		http: &http.Client{Transport: &http.Transport{
+		http: &http.Client{Transport: inspector.NewTransport(&http.Transport{
 			DialContext:            dial,
 			MaxIdleConnsPerHost:    idleConnsPerPeer,
 			IdleConnTimeout:        idleConnTimeout,
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: maxHeaderBytes,
-		}},
+		})},
 		withoutRetry: &http.Client{
-			Transport:     &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes},
+			Transport: inspector.NewTransport(&http.Transport{
+				DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
+			}),
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -8,7 +8,7 @@
 // A connection is reused only after a complete response without further bytes, and
 // only if nothing has arrived on it since. Responses to other requests are skipped.
 // A response header and a skipped body that exceed their limits are errors; the body
-// of a response has no limit.
+// of a response has no limit. A header that package inspector rejects is an error too.
 //
 // # Usage
 //
@@ -22,6 +22,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -35,6 +36,7 @@
 	"time"
 
 	"github.com/papayaworks/papayaworks/internal/failer"
+	"github.com/papayaworks/papayaworks/internal/inspector"
 )
 
 const (
@@ -119,6 +121,37 @@
 	return &conn{Conn: nc, r: bufio.NewReaderSize(l, readBufferBytes), limited: l}
 }
 
+// inspectHead waits for the next response header and inspects it without consuming it.
+func (c *conn) inspectHead() error {
+	var head inspector.Head
+	for inspected := 0; !head.Ended(); {
+		b, err := c.r.Peek(max(inspected+1, c.r.Buffered()))
+		n, invalid := head.Feed(b[inspected:])
+		inspected += n
+		switch {
+		case invalid != nil:
+			return invalid
+		case head.Ended():
+		case errors.Is(err, bufio.ErrBufferFull) && len(b) < maxHeaderBytes:
+			c.r = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(b)), c.limited), maxHeaderBytes)
+		case errors.Is(err, bufio.ErrBufferFull):
+			return errTooLong
+		case errors.Is(err, io.EOF):
+			return io.ErrUnexpectedEOF
+		case err != nil:
+			return err
+		}
+	}
+	return nil
+}
+
+// shrinkBuffer replaces an empty buffer that inspectHead has enlarged, so that idle connections hold little memory.
+func (c *conn) shrinkBuffer() {
+	if c.r.Size() > readBufferBytes {
+		c.r = bufio.NewReaderSize(c.limited, readBufferBytes)
+	}
+}
+
 // errTooLong is returned by reads beyond the limit of a [limitedReader].
 var errTooLong = errors.New("response header or skipped body is too long")
 
@@ -210,6 +243,9 @@
 		if b, err := ex.c.r.Peek(len(responsePrefix)); err == nil && string(b) != responsePrefix {
 			return failer.New("response starts with %q instead of %q", b, responsePrefix)
 		}
+		if err := ex.c.inspectHead(); err != nil {
+			return err
+		}
 		res, err := http.ReadResponse(ex.c.r, req) //nolint:bodyclose // the body ends with the connection, which Finish or Close ends
 		if err != nil {
 			return err
@@ -267,6 +303,7 @@
 		ex.pool.discard(ex.peer, ex.c)
 		return
 	}
+	ex.c.shrinkBuffer()
 	ex.pool.putIdle(ex.peer, ex.c, idleTimeout(ex.Header))
 }
 
--- a/internal/pooler/truncated_test.go
+++ b/internal/pooler/truncated_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/net/http/httpguts"
 )
 
 // Guards against a response that looks complete although its target stopped anywhere before its end and closed the connection: in the
@@ -74,6 +76,25 @@
 	}
 }
 
+// Guards against a response whose head has a field name with a byte that no name may hold: it would be passed on, or hide the length.
+func TestInvalidFieldName(t *testing.T) {
+	for b := range 256 {
+		if b == '\n' || b == ':' || httpguts.IsTokenRune(rune(b)) {
+			continue
+		}
+		for _, name := range []string{"%cContent-Length", "Content%c-Length", "Content-Length%c"} {
+			for _, head := range []string{"%s: 5\r\nServer: s\r\n", "Server: s\r\n%s: 5\r\n", "Server: " + strings.Repeat("s", 8<<10) + "\n%s: 5\n"} {
+				s := startTarget(t, "HTTP/1.1 200 OK\r\n"+fmt.Sprintf(head, strings.ReplaceAll(name, "%c", string([]byte{byte(b)})))+"\r\nhello")
+				s.closes = true
+				close(s.respond)
+				_, err := New().Do(t.Context(), Peer{Address: s.address}, http.MethodPost, []byte(testRequest), func(http.Header) bool { return true })
+				require.Error(t, err, "byte %#x in %s in %.40q", b, name, head)
+				require.True(t, MaybeSent(err), "the request may have run")
+			}
+		}
+	}
+}
+
 // Guards against a response without framing that looks complete although its connection was reset while the request was being sent.
 func TestResetDuringUpload(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/server/dispatcher/call_test.go
+++ b/internal/server/dispatcher/call_test.go
@@ -146,10 +146,10 @@
 	return ln.Addr().String()
 }
 
-// Guards against a response that is passed on although it is none: one with an invalid status, or one without framing whose connection was
+// Guards against a response that is passed on although it is none: one with an invalid status or field name, or one without framing whose connection was
 // reset while the call was being sent, of which only a part has arrived.
 func TestInvalidResponses(t *testing.T) {
-	respond := func(status string) func(c *net.TCPConn) {
+	respond := func(statusAndHeader string) func(c *net.TCPConn) {
 		return func(c *net.TCPConn) {
 			for r := bufio.NewReader(c); ; {
 				req, err := http.ReadRequest(r)
@@ -157,7 +157,7 @@
 					return
 				}
 				_, _ = io.Copy(io.Discard, req.Body)
-				_, _ = io.WriteString(c, "HTTP/1.1 "+status+" Trouble\r\nContent-Length: 2\r\n\r\nok")
+				_, _ = io.WriteString(c, "HTTP/1.1 "+statusAndHeader+"\r\n\r\nok")
 			}
 		}
 	}
@@ -165,8 +165,11 @@
 		bodyBytes int
 		serve     func(c *net.TCPConn)
 	}{
-		"status 000": {2, respond("000")},
-		"status 999": {2, respond("999")},
+		"status 000":                {2, respond("000 Trouble\r\nContent-Length: 2")},
+		"status 999":                {2, respond("999 Trouble\r\nContent-Length: 2")},
+		"blank in a field name":     {2, respond("200 OK\r\nX Pad: a\r\nContent-Length: 2")},
+		"folded line":               {2, respond("200 OK\r\nContent-Type: text/plain\r\n X-Pad: a\r\nContent-Length: 2")},
+		"after an interim response": {2, respond("103 Early Hints\r\nX-Pad: a\r\n\r\nHTTP/1.1 200 OK\r\nX-Pad : a\r\nContent-Length: 2")},
 		"reset during the upload": {64 << 20, func(c *net.TCPConn) {
 			_, _ = io.ReadFull(c, make([]byte, 4<<10))
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nfirst part")
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -25,6 +25,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/papayaworks/papayaworks/internal/inspector"
 	"github.com/papayaworks/papayaworks/internal/sleeper"
 )
 
@@ -112,7 +113,7 @@
 // NewHTTPClient returns an HTTP client with a connection pool that many clients can share.
 func NewHTTPClient() *http.Client {
 	d := &net.Dialer{Timeout: connectTimeout}
-	return &http.Client{Transport: &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 256}}
+	return &http.Client{Transport: inspector.NewTransport(&http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 256})}
 }
 
 func (c *Client) httpClient() *http.Client {
