fix(listener): the end of a connection that is closed while it is opened

Cause: nbhttp calls the open callback of a connection before it adds it to its poller. CloseIdle, and the limits on idle and open connections, could close the connection in between. The library reports no end of such a connection: the server counted it as open for ever, so that a stop waited until the end of its grace period, and it counted against MaxConnections.

Change: a connection that is closed while the library opens it is closed when the accepting goroutine goes on, which has added it by then.

TestCloseIdleBesideRequests now fails instead of hanging: an exchange has a deadline of 10 s, and clients end with the test. It also requires that the server notices the end of each connection; before, it called CloseIdle again until none was open or 10 s had passed, and did not check the number.

--- a/internal/listener/closing.go
+++ b/internal/listener/closing.go
@@ -23,7 +23,7 @@
 
 // closeIf closes the connection if no complete request is in progress on it and the condition holds, which is checked with x.mu held. It
 // reports whether it did. Bytes that arrive after the check are discarded, so that no request is handled whose response could not be
-// sent.
+// sent. A connection that is being opened is closed by beforeAccept.
 func (x *connection) closeIf(condition func() bool) bool {
 	x.mu.Lock()
 	if x.closed || x.feeding || x.pending > 0 || !condition() {
@@ -31,8 +31,11 @@
 		return false
 	}
 	x.refused = true
+	added := x.added
 	x.mu.Unlock()
-	_ = x.conn.Close()
+	if added {
+		_ = x.conn.Close()
+	}
 	return true
 }
 
--- a/internal/listener/closing_test.go
+++ b/internal/listener/closing_test.go
@@ -17,7 +17,7 @@
 )
 
 // Guards against an empty 200 for a request that arrives while idle connections are closed, and against a connection that is closed
-// before the response of a handled request is written.
+// before the response of a handled request is written, or before the library has added it, so that its end is not noticed.
 func TestCloseIdleBesideRequests(t *testing.T) {
 	const connections, rounds = 200, 100
 	var handled, answered, empty atomic.Int64
@@ -28,22 +28,18 @@
 	addr, err := s.Start()
 	require.NoError(t, err)
 	t.Cleanup(s.Kill)
-	done := make(chan struct{})
+	var done atomic.Bool
 	var clients sync.WaitGroup
 	for range connections {
 		clients.Go(func() {
-			for {
-				select {
-				case <-done:
-					return
-				default:
-				}
+			for !done.Load() {
 				c, err := net.Dial("tcp", addr)
 				if !assert.NoError(t, err) {
 					return
 				}
-				for r := bufio.NewReader(c); ; {
+				for r := bufio.NewReader(c); !done.Load(); {
 					body, err := exchange(c, r)
+					assert.NotErrorIs(t, err, os.ErrDeadlineExceeded, "a request without a response on an open connection")
 					if err != nil {
 						break
 					}
@@ -61,15 +57,11 @@
 		time.Sleep(2 * time.Millisecond)
 		s.CloseIdle()
 	}
-	close(done)
-	stop := time.Now().Add(10 * time.Second)
-	for s.OpenConnections() > 0 && time.Now().Before(stop) {
-		s.CloseIdle()
-		time.Sleep(time.Millisecond)
-	}
+	done.Store(true)
 	clients.Wait()
 	assert.Zero(t, empty.Load(), "empty successes")
-	require.Equal(t, handled.Load(), answered.Load(), "handled requests and responses")
+	assert.Equal(t, handled.Load(), answered.Load(), "handled requests and responses")
+	require.Eventually(t, func() bool { return s.OpenConnections() == 0 }, 10*time.Second, time.Millisecond, "the end of a connection is not noticed")
 }
 
 // Guards against a stop that closes a connection in the middle of a request.
@@ -126,6 +118,9 @@
 
 // exchange sends a request and returns the body of its response.
 func exchange(c net.Conn, r *bufio.Reader) (string, error) {
+	if err := c.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		return "", err
+	}
 	if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
 		return "", err
 	}
@@ -153,7 +148,6 @@
 			c, err := net.Dial("tcp", addr)
 			require.NoError(t, err)
 			defer func() { _ = c.Close() }()
-			require.NoError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
 			_, err = exchange(c, bufio.NewReader(c))
 			require.Error(t, err)
 			require.False(t, errors.Is(err, os.ErrDeadlineExceeded), "the connection stays open")
--- a/internal/listener/guard.go
+++ b/internal/listener/guard.go
@@ -44,6 +44,9 @@
 
 	mu     sync.Mutex
 	framer framer.Framer
+	// added reports that the library has added the connection to its poller. The library does not report the end of a connection that is
+	// closed before.
+	added bool
 	// feeding reports that bytes are being passed to the library. A request that they complete is not counted in pending yet.
 	feeding bool
 	// parsed is the number of requests that the library has read since the last call of feed.
@@ -239,7 +242,7 @@
 		x := v.(*connection)
 		x.mu.Lock()
 		age := time.Duration(now-x.since) * closeCheckInterval
-		busy, refused, inHead, inRequest := x.pending > 0, x.refused, x.framer.InHead(), x.framer.InRequest()
+		busy, refused, inHead, inRequest := x.pending > 0 || !x.added, x.refused, x.framer.InHead(), x.framer.InRequest()
 		x.mu.Unlock()
 		switch {
 		case busy:
@@ -264,6 +267,23 @@
 	}
 }
 
+// beforeAccept records that the library has added the connection that was opened last, and closes it if that was decided meanwhile. It is
+// called by the goroutine that opens all connections.
+func (s *Server) beforeAccept() {
+	x := s.lastOpened
+	if x == nil {
+		return
+	}
+	s.lastOpened = nil
+	x.mu.Lock()
+	x.added = true
+	refused := x.refused
+	x.mu.Unlock()
+	if refused {
+		_ = x.conn.Close()
+	}
+}
+
 // admit makes room for a connection that was accepted: it closes the one that has been idle, or with an incomplete request, for the longest
 // time while MaxConnections are open. It returns false if the handlers of all are running. It is called by one goroutine, which opens a
 // connection before it accepts the next one.
@@ -306,9 +326,10 @@
 	return x.since
 }
 
-// onOpen records a new connection.
+// onOpen records a new connection. The library adds it to its poller after that.
 func (s *Server) onOpen(c net.Conn) {
 	x := &connection{conn: c, number: s.openCount.Add(1), since: s.tick.Load()}
+	s.lastOpened = x
 	s.connections.Store(unwrap(c), x)
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -87,6 +87,8 @@
 	done   chan struct{}
 	// openCount is the number of connections opened so far. It also orders the library's goroutines; see Start.
 	openCount atomic.Int64
+	// lastOpened is the connection that was opened last, until the library has added it. One goroutine uses it.
+	lastOpened *connection
 
 	mu     sync.Mutex
 	active map[net.Conn]context.CancelFunc
@@ -138,7 +140,7 @@
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Network:            "tcp",
 		Addrs:              []string{addr},
-		Listen:             func(string, string) (net.Listener, error) { return blockingListener{ln, s.admit}, nil },
+		Listen:             func(string, string) (net.Listener, error) { return blockingListener{ln, s.beforeAccept, s.admit}, nil },
 		NPoller:            1,
 		MaxHTTPBodySize:    s.MaxBodyBytes,
 		MaxWriteBufferSize: s.WriteBufferBytes,
@@ -297,14 +299,17 @@
 }
 
 // blockingListener is a listener whose Accept blocks forever once its socket is closed, because the library's accept loop
-// would retry without a pause on the error. It returns the connections that admit accepts and closes the others.
+// would retry without a pause on the error. It calls beforeAccept at first, returns the connections that admit accepts and closes the
+// others.
 type blockingListener struct {
 	net.Listener
-	admit func() bool
+	beforeAccept func()
+	admit        func() bool
 }
 
 // Accept implements net.Listener.
 func (l blockingListener) Accept() (net.Conn, error) {
+	l.beforeAccept()
 	for {
 		c, err := l.Listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
