fix: chunks in responses of HTTP/1.0 are failures

What callers saw: a target answered "HTTP/1.0 200 OK" with chunks. The caller got 200, and as the body the chunks with their lengths: "2\r\nok\r\n0\r\n\r\n" for "ok", or a part of it if there was a Content-Length too.

Cause: net/http ignores Transfer-Encoding in versions before HTTP/1.1.

Change: inspector.Head rejects such a head. RFC 9112, section 6.1, calls it faulty framing.

Why it works: all clients of targets and stores inspect a head before they parse it. TestRandomHeadsMatchParser requires that net/http applies each encoding in a head that is accepted.

Found by trials of other damaged heads.

--- a/internal/inspector/inspector.go
+++ b/internal/inspector/inspector.go
@@ -5,7 +5,10 @@
 // damaged response is parsed so, a field that marks the end of the body can be lost in
 // another name or value, and the caller gets bytes that are not the body.
 //
-// [Head] rejects both in a head that arrives in parts. [Transport] does so for all
+// It also ignores Transfer-Encoding in responses of HTTP/1.0 and before, so that the
+// chunks are read as they are.
+//
+// [Head] rejects all three in a head that arrives in parts. [Transport] does so for all
 // responses to a client of net/http.
 //
 // # Usage
@@ -22,17 +25,26 @@
 package inspector
 
 import (
+	"bytes"
+	"errors"
 	"fmt"
 
 	"golang.org/x/net/http/httpguts"
 )
 
+var (
+	// firstChunkedVersion is the protocol version that introduced Transfer-Encoding. Versions before it are smaller as text.
+	firstChunkedVersion = []byte("HTTP/1.1")
+	transferEncoding    = []byte("Transfer-Encoding")
+)
+
 // headState is the part of a head to which the next byte belongs.
 type headState int
 
 const (
-	beforeStatus headState = iota // the protocol version and the spaces after it
-	afterStatus                   // the status line from the second byte of the status
+	version headState = iota
+	status            // the first byte of the status and the spaces before it
+	reason            // the rest of the status line
 	lineStart
 	lineFeed // the line feed of the empty line
 	fieldName
@@ -43,9 +55,10 @@
 // Head inspects one response head. The zero value expects its first byte.
 type Head struct {
 	state headState
-	// pastVersion reports whether a space has followed the protocol version.
-	pastVersion bool
-	interim     bool
+	// token is what has arrived of the protocol version or of a field name.
+	token     []byte
+	unchunked bool // the protocol version has no Transfer-Encoding
+	interim   bool
 }
 
 // Ended reports whether the empty line that ends the head has been inspected.
@@ -55,7 +68,7 @@
 func (h *Head) Interim() bool { return h.interim }
 
 // Feed inspects the next bytes and returns how many of them belong to the head. It returns an error if a field name is empty or has a byte
-// that is not allowed there. Field values and the status line are not inspected.
+// that is not allowed there, or if Transfer-Encoding occurs before HTTP/1.1. Field values are not inspected.
 func (h *Head) Feed(p []byte) (int, error) {
 	for i, b := range p {
 		if h.state == ended {
@@ -70,7 +83,7 @@
 
 func (h *Head) next(b byte) error {
 	switch h.state {
-	case beforeStatus, afterStatus:
+	case version, status, reason:
 		h.nextInStatusLine(b)
 	case lineStart:
 		return h.nextAtLineStart(b)
@@ -80,11 +93,7 @@
 		}
 		h.state = ended
 	case fieldName:
-		if b == ':' {
-			h.state = fieldValue
-		} else if !isNameByte(b) {
-			return invalidByte(b)
-		}
+		return h.nextInName(b)
 	case fieldValue:
 		if b == '\n' {
 			h.state = lineStart
@@ -97,28 +106,41 @@
 	switch {
 	case b == '\n':
 		h.state = lineStart
-	case b == ' ':
-		h.pastVersion = true
-	case h.state == beforeStatus && h.pastVersion:
-		h.state, h.interim = afterStatus, b == '1'
+	case h.state == version && b == ' ':
+		h.state, h.unchunked = status, bytes.Compare(h.token, firstChunkedVersion) < 0
+	case h.state == version:
+		h.token = append(h.token, b)
+	case h.state == status && b != ' ':
+		h.state, h.interim = reason, b == '1'
 	}
 }
 
 func (h *Head) nextAtLineStart(b byte) error {
-	switch {
-	case b == '\n':
+	switch b {
+	case '\n':
 		h.state = ended
-	case b == '\r':
+	case '\r':
 		h.state = lineFeed
-	case isNameByte(b):
-		h.state = fieldName
 	default:
-		return invalidByte(b)
+		h.state, h.token = fieldName, h.token[:0]
+		return h.nextInName(b)
 	}
 	return nil
 }
 
-func isNameByte(b byte) bool { return httpguts.IsTokenRune(rune(b)) }
+func (h *Head) nextInName(b byte) error {
+	switch {
+	case httpguts.IsTokenRune(rune(b)):
+		h.token = append(h.token, b)
+	case b != ':' || len(h.token) == 0:
+		return invalidByte(b)
+	case h.unchunked && bytes.EqualFold(h.token, transferEncoding):
+		return errors.New("response has a Transfer-Encoding before HTTP/1.1")
+	default:
+		h.state = fieldValue
+	}
+	return nil
+}
 
 func invalidByte(b byte) error {
 	return fmt.Errorf("response has %q in the name of a header field", []byte{b})
--- a/internal/inspector/transport.go
+++ b/internal/inspector/transport.go
@@ -41,7 +41,7 @@
 // CloseIdleConnections closes the connections that no request uses.
 func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
 
-// conn is a connection that fails after the valid part of a response head.
+// conn is a connection whose reads fail where a response head becomes invalid.
 type conn struct {
 	net.Conn
 
@@ -51,7 +51,7 @@
 	err error
 }
 
-// expectHead is called before a request is written. What is read next is the head of its response.
+// expectHead is called before a request is written: what is read next is the head of its response.
 func (c *conn) expectHead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -76,7 +76,7 @@
 	return c.err
 }
 
-// inspect returns the number of bytes before the first invalid one of a head, with its error.
+// inspect returns an error with the number of bytes before the first invalid one of a head.
 func (c *conn) inspect(p []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/server/dispatcher/call_test.go
+++ b/internal/server/dispatcher/call_test.go
@@ -146,8 +146,8 @@
 	return ln.Addr().String()
 }
 
-// Guards against a response that is passed on although it is none: one with an invalid status or field name, or one without framing whose connection was
-// reset while the call was being sent, of which only a part has arrived.
+// Guards against a response that is passed on although it is none: one with an invalid status, field name or framing, or one without framing
+// whose connection was reset while the call was being sent, of which only a part has arrived.
 func TestInvalidResponses(t *testing.T) {
 	respond := func(statusAndHeader string) func(c *net.TCPConn) {
 		return func(c *net.TCPConn) {
@@ -168,6 +168,7 @@
 		"status 000":                {2, respond("000 Trouble\r\nContent-Length: 2")},
 		"status 999":                {2, respond("999 Trouble\r\nContent-Length: 2")},
 		"blank in a field name":     {2, respond("200 OK\r\nX Pad: a\r\nContent-Length: 2")},
+		"chunks in HTTP/1.0":        {2, respond("103 Early Hints\r\n\r\nHTTP/1.0 200 OK\r\nContent-Length: 2\r\ntransfer-encoding: chunked")},
 		"folded line":               {2, respond("200 OK\r\nContent-Type: text/plain\r\n X-Pad: a\r\nContent-Length: 2")},
 		"after an interim response": {2, respond("103 Early Hints\r\nX-Pad: a\r\n\r\nHTTP/1.1 200 OK\r\nX-Pad : a\r\nContent-Length: 2")},
 		"reset during the upload": {64 << 20, func(c *net.TCPConn) {
