--- a/review/standins-3/worker.go
+++ b/review/standins-3/worker.go
@@ -59,8 +59,17 @@
 // worker is a sound worker of a plain service. It has more slots than a case sends requests.
 type worker struct {
 	workerConfig
+	listener     net.Listener
+	registration *registration
+
 	mu   sync.Mutex
-	runs map[string]int
+	runs []run
+}
+
+// run is a request that a worker has run.
+type run struct {
+	id string
+	at time.Time
 }
 
 // serveWorker runs the worker whose configuration is in a file, until the process is killed.
@@ -69,7 +78,7 @@
 	if err != nil {
 		return err
 	}
-	w := &worker{runs: map[string]int{}}
+	w := &worker{}
 	if err := json.Unmarshal(data, &w.workerConfig); err != nil {
 		return err
 	}
@@ -86,13 +95,16 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &worker{workerConfig: c, runs: map[string]int{}}
+	w := &worker{workerConfig: c, listener: ln}
 	w.Address = ln.Addr().String()
 	go func() { _ = http.Serve(ln, w) }()
-	e.register(w.ID, w.Address)
+	w.registration = e.register(w.ID, w.Address)
 	return w, nil
 }
 
+// close ends the listener of the worker.
+func (w *worker) close() { _ = w.listener.Close() }
+
 // registration is the record of a worker in the metadata store.
 type registration struct {
 	e           *environment
@@ -100,6 +112,12 @@
 
 	mu             sync.Mutex
 	sequence, born int64
+	stopped        bool
+	// model is the model of an engine; it is empty for other workers.
+	model string
+	// delay applies to the next heartbeat; late is closed when it has been carried out.
+	delay time.Duration
+	late  chan struct{}
 }
 
 // register writes the record of a worker that has just started, and writes it again until the case ends.
@@ -123,21 +141,84 @@
 	r.write()
 }
 
+// write writes the next heartbeat, which is carried out at once or late.
 func (r *registration) write() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.stopped {
+		return
+	}
 	r.sequence++
-	_ = r.e.store.put("keyed.servers", r.id, map[string]any{
+	value := map[string]any{
 		"service": serviceName, "address": r.address, "zone": "zone-a", "version": "v1", "slots": 768, "state": "ready",
 		"cold_remaining_ms": 0, "sequence": r.sequence, "born": r.born,
+	}
+	if r.model != "" {
+		value["stage"] = "colocated"
+		value["models"] = []any{map[string]any{"name": r.model, "version": 1, "adapters": []any{}}}
+	}
+	if r.delay == 0 {
+		_ = r.e.store.put("keyed.servers", r.id, value)
+		return
+	}
+	time.AfterFunc(r.delay, func() {
+		_ = r.e.store.put("keyed.servers", r.id, value)
+		close(r.late)
 	})
+	r.delay = 0
+}
+
+// setModel makes the worker an engine with a model.
+func (r *registration) setModel(name string) {
+	r.mu.Lock()
+	r.model = name
+	r.mu.Unlock()
+	r.write()
+}
+
+// delayNext makes the next heartbeat late and returns its sequence.
+func (r *registration) delayNext(d time.Duration) int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay, r.late = d, make(chan struct{})
+	return r.sequence + 1
+}
+
+// awaitLate waits until the late heartbeat has been carried out.
+func (r *registration) awaitLate() { <-r.late }
+
+// stop ends the heartbeats and returns the last sequence.
+func (r *registration) stop() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stopped = true
+	return r.sequence
 }
 
 // runCount returns how often a request has run.
 func (w *worker) runCount(id string) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.runs[id]
+	n := 0
+	for _, r := range w.runs {
+		if r.id == id {
+			n++
+		}
+	}
+	return n
+}
+
+// runsAfter returns the requests that have reached the worker after a time.
+func (w *worker) runsAfter(t time.Time) []run {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []run
+	for _, r := range w.runs {
+		if r.at.After(t) {
+			out = append(out, r)
+		}
+	}
+	return out
 }
 
 func (w *worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
@@ -194,7 +275,7 @@
 func (w *worker) recordRun(id string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.runs[id]++
+	w.runs = append(w.runs, run{id: id, at: time.Now()})
 }
 
 // sendUnframed sends an answer without a length.
