--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # Builds the stand-ins of the third review. Run after the build of the deploy file; needs no network.
 set -e
-cd "$(dirname "$0")/standins-3"
-mkdir -p ../../target/review-3
-GOFLAGS=-mod=mod GOPROXY=off go build -o ../../target/review-3/standins .
+cd "$(dirname "$0")/standins-3/platform"
+mkdir -p ../../../target/review-3
+GOFLAGS=-mod=mod GOPROXY=off go build -o ../../../target/review-3/standins .
