--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/standins-3/platform"
 mkdir -p ../../../target/review-3
-GOFLAGS=-mod=mod GOPROXY=off go build -o ../../../target/review-3/standins .
+GOFLAGS=-mod=mod GOWORK=off GOPROXY=off go build -buildvcs=false -o ../../../target/review-3/standins .
