--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
+# Runs the case after the build of the deploy file and review/build-3.sh; TROUBLE=0 leaves the disruption out.
 # Exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/papayaworks ] && [ -x target/review-3/standins ] || exit 2
-exec target/review-3/standins case late-record review/13/record.txt
+TROUBLE="${TROUBLE:-1}" exec target/review-3/standins case late-record review/13/record.txt
