fix(watcher): late writes bring removed targets back

Cause: whether a record is from before a removal was decided by what one instance had read.

Change: departures of targets are announced, with the last sequence and the highest one that the process can have reached. An instance that reads rarely or has just started applies what the others have read; removals of records that it ignored are changes for the others.

--- a/internal/announcer/state.go
+++ b/internal/announcer/state.go
@@ -54,6 +54,8 @@
 	Statements []throttler.Announced `msgpack:"t,omitempty"`
 	// Warming holds which targets were recently found to be warming up or down.
 	Warming []warmer.Announced `msgpack:"w,omitempty"`
+	// Departures holds the targets that were recently removed or are leaving.
+	Departures []watcher.Departure `msgpack:"d,omitempty"`
 	// Progress is how far this instance has read the operator's records.
 	Progress watcher.Progress `msgpack:"o"`
 	// ConfirmedAgeMs is [watcher.Progress.ConfirmedAgeMs].
@@ -62,7 +64,7 @@
 
 // isEmpty reports whether the state holds nothing beside load, progress and the updates of KV stores.
 func (s *State) isEmpty() bool {
-	return len(s.Versions)+len(s.Swapping)+len(s.Published)+len(s.Crashes)+len(s.Quarantined)+len(s.Statements)+len(s.Warming) == 0
+	return len(s.Versions)+len(s.Swapping)+len(s.Published)+len(s.Crashes)+len(s.Quarantined)+len(s.Statements)+len(s.Warming)+len(s.Departures) == 0
 }
 
 // announcement is the payload of a datagram. Announcements are ordered by the start of the sender's process, then by
--- a/internal/cataloger/view.go
+++ b/internal/cataloger/view.go
@@ -48,6 +48,13 @@
 	return other.Leaving && !t.Leaving && t.Sequence > 0
 }
 
+// WithLeaving returns the target as one that is leaving.
+func (t *Target) WithLeaving() *Target {
+	n := *t
+	n.Leaving = true
+	return &n
+}
+
 // DesiredVersion is a weight version that the operator requested for a model.
 type DesiredVersion struct {
 	Version int64
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -101,6 +101,8 @@
 	DrainNotice time.Duration
 	// LeaveDetectionTimeout is the time after which a target that has announced that it is leaving must receive no more calls.
 	LeaveDetectionTimeout time.Duration
+	// HeartbeatInterval is the time between two records of a target in the metadata store; 0 means the default of package watcher.
+	HeartbeatInterval time.Duration
 	// KeyTTL is the maximum age of the operator's configuration at which API keys are accepted; 0 means no limit.
 	KeyTTL time.Duration
 	// In each window of the length RetryWindow, all instances together may retry the share RetryShare of the calls, and
@@ -257,6 +259,7 @@
 	}
 	s.Watcher.SetSharedReadInterval(s.Settings.sharedReadInterval())
 	s.Watcher.LongPollTimeout = s.Settings.longPollTimeout()
+	s.Watcher.HeartbeatInterval = s.Settings.HeartbeatInterval
 	s.Watcher.PollInterval = time.Duration(pollFraction * float64(s.Settings.LeaveDetectionTimeout))
 	go s.Watcher.Run(ctx)
 	s.startUpdater(ctx)
@@ -319,6 +322,7 @@
 		st.Crashes, st.Quarantined = s.quarantine.Crashes(now), s.quarantine.Entries(now)
 		st.Progress, st.Statements = s.Watcher.Progress(), s.throttle.Announced(now)
 		st.Warming = s.warming.Announced(now)
+		st.Departures = s.Watcher.Departures()
 		st.ConfirmedAgeMs = st.Progress.ConfirmedAgeMs
 		return st
 	}
@@ -336,6 +340,7 @@
 		s.mergePublishTimes(ctx, st.Published)
 		st.Progress.ConfirmedAgeMs = st.ConfirmedAgeMs
 		s.Watcher.MergeProgress(st.Progress)
+		s.Watcher.MergeDepartures(st.Departures)
 		s.throttle.Merge(st.Statements, now)
 		s.mergeSlowdowns(st.Slowdowns, now)
 		s.mergeWarming(st.Warming, now)
--- a/internal/watcher/sharing.go
+++ b/internal/watcher/sharing.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -57,13 +58,16 @@
 	era, offset, since, changed int64
 	// readAt is when the newest read was sent after which no change is missing here.
 	readAt time.Duration
+	// isUndecided reports whether the next records of a target decide whether it is used.
+	isUndecided bool
 }
 
 // recordRead applies a read of this instance that was sent at a time. changed reports whether a target was added, replaced or removed or
-// said that it is leaving.
-func (c *targetsCoverage) recordRead(era, offset int64, sentAt time.Duration, changed, first bool) {
+// said that it is leaving, undecided whether the next records of a target decide whether it is used.
+func (c *targetsCoverage) recordRead(era, offset int64, sentAt time.Duration, changed, first, undecided bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.isUndecided = undecided
 	if first || era != c.era {
 		c.since, c.changed = offset, 0
 	}
@@ -73,6 +77,20 @@
 	}
 }
 
+// awaitRead makes the next read as early as that of a reader.
+func (c *targetsCoverage) awaitRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isUndecided = true
+}
+
+// recordConfirmed applies that a target is used again because of a record that was read before.
+func (c *targetsCoverage) recordConfirmed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.since, c.changed = c.offset, max(c.changed, c.offset)
+}
+
 // merge applies what another instance states. It postpones the next read of this instance at most as if this one had read when the other
 // did.
 func (c *targetsCoverage) merge(in TargetsProgress, now time.Duration) {
@@ -101,6 +119,9 @@
 	if c.changed > c.offset {
 		return sentAt + time.Duration(minWakeFraction*float64(interval))
 	}
+	if c.isUndecided {
+		return sentAt + interval
+	}
 	return min(max(sentAt, c.readAt)+interval, sentAt+maxUnreadTime)
 }
 
@@ -150,6 +171,15 @@
 	return f.pos
 }
 
+// hasRemovals reports whether records of targets were removed in a batch. Those of targets that this instance does not use count as well:
+// another one may have read their record before it knew that it was written before a removal.
+func hasRemovals(b Batch) bool {
+	return slices.ContainsFunc(b.Changes, func(c Change) bool {
+		_, ok := c.(TargetRemoved)
+		return ok
+	})
+}
+
 // isSameTargets reports whether both views have the same targets with the same addresses, which are ready or leaving in both.
 func isSameTargets(a, b *cataloger.View) bool {
 	ids := a.TargetIDs()
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -7,9 +7,13 @@
 //
 // If the metadata store is unreachable, the last view stays in force. Targets
 // whose records expired during an outage are removed only if they do not register
-// again shortly after it. The age of the configuration is measured on a clock that
-// includes time in which the machine is suspended, because API keys may be trusted
-// only for a limited time after they were last confirmed.
+// again shortly after it. A write from before a removal, which the store may apply
+// late, brings no target back: departures are shared with the other instances, and
+// a record that may be from before one is proven first.
+//
+// The age of the configuration is measured on a clock that includes time in which
+// the machine is suspended, because API keys may be trusted only for a limited
+// time after they were last confirmed.
 //
 // # Usage
 //
@@ -117,6 +121,8 @@
 	LongPollTimeout time.Duration
 	// PollInterval is the time between two reads of the targets' source; 0 means the default.
 	PollInterval time.Duration
+	// HeartbeatInterval is the time between two records of a target; 0 means the default.
+	HeartbeatInterval time.Duration
 	// OnPublish is called on the control goroutine with each new view; it may be nil.
 	OnPublish func(*cataloger.View)
 	// OnRestore is called when the store was restored from a copy, so that what this instance wrote there may be lost. It must not
@@ -126,8 +132,14 @@
 	// outage, a restoration or a long poll that was given up. It must not block, and may be nil.
 	OnRecover func()
 
-	// elapsed is a clock that includes time in which the machine is suspended; tests replace it.
+	// IsHealthy sends a health request to a target and reports whether the target says that it is healthy and not leaving. It is called for
+	// targets that register again shortly after they were removed; it may be nil.
+	IsHealthy func(ctx context.Context, t *cataloger.Target, path string) bool
+
+	// elapsed is a clock that includes time in which the machine is suspended; tests replace it. bootedAt is the time of day at its start,
+	// as it was when the watcher was created.
 	elapsed         func() time.Duration
+	bootedAt        time.Time
 	view            atomic.Pointer[cataloger.View]
 	confirmedAt     atomic.Int64
 	longPollTimeout atomic.Int64
@@ -144,9 +156,14 @@
 	// sharedReadInterval is the time between two reads of the operator's source by an instance that is no reader.
 	sharedReadInterval atomic.Int64
 	// expired holds the removal times of targets whose records expired during an outage.
-	expired  map[string]time.Time
-	removed  removals
-	outliers outliers
+	expired    map[string]time.Time
+	departures *departures
+	heartbeats map[string]heartbeatEstimate
+	outliers   outliers
+	// unproven holds records of removed targets that may have been written before the removal.
+	unproven map[string]unprovenRecord
+	// healthRequests holds targets whose health is to be requested.
+	healthRequests chan *cataloger.Target
 	// era is that of the last batch.
 	era int64
 }
@@ -167,13 +184,16 @@
 	// afterOutage reports whether reads failed or the store was restored since the last batch of the same source.
 	afterOutage bool
 	apply       func(*cataloger.View) *cataloger.View
+	// healthy is a target with an unproven record that has called itself healthy.
+	healthy *cataloger.Target
 }
 
 // New returns a watcher with an empty view.
 func New(operator, targets Source, log logger.Logger) *Watcher {
 	w := &Watcher{
 		Operator: operator, Targets: targets, Log: log, elapsed: clocker.SinceBoot,
-		events: make(chan event, 16), shortened: make(chan struct{}, 1), peers: newPeerProgress(), expired: map[string]time.Time{}, removed: removals{}, outliers: outliers{},
+		events: make(chan event, 16), shortened: make(chan struct{}, 1), peers: newPeerProgress(), expired: map[string]time.Time{},
+		departures: newDepartures(), heartbeats: map[string]heartbeatEstimate{}, unproven: map[string]unprovenRecord{}, healthRequests: make(chan *cataloger.Target, maxHealthRequests), outliers: outliers{}, bootedAt: time.Now().Add(-clocker.SinceBoot()).Round(0),
 	}
 	w.view.Store(cataloger.NewView())
 	return w
@@ -210,6 +230,7 @@
 	w.longPollTimeout.CompareAndSwap(0, int64(w.LongPollTimeout))
 	go (&follower{w: w, name: "operator", source: w.Operator, wait: w.operatorWait}).run(ctx)
 	go (&follower{w: w, name: "targets", source: w.Targets, wait: func() time.Duration { return 0 }, interval: interval}).run(ctx)
+	go w.runHealthRequests(ctx)
 	t := time.NewTicker(expiryInterval)
 	defer t.Stop()
 	for {
@@ -217,16 +238,21 @@
 		case <-ctx.Done():
 			return
 		case e := <-w.events:
-			w.handle(e, time.Now())
+			w.handle(e, w.now())
 			if e.requestedAt > 0 {
 				w.confirmedAt.Store(int64(e.requestedAt))
 			}
 		case <-t.C:
-			w.expire(time.Now())
+			w.expire(w.now())
+		case <-w.departures.learned:
+			w.applyLearned(w.now())
 		}
 	}
 }
 
+// now returns the time of day. It follows the clock that includes suspended time, and no later change of the machine's time of day.
+func (w *Watcher) now() time.Time { return w.bootedAt.Add(w.elapsed()) }
+
 // SetLongPollTimeout replaces LongPollTimeout. A long poll in progress ends if it may take longer. It may be called from any goroutine.
 func (w *Watcher) SetLongPollTimeout(d time.Duration) {
 	previous := w.operatorWait()
@@ -249,15 +275,22 @@
 
 // handle applies an event and publishes the resulting view.
 func (w *Watcher) handle(e event, now time.Time) {
+	if e.healthy != nil {
+		w.handleHealthy(e.healthy, now)
+		return
+	}
 	old := w.view.Load()
 	v := old
 	if e.apply != nil {
 		v = e.apply(v)
 	}
 	if e.apply == nil {
+		if e.batch.Era != w.era && w.era != 0 {
+			w.departures.restore(now)
+		}
 		w.era = e.batch.Era
 	}
-	present, d, expired := map[string]bool{}, v.Draft(), len(w.expired)
+	present, d, expired, unproven := map[string]bool{}, v.Draft(), len(w.expired), len(w.unproven)
 	for _, c := range e.batch.Changes {
 		v = w.applyChange(v, d, c, e, now, present)
 	}
@@ -265,11 +298,16 @@
 	if e.batch.IsSnapshot && len(present) > 0 {
 		w.removeMissing(d, present, e.afterOutage, now)
 	}
+	if e.fromTargets {
+		w.dropDeparted(d, now)
+		w.confirmUnproven(d, e, now)
+		w.checkHealth()
+	}
 	v = w.applyEvacuations(v.WithDraft(d), e)
 	w.publish(old, v)
 	if e.fromTargets {
-		changed := !isSameTargets(old, v) || len(w.expired) != expired
-		w.sharing.targets.recordRead(e.batch.Era, e.batch.NextOffset, e.sentAt, changed, e.isFirst)
+		changed := !isSameTargets(old, v) || len(w.expired) != expired || len(w.unproven) > unproven || hasRemovals(e.batch)
+		w.sharing.targets.recordRead(e.batch.Era, e.batch.NextOffset, e.sentAt, changed, e.isFirst, len(w.unproven) > 0)
 	}
 }
 
@@ -316,11 +354,18 @@
 		if err := checkTarget(v, d, c.Target, now); err != nil {
 			return w.applyChange(v, d, InvalidRecord{Key: c.Target.ID, Err: err}, e, now, present)
 		}
-		if w.isBeforeRemoval(c.Target, e.batch.Era, now) {
+		t, counts := w.checkDeparture(d, c.Target, e.batch.Era, now)
+		if !counts {
+			// A target in use has registered again since its removal, and an unproven record remains one.
+			_, inUse := d.Target(c.Target.ID)
+			_, isUnproven := w.unproven[c.Target.ID]
+			if inUse || isUnproven {
+				present[c.Target.ID] = true
+			}
 			return v
 		}
-		present[c.Target.ID] = true
-		w.putTarget(d, c.Target)
+		present[t.ID] = true
+		w.putTarget(d, t, now, e.isFirst)
 	case TargetRemoved:
 		w.removeTarget(d, c.ID, e.afterOutage, now)
 	case InvalidRecord:
