fix(watcher): late writes of the last heartbeat pass for news

Cause: the sequence that a process has reached at its removal was estimated from the time at which its last record was read. The record was written up to one read interval before, in which one or two more heartbeats fit than the estimate allowed for.

Change: the estimates count the read interval in. A target that registers again with the sequence that is expected at its removal is asked one heartbeat later.

TestLateWritesInDeployment, "two written just before the removal", failed before.

--- a/internal/watcher/departures.go
+++ b/internal/watcher/departures.go
@@ -199,8 +199,8 @@
 		Target: t.ID, StartedUnixMs: t.StartedUnixMs, Sequence: t.Sequence, MaxSequence: t.Sequence, IsLeaving: isLeaving,
 	}}
 	if h, ok := w.heartbeats[t.ID]; ok && !isLeaving && t.Sequence > 0 {
-		d.MaxSequence = max(t.Sequence, h.maxSequence(at, w.heartbeatInterval()))
-		d.expectedSequence = max(t.Sequence, h.expectedSequence(at, w.heartbeatInterval()))
+		d.MaxSequence = max(t.Sequence, h.maxSequence(at, w.heartbeatInterval(), w.pollInterval()))
+		d.expectedSequence = max(t.Sequence, h.expectedSequence(at, w.heartbeatInterval(), w.pollInterval()))
 	}
 	if !isLeaving {
 		delete(w.heartbeats, t.ID)
--- a/internal/watcher/heartbeats.go
+++ b/internal/watcher/heartbeats.go
@@ -42,21 +42,22 @@
 	return n
 }
 
-// maxSequence returns the highest sequence that the process can have reached at a time.
-func (h heartbeatEstimate) maxSequence(now time.Time, interval time.Duration) int64 {
+// maxSequence returns the highest sequence that the process can have reached at a time. The last record was written up to readInterval before
+// it was read.
+func (h heartbeatEstimate) maxSequence(now time.Time, interval, readInterval time.Duration) int64 {
 	if h.isAgeUnknown {
 		return math.MaxInt64
 	}
-	return int64(h.sequence+(1+maxHeartbeatDrift)*now.Sub(h.at).Seconds()/interval.Seconds()) + 1
+	return int64(h.sequence+(1+maxHeartbeatDrift)*(now.Sub(h.at)+readInterval).Seconds()/interval.Seconds()) + 1
 }
 
-// expectedSequence returns the sequence that the process has reached at a time if it wrote a record in each interval. It is that of the last
-// record if the store has not shown each record.
-func (h heartbeatEstimate) expectedSequence(now time.Time, interval time.Duration) int64 {
+// expectedSequence returns the sequence that the process has reached at a time at most if it wrote a record in each interval. It is that of the
+// last record if the store has not shown each record.
+func (h heartbeatEstimate) expectedSequence(now time.Time, interval, readInterval time.Duration) int64 {
 	if now.Sub(h.at) > maxSilentBeats*interval {
 		return h.last
 	}
-	return int64(h.sequence + now.Sub(h.at).Seconds()/interval.Seconds())
+	return int64(h.sequence + (now.Sub(h.at)+readInterval).Seconds()/interval.Seconds())
 }
 
 // heartbeatInterval returns the time between two records of a target.
--- a/internal/watcher/late_writes_test.go
+++ b/internal/watcher/late_writes_test.go
@@ -164,6 +164,14 @@
 			changes:    slices.Concat(beats(1, 22), []timedChange{removed(removedAt), late(time.Second, 23), late(2*time.Second, 24), late(4*time.Second, 25), removed(removedAt + 7600*time.Millisecond)}),
 			unusedFrom: removedAt + detection, unusedUntil: time.Minute,
 		},
+		"one written just before the removal": {
+			changes:    slices.Concat(beats(1, 24), []timedChange{removed(lastAt + 50*time.Millisecond), late(time.Second, 25), removed(removedAt + 4600*time.Millisecond)}),
+			unusedFrom: lastAt + detection, unusedUntil: time.Minute,
+		},
+		"two written just before the removal": {
+			changes:    slices.Concat(beats(1, 23), []timedChange{removed(lastAt + 50*time.Millisecond), late(time.Second, 25), removed(removedAt + 4600*time.Millisecond)}),
+			unusedFrom: lastAt + detection, unusedUntil: time.Minute,
+		},
 		"a record from before it was leaving": {
 			changes: slices.Concat(beats(1, 19), beats(21, 24), []timedChange{
 				recordAt("t", lastAt, 25, true), recordAt("t", lastAt+500*time.Millisecond, 20, false), recordAt("t", lastAt+beat, 26, true),
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -23,6 +23,7 @@
 package watcher
 
 import (
+	"cmp"
 	"context"
 	"sync/atomic"
 	"time"
@@ -223,13 +224,9 @@
 
 // Run follows the sources until ctx is done.
 func (w *Watcher) Run(ctx context.Context) {
-	interval := w.PollInterval
-	if interval == 0 {
-		interval = defaultPollInterval
-	}
 	w.longPollTimeout.CompareAndSwap(0, int64(w.LongPollTimeout))
 	go (&follower{w: w, name: "operator", source: w.Operator, wait: w.operatorWait}).run(ctx)
-	go (&follower{w: w, name: "targets", source: w.Targets, wait: func() time.Duration { return 0 }, interval: interval}).run(ctx)
+	go (&follower{w: w, name: "targets", source: w.Targets, wait: func() time.Duration { return 0 }, interval: w.pollInterval()}).run(ctx)
 	go w.runHealthRequests(ctx)
 	t := time.NewTicker(expiryInterval)
 	defer t.Stop()
@@ -250,6 +247,9 @@
 	}
 }
 
+// pollInterval returns the time between two reads of the targets' source.
+func (w *Watcher) pollInterval() time.Duration { return cmp.Or(w.PollInterval, defaultPollInterval) }
+
 // now returns the time of day. It follows the clock that includes suspended time, and no later change of the machine's time of day.
 func (w *Watcher) now() time.Time { return w.bootedAt.Add(w.elapsed()) }
 
