fix(watcher): starting instances use removed targets until their next read

Cause: an announced departure took effect at the next read, which comes up to 1.4 s after the start; its announcement comes after 0.1 s. The wait is for instances whose record is from before the departure, as the target may have registered again meanwhile. A record that was read after the departure has nothing to wait for.

Change: such a record is decided when the departure is announced, as it would have been had the departure been known.

--- a/internal/watcher/departures.go
+++ b/internal/watcher/departures.go
@@ -214,8 +214,8 @@
 	return lateWriteTime + expiryBeats*w.heartbeatInterval()
 }
 
-// applyLearned applies what other instances have announced of departures. Targets in use stay until the next read of this instance, which comes
-// soon: it shows whether they have registered again.
+// applyLearned applies what other instances have announced of departures. Targets whose records were read before their departure stay in use
+// until the next read of this instance, which comes soon: it shows whether they have registered again.
 func (w *Watcher) applyLearned(now time.Time) {
 	old := w.view.Load()
 	d := old.Draft()
@@ -224,18 +224,23 @@
 			w.confirm(d, id, "another instance", now)
 		}
 	}
+	w.dropDeparted(d, now, false)
 	w.sharing.targets.awaitRead()
 	w.publish(old, old.WithDraft(d))
 }
 
 // dropDeparted removes the targets in use whose records were written before their departure, and marks those that are leaving. That shows
-// when another instance has announced a departure of which this one has not read.
-func (w *Watcher) dropDeparted(d *cataloger.Draft, now time.Time) {
+// when another instance has announced a departure of which this one has not read. Without a read since the announcement, only records that
+// were read after the departure are decided, as [Watcher.checkDeparture] would have done.
+func (w *Watcher) dropDeparted(d *cataloger.Draft, now time.Time, hasRead bool) {
 	for _, dep := range w.departures.all() {
 		t, ok := d.Target(dep.Target)
 		if !ok || dep.isOverruled || dep.IsBack || !w.isFromBefore(t, dep, w.era, now) {
 			continue
 		}
+		if !hasRead && !w.heartbeats[t.ID].at.After(dep.at) {
+			continue
+		}
 		if _, isExpired := w.expired[t.ID]; isExpired && !dep.IsLeaving {
 			continue // it is removed unless it registers again in time
 		}
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -299,7 +299,7 @@
 		w.removeMissing(d, present, e.afterOutage, now)
 	}
 	if e.fromTargets {
-		w.dropDeparted(d, now)
+		w.dropDeparted(d, now, true)
 		w.confirmUnproven(d, e, now)
 		w.checkHealth()
 	}
