fix(watcher): late writes bring targets back if no instance saw the removal

Where no running instance had read the removal of a target, because all had been restarted since, or an instance had started since and the announcements were lost, a late write of its record counted as news: callers were sent to the target for 3.6 s and more, until the platform removes the record of a silent target.

Cause: what is known of a removal began with the first read of the oldest instance.

Change: a record that appears within 13.6 s of the first read of an instance, though its process is older by its sequence, is unproven: a departure before the first read is assumed. The instance asks the target, whether it is a reader or not; records are kept as before.

TestLateWritesAfterRestart failed before with "a late record": all instances used it. TestSharedReadsInCalm: its targets' sequence rose by 60 a heartbeat, so that each looked old; it rises by one now, as on the platform, and all bounds are unchanged.

--- a/internal/watcher/departures.go
+++ b/internal/watcher/departures.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -79,6 +80,9 @@
 	isOverruled bool
 }
 
+// isAssumed reports whether no instance is known to have read the departure.
+func (d departure) isAssumed() bool { return d.Sequence == 0 }
+
 // departures holds the last departure of each target by its ID. What one instance has read of a departure is knowledge of the deployment: an
 // instance that reads rarely, or has just started, learns it from the announcements of the others. It is safe for concurrent use.
 type departures struct {
@@ -148,7 +152,7 @@
 	defer r.mu.Unlock()
 	isRestored := now.Sub(r.restoredAt) <= lateRecordTime
 	for _, d := range r.byID {
-		if d.Sequence > 0 && !d.isOverruled && (isRestored || now.Sub(d.at) <= lateRecordTime) {
+		if !d.isAssumed() && !d.isOverruled && (isRestored || now.Sub(d.at) <= lateRecordTime) {
 			d.AgeMs = now.Sub(d.at).Milliseconds()
 			out = append(out, d.Departure)
 		}
@@ -208,6 +212,25 @@
 	w.departures.add(d)
 }
 
+// mayHaveDepartedBefore reports whether a target may have been removed before the first read of this instance, after which its record has
+// appeared: its process is older than that, as far as its sequence shows.
+func (w *Watcher) mayHaveDepartedBefore(d *cataloger.Draft, t *cataloger.Target, e event, now time.Time) bool {
+	_, inUse := d.Target(t.ID)
+	if inUse || t.Leaving || e.isFirst || w.firstReadAt.IsZero() {
+		return false
+	}
+	readFor := now.Sub(w.firstReadAt)
+	age := time.Duration(float64(t.Sequence-1) * (1 - maxHeartbeatDrift) * float64(w.heartbeatInterval()))
+	return readFor <= w.lateRecordTime() && age > readFor
+}
+
+// departBefore remembers an assumed departure before the first read of this instance.
+func (w *Watcher) departBefore(t *cataloger.Target) departure {
+	d := departure{era: w.era, at: w.firstReadAt, Departure: Departure{Target: t.ID, StartedUnixMs: t.StartedUnixMs, MaxSequence: math.MaxInt64}}
+	w.departures.add(d)
+	return d
+}
+
 // lateRecordTime is how long after a departure the metadata store may have a record from before: until the last late write is applied, and
 // its record is removed because no further one follows.
 func (w *Watcher) lateRecordTime() time.Duration {
--- a/internal/watcher/late_writes_test.go
+++ b/internal/watcher/late_writes_test.go
@@ -242,6 +242,50 @@
 	}
 }
 
+// Guards against targets that all instances use although they were removed, because none of them ran at the removal; and against sound targets
+// that stay unused after they have registered again, or are new.
+func TestLateWritesAfterRestart(t *testing.T) {
+	const (
+		readAt    = 31 * time.Second
+		appliedAt = readAt + 5*time.Second
+	)
+	removal := timedChange{30 * time.Second, TargetRemoved{"t"}}
+	tests := map[string]struct {
+		changes []timedChange
+		// unusedUntil is until when no instance may use the target, usedFrom when all must use it.
+		unusedUntil, usedFrom time.Duration
+		isHealthy             bool
+	}{
+		"a late record":                  {[]timedChange{recordAt("t", 0, 1, false), removal, recordAt("t", appliedAt, 24, false), {appliedAt + 4*time.Second, TargetRemoved{"t"}}}, time.Minute, 0, false},
+		"the target registers again":     {[]timedChange{recordAt("t", 0, 1, false), removal, recordAt("t", appliedAt, 30, false)}, 0, appliedAt + 3*time.Second, true},
+		"it does not answer":             {[]timedChange{recordAt("t", 0, 1, false), removal, recordAt("t", appliedAt, 30, false)}, 0, appliedAt + 6*time.Second, false},
+		"a target that starts":           {[]timedChange{recordAt("t", appliedAt, 1, false)}, 0, appliedAt + 2500*time.Millisecond, false},
+		"the first records of it missed": {[]timedChange{recordAt("t", appliedAt+2*time.Second, 3, false)}, 0, appliedAt + 4500*time.Millisecond, false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				startAt := map[int]time.Duration{}
+				for i := range 40 {
+					startAt[i] = readAt
+				}
+				// Targets that start make all instances read.
+				log := newTimedLog(20, slices.Concat(tc.changes, []timedChange{recordAt("new-1", appliedAt+time.Second, 1, false), recordAt("new-2", appliedAt+2100*time.Millisecond, 1, false)})...)
+				all := startOnLog(t, log, 40, startAt, tc.isHealthy)
+				for time.Since(log.started) < 50*time.Second {
+					time.Sleep(100 * time.Millisecond)
+					now := time.Since(log.started)
+					for i, w := range all {
+						_, used := w.View().Target("t")
+						require.False(t, used && now < tc.unusedUntil, "instance %d uses it at %v", i, now)
+						require.False(t, !used && tc.usedFrom > 0 && now >= tc.usedFrom, "instance %d does not use it at %v", i, now)
+					}
+				}
+			})
+		})
+	}
+}
+
 // Guards against instances that keep a removed target because those that know of its removal do not tell them: that its late record was removed
 // again, or that a restored store has it again long after.
 func TestRemovalsAreStated(t *testing.T) {
--- a/internal/watcher/sharing_test.go
+++ b/internal/watcher/sharing_test.go
@@ -29,7 +29,7 @@
 	i := int(offset) % l.targets
 	second := time.Duration(offset/int64(l.targets)) * time.Second
 	return TargetUpdated{Target: &cataloger.Target{
-		ID: fmt.Sprint("t-", i), Service: "s", Address: "10.0.0.1:1", DataCentre: "z", Sequence: offset + 1,
+		ID: fmt.Sprint("t-", i), Service: "s", Address: "10.0.0.1:1", DataCentre: "z", Sequence: offset/int64(l.targets) + 1,
 		Leaving: i == 0 && l.leavesAt > 0 && second >= l.leavesAt, Versions: map[string]int64{},
 	}}
 }
--- a/internal/watcher/targets.go
+++ b/internal/watcher/targets.go
@@ -42,14 +42,17 @@
 }
 
 // checkDeparture returns the record as it counts after what is known of departures of its target, and false if it does not count: it was
-// written before the target was removed. Several such records in sequence that come too late to be late writes show that the sequence of
+// written before the target was removed, or may have been. Several such records in sequence that come too late to be late writes show that the sequence of
 // the last record before the removal was odd.
-func (w *Watcher) checkDeparture(draft *cataloger.Draft, t *cataloger.Target, era int64, now time.Time) (*cataloger.Target, bool) {
+func (w *Watcher) checkDeparture(draft *cataloger.Draft, t *cataloger.Target, e event, now time.Time) (*cataloger.Target, bool) {
 	d, ok := w.departures.find(t)
-	if !ok {
+	if !ok && !w.mayHaveDepartedBefore(draft, t, e, now) {
 		return t, true
 	}
-	if !w.isFromBefore(t, d, era, now) {
+	if !ok {
+		d = w.departBefore(t)
+	}
+	if !w.isFromBefore(t, d, e.batch.Era, now) {
 		if !d.IsLeaving && !d.IsBack {
 			d.Departure = d.withReturn(t)
 			w.departures.add(d)
@@ -72,7 +75,7 @@
 	if t.StartedUnixMs == d.StartedUnixMs && t.Sequence > d.Sequence {
 		w.hold(t, now)
 	}
-	l.Info("record of a removed target ignored")
+	l.WithField("removalRead", !d.isAssumed()).Info("record of a removed target ignored")
 	return t, false
 }
 
--- a/internal/watcher/unproven.go
+++ b/internal/watcher/unproven.go
@@ -59,13 +59,14 @@
 }
 
 // checkHealth asks the targets of unproven records whether they are healthy and not leaving, unless the sequence suggests that the record was
-// written before the removal.
+// written before the removal. Where the reads are shared, the readers ask and tell the others, unless the departure is assumed here only.
 func (w *Watcher) checkHealth() {
-	if w.IsHealthy == nil || w.sharing.isShared.Load() {
-		return // the readers tell the others
+	if w.IsHealthy == nil {
+		return
 	}
 	for _, u := range w.unproven {
-		if d, ok := w.departures.find(u.target); !ok || u.target.Sequence <= d.expectedSequence {
+		d, ok := w.departures.find(u.target)
+		if !ok || u.target.Sequence <= d.expectedSequence || w.sharing.isShared.Load() && !d.isAssumed() {
 			continue
 		}
 		select {
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -167,6 +167,8 @@
 	healthRequests chan *cataloger.Target
 	// era is that of the last batch.
 	era int64
+	// firstReadAt is when the first batch of targets was read.
+	firstReadAt time.Time
 }
 
 // event is a message to the control goroutine: a batch, or a function to apply.
@@ -284,6 +286,9 @@
 	if e.apply != nil {
 		v = e.apply(v)
 	}
+	if e.isFirst && e.fromTargets {
+		w.firstReadAt = now
+	}
 	if e.apply == nil {
 		if e.batch.Era != w.era && w.era != 0 {
 			w.departures.restore(now)
@@ -354,7 +359,7 @@
 		if err := checkTarget(v, d, c.Target, now); err != nil {
 			return w.applyChange(v, d, InvalidRecord{Key: c.Target.ID, Err: err}, e, now, present)
 		}
-		t, counts := w.checkDeparture(d, c.Target, e.batch.Era, now)
+		t, counts := w.checkDeparture(d, c.Target, e, now)
 		if !counts {
 			// A target in use has registered again since its removal, and an unproven record remains one.
 			_, inUse := d.Target(c.Target.ID)
