fix(forwarder): truncated answers of restarted targets pass as complete

Cause: the end of such an answer is the same for a process that has finished and for one that has ended. Whether the process still runs was concluded from a new connection to its address, which the next process accepts as well.

Change: while answers without framing are read from a process, a connection to it is kept, one for all of them. It is closed when the process ends. The connection after the end of each answer is not opened any more.

--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -185,4 +185,6 @@
 	sample *attemptSample
 	// save is the save of the prompt's blocks; nil if there is none.
 	save *archiver.Save
+	// watch shows whether the target's process ends during the stream; nil if the stream has framing.
+	watch *processWatch
 }
--- a/internal/forwarder/crashes.go
+++ b/internal/forwarder/crashes.go
@@ -30,20 +30,20 @@
 	begun bool
 }
 
-// crashCheck checks whether a target has crashed. done is closed at its end; crashed and alive are valid then. Both are false if the
-// target neither accepted nor refused a connection in time.
+// crashCheck checks whether a target has crashed. done is closed at its end; crashed is valid then.
 type crashCheck struct {
-	done           chan struct{}
-	crashed, alive bool
-	calls          []interruptedCall
+	done    chan struct{}
+	crashed bool
+	calls   []interruptedCall
 }
 
 // crashDetector finds out whether calls were interrupted because their target crashed. It is safe for concurrent use.
 type crashDetector struct {
 	s *Server
 
-	mu     sync.Mutex
-	checks map[quarantiner.Process]*crashCheck
+	mu      sync.Mutex
+	checks  map[quarantiner.Process]*crashCheck
+	watches map[quarantiner.Process]*processWatch
 }
 
 // report adds a call that was interrupted before its first event to the check of its target, which it starts if necessary.
@@ -55,18 +55,11 @@
 	return check
 }
 
-// isAlive reports whether a target that has just closed a connection still accepts others. It is false if that is not known before
-// ctx is done.
-func (d *crashDetector) isAlive(ctx context.Context, t *cataloger.Target) bool {
+// check finds out whether a target has crashed, so that others learn of it.
+func (d *crashDetector) check(t *cataloger.Target) {
 	d.mu.Lock()
-	check := d.checkOf(t)
-	d.mu.Unlock()
-	select {
-	case <-check.done:
-		return check.alive
-	case <-ctx.Done():
-		return false
-	}
+	defer d.mu.Unlock()
+	d.checkOf(t)
 }
 
 // checkOf returns the pending check of a target, which it starts if necessary; d.mu is held.
@@ -92,7 +85,7 @@
 	}
 	d.mu.Lock()
 	delete(d.checks, p)
-	check.crashed, check.alive = errors.Is(err, syscall.ECONNREFUSED), err == nil
+	check.crashed = errors.Is(err, syscall.ECONNREFUSED)
 	calls := suspectCalls(check.calls)
 	d.mu.Unlock()
 	defer close(check.done)
--- a/internal/forwarder/deliver.go
+++ b/internal/forwarder/deliver.go
@@ -153,7 +153,7 @@
 		return errNoEvent
 	case st.s.framings.framesStreams(res.Target):
 		return errUnproven
-	case !st.s.crashes.isAlive(ctx, res.Target):
+	case !res.watch.isAlive(ctx):
 		return errTargetEnded
 	}
 	return nil
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -52,6 +52,8 @@
 	wait time.Duration
 	// save is the save of the prompt's blocks; nil if there is none.
 	save *archiver.Save
+	// watch shows whether the target's process ends during a response without framing; nil for other responses.
+	watch *processWatch
 }
 
 // release ends the attempt: it cancels the context and removes the call from the in-flight load of the target.
@@ -59,6 +61,7 @@
 	x.cancel()
 	x.save.Abandon(time.Now())
 	x.inFlight.End()
+	x.watch.end()
 	x.s.placeFreed(x)
 }
 
@@ -107,9 +110,12 @@
 		ex.DiscardBody()
 		return x.handleFailure(ctx, &pooler.Error{Err: fmt.Errorf("invalid response with status %d", ex.StatusCode), MaybeSent: true})
 	}
+	if x.framing == pooler.FramingNone {
+		x.watch = x.s.crashes.watch(x.t)
+	}
 	if isStream(ex) {
 		c.MayHaveRun = true
-		c.Response = &Response{Target: x.t, Status: ex.StatusCode, Header: ex.Header, Stream: ex, InFlight: x.inFlight, Release: x.release, sample: x.sample, save: x.save}
+		c.Response = &Response{Target: x.t, Status: ex.StatusCode, Header: ex.Header, Stream: ex, InFlight: x.inFlight, Release: x.release, sample: x.sample, save: x.save, watch: x.watch}
 		return retrier.Done, nil
 	}
 	return x.readResponse(ctx, ex)
@@ -130,7 +136,7 @@
 		c.MayHaveRun = true
 		return retrier.Unknown, fmt.Errorf("response of target %s: %w", x.t.ID, err)
 	}
-	if err == nil && ex.Framing() == pooler.FramingNone && !x.s.crashes.isAlive(ctx, x.t) {
+	if err == nil && x.watch != nil && !x.watch.isAlive(ctx) {
 		err = errTargetEnded
 	}
 	if err != nil {
--- /dev/null
+++ b/internal/forwarder/watches.go
@@ -0,0 +1,114 @@
+package forwarder
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/papayaworks/papayaworks/internal/cataloger"
+	"github.com/papayaworks/papayaworks/internal/quarantiner"
+	"github.com/papayaworks/papayaworks/internal/sleeper"
+)
+
+// closeWindow is how long before the end of a response a watch may have lost its connection for the response to count as interrupted. All
+// connections of a process that ends are closed within it; a target also closes idle connections, at any time.
+const closeWindow = 500 * time.Millisecond
+
+// processWatch keeps a connection to the process of a target while responses without framing are read from it. The operating system closes all
+// connections of a process that ends, also if the target is started again at once.
+type processWatch struct {
+	d      *crashDetector
+	target *cataloger.Target
+	cancel context.CancelFunc
+	// users is the number of responses; the detector's mutex guards it.
+	users int
+	// tried is closed after the first attempt to connect.
+	tried chan struct{}
+
+	mu          sync.Mutex
+	isConnected bool
+	// lostAt is when the connection was last closed, or refused; zero if it never was.
+	lostAt time.Time
+}
+
+// watch returns the watch of a target's process, which it starts if necessary. The caller ends it.
+func (d *crashDetector) watch(t *cataloger.Target) *processWatch {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := processOf(t)
+	w := d.watches[p]
+	if w == nil {
+		ctx, cancel := context.WithCancel(context.Background())
+		w = &processWatch{d: d, target: t, cancel: cancel, tried: make(chan struct{})}
+		if d.watches == nil {
+			d.watches = map[quarantiner.Process]*processWatch{}
+		}
+		d.watches[p] = w
+		go w.run(ctx)
+	}
+	w.users++
+	return w
+}
+
+// end releases the watch; w may be nil.
+func (w *processWatch) end() {
+	if w == nil {
+		return
+	}
+	w.d.mu.Lock()
+	defer w.d.mu.Unlock()
+	if w.users--; w.users == 0 {
+		delete(w.d.watches, processOf(w.target))
+		w.cancel()
+	}
+}
+
+// run keeps a connection to the target until ctx is done.
+func (w *processWatch) run(ctx context.Context) {
+	d := net.Dialer{Timeout: crashCheckTimeout}
+	for isFirst := true; ctx.Err() == nil; isFirst = false {
+		conn, err := d.DialContext(ctx, "tcp", w.target.Address)
+		w.set(err == nil)
+		if isFirst {
+			close(w.tried)
+		}
+		if err == nil {
+			stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+			_, _ = conn.Read(make([]byte, 1)) // until the connection is closed, or the target says that it is about to do so
+			stop()
+			_ = conn.Close()
+			w.set(false)
+		}
+		sleeper.Sleep(ctx, crashCheckDelay)
+	}
+}
+
+func (w *processWatch) set(isConnected bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.isConnected = isConnected
+	if !isConnected {
+		w.lostAt = time.Now()
+	}
+}
+
+// isAlive reports whether the process that has just closed the connection of a response still runs. It is false if that is not known before
+// ctx is done.
+func (w *processWatch) isAlive(ctx context.Context) bool {
+	if !sleeper.Sleep(ctx, crashCheckDelay) {
+		return false
+	}
+	select {
+	case <-w.tried:
+	case <-ctx.Done():
+		return false
+	}
+	w.mu.Lock()
+	isAlive := w.isConnected && time.Since(w.lostAt) > closeWindow
+	w.mu.Unlock()
+	if !isAlive {
+		w.d.check(w.target)
+	}
+	return isAlive
+}
