fix(forwarder): waiting calls keep the scope from before an isolation

Cause: the scope of a call is that of its sending. Calls that wait were withdrawn for superseded weights and quarantined blocks, but not for a scope that the newest configuration does not give any more.

Change: a waiting call with blocks that others may share is withdrawn once its scope has changed, that of other accounts too, as the scope before has blocks of the isolated one. It is sent again, to the same engine too, where its route allows that.

--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -175,7 +175,7 @@
 	if s.Announcer != nil && load.Tokens >= longCallTokens {
 		s.Announcer.AnnounceStart(t.ID, load)
 	}
-	x := &targetRequest{s: s, c: c, t: t, startedAt: now, weightVersion: c.WeightVersion, blocks: s.blockKeys(c), cancel: cancel, inFlight: s.loads.Start(t.ID, load, now)}
+	x := &targetRequest{s: s, c: c, t: t, startedAt: now, weightVersion: c.WeightVersion, scope: c.Scope, blocks: s.blockKeys(c), cancel: cancel, inFlight: s.loads.Start(t.ID, load, now)}
 	x.wait = d.Wait
 	x.expect(d)
 	out, err := x.send(ctx, remaining)
@@ -361,18 +361,24 @@
 	return !isPast(s.supersededFor(c, t, sinceBoot), s.settings().SupersededGrace-supersededMargin)
 }
 
-// versionAndScope returns the weight version on which the target runs the call, and the scope of the call's KV cache. The scope
-// is that of the newest configuration, which may isolate accounts while the call is in progress. Plain services have neither.
+// versionAndScope returns the weight version on which the target runs the call, and the scope of the call's KV cache. Plain services have
+// neither.
 func (s *Server) versionAndScope(c *Call, t *cataloger.Target) (int64, string) {
 	if c.Service.Engine == nil {
 		return 0, ""
 	}
+	v := s.callVersion(c, t)
+	return v, s.scopeOf(c, v)
+}
+
+// scopeOf returns the scope of a call's KV cache on a weight version. It is that of the newest configuration, which may isolate accounts while
+// the call is in progress.
+func (s *Server) scopeOf(c *Call, version int64) string {
 	account := ""
 	if c.Account != nil {
 		account = c.Account.Name
 	}
-	v := s.callVersion(c, t)
-	return v, cacheScope(c.Headers.Prompt.Model, v, account, s.Watcher.View().Catalog)
+	return cacheScope(c.Headers.Prompt.Model, version, account, s.Watcher.View().Catalog)
 }
 
 func scopedKeys(scope string, keys []string) []string {
--- a/internal/forwarder/queue.go
+++ b/internal/forwarder/queue.go
@@ -73,9 +73,9 @@
 	// retryPending reports whether a target has refused the call, and the retry has not been counted.
 	retryPending bool
 	// refusedBy are tried targets that have refused the call and may get it again: the connection is closed, so that a repetition of the
-	// refusal can't be taken for the response. refusedCount is the number of those that are no longer in TriedTargets.
-	refusedBy    []string
-	refusedCount int
+	// refusal can't be taken for the response. forgivenCount is the number of targets that are no longer in TriedTargets.
+	refusedBy     []string
+	forgivenCount int
 	// usable holds the targets of the check after which the call is sent, freed the one that has just ended a response.
 	usable []*cataloger.Target
 	freed  string
@@ -84,7 +84,7 @@
 }
 
 // reachedCount returns the number of targets that the call has reached, including those that have not run it.
-func (c *Call) reachedCount() int { return len(c.TriedTargets) + c.queue.refusedCount - c.UnsentCount }
+func (c *Call) reachedCount() int { return len(c.TriedTargets) + c.queue.forgivenCount - c.UnsentCount }
 
 // isLastAttempt reports whether the next attempt is the last one that the route allows.
 func (c *Call) isLastAttempt() bool {
@@ -96,12 +96,17 @@
 
 // forgiveRefusals lets the targets that refused the call get it again. The attempts still count.
 func (c *Call) forgiveRefusals() {
-	before := len(c.TriedTargets)
-	c.TriedTargets = slices.DeleteFunc(c.TriedTargets, func(id string) bool { return slices.Contains(c.queue.refusedBy, id) })
-	c.queue.refusedCount += before - len(c.TriedTargets)
+	c.forgive(c.queue.refusedBy...)
 	c.queue.refusedBy = nil
 }
 
+// forgive lets targets get the call again. The attempts still count.
+func (c *Call) forgive(ids ...string) {
+	before := len(c.TriedTargets)
+	c.TriedTargets = slices.DeleteFunc(c.TriedTargets, func(id string) bool { return slices.Contains(ids, id) })
+	c.queue.forgivenCount += before - len(c.TriedTargets)
+}
+
 // awaitRoom returns once the call may be sent, which is at once unless a target of the service has refused a call lately. It returns an
 // error if the call is not sent.
 func (s *Server) awaitRoom(ctx context.Context, c *Call) error {
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -35,6 +35,8 @@
 	startedAt time.Time
 	// weightVersion is the weight version that the target must have; 0 for plain services.
 	weightVersion int64
+	// scope is that of the KV cache; it is empty for plain services.
+	scope string
 	// blocks holds the keys of the prompt's shared blocks in the quarantine.
 	blocks   []uint64
 	cancel   context.CancelFunc
@@ -162,8 +164,11 @@
 
 // handleFailure returns the outcome of an attempt without a valid response and records the failure of the target.
 func (x *targetRequest) handleFailure(ctx context.Context, err error) (retrier.Outcome, error) {
-	if cause := context.Cause(ctx); errors.Is(cause, errSuperseded) || errors.Is(cause, errQuarantined) {
+	if cause := context.Cause(ctx); errors.Is(cause, errWithdrawn) {
 		err = &pooler.Error{Err: cause, MaybeSent: pooler.MaybeSent(err)}
+		if errors.Is(cause, errIsolated) {
+			x.c.forgive(x.t.ID) // with the new scope
+		}
 	} else if x.c.HTTP.Context().Err() == nil {
 		x.s.health.observe(x.t.ID, false, time.Now())
 		// An attempt that the call's own deadline ended does not show that the target is unreachable. A target that does not
--- a/internal/forwarder/withdraw.go
+++ b/internal/forwarder/withdraw.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
+	"github.com/papayaworks/papayaworks/internal/cataloger"
 	"github.com/papayaworks/papayaworks/internal/clocker"
 )
 
@@ -19,8 +21,10 @@
 
 // Causes of cancelled attempts that were withdrawn.
 var (
-	errSuperseded  = errors.New("the target's weights were superseded while the call was waiting")
-	errQuarantined = errors.New("a block of the prompt was quarantined while the call was waiting")
+	errWithdrawn   = errors.New("withdrawn while the call was waiting")
+	errSuperseded  = fmt.Errorf("%w: the target's weights were superseded", errWithdrawn)
+	errQuarantined = fmt.Errorf("%w: a block of the prompt was quarantined", errWithdrawn)
+	errIsolated    = fmt.Errorf("%w: an account has become isolated, or is so no longer", errWithdrawn)
 )
 
 // waitingAttempts holds the attempts at engines whose response has not started. It is safe for concurrent use.
@@ -60,8 +64,7 @@
 	}
 }
 
-// withdrawWaiting withdraws calls that a target must not start any more, until ctx is done: those that wait while the grace
-// period of its weights ends, and those with a block that was quarantined meanwhile.
+// withdrawWaiting withdraws calls that a target must not start any more, until ctx is done.
 func (s *Server) withdrawWaiting(ctx context.Context) {
 	t := time.NewTicker(withdrawInterval)
 	defer t.Stop()
@@ -71,15 +74,22 @@
 			return
 		case <-t.C:
 		}
-		v, now, grace := s.Watcher.View(), clocker.SinceBoot(), s.settings().SupersededGrace
-		s.waiting.withdraw(func(x *targetRequest) error {
-			switch {
-			case isPast(v.SupersededFor(x.c.Headers.Prompt.Model, x.weightVersion, now), grace-withdrawMargin):
-				return errSuperseded
-			case !x.c.isProbe && s.quarantine.Contains(x.blocks):
-				return errQuarantined
-			}
-			return nil
-		})
+		v, now := s.Watcher.View(), clocker.SinceBoot()
+		s.waiting.withdraw(func(x *targetRequest) error { return s.withdrawalReason(x, v, now) })
 	}
 }
+
+// withdrawalReason returns why a call that waits at its target must not start there any more: the grace period of the target's weights ends, a
+// block of the prompt was quarantined meanwhile, or its scope has KV cache of accounts that must not share with the call. It returns nil if
+// the call may start.
+func (s *Server) withdrawalReason(x *targetRequest, v *cataloger.View, now time.Duration) error {
+	switch {
+	case isPast(v.SupersededFor(x.c.Headers.Prompt.Model, x.weightVersion, now), s.settings().SupersededGrace-withdrawMargin):
+		return errSuperseded
+	case !x.c.isProbe && s.quarantine.Contains(x.blocks):
+		return errQuarantined
+	case len(x.blocks) > 0 && x.scope != s.scopeOf(x.c, x.weightVersion):
+		return errIsolated
+	}
+	return nil
+}
