--- a/internal/watcher/targets.go
+++ b/internal/watcher/targets.go
@@ -42,8 +42,8 @@
 }
 
 // checkDeparture returns the record as it counts after what is known of departures of its target, and false if it does not count: it was
-// written before the target was removed, or may have been. Several such records in sequence that come too late to be late writes show that the sequence of
-// the last record before the removal was odd.
+// written before the target was removed, or may have been. Several such records in sequence that come too late to be late writes show that
+// the sequence of the last record before the removal was odd.
 func (w *Watcher) checkDeparture(draft *cataloger.Draft, t *cataloger.Target, e event, now time.Time) (*cataloger.Target, bool) {
 	d, ok := w.departures.find(t)
 	if !ok && !w.mayHaveDepartedBefore(draft, t, e, now) {
