feat(forwarder): log how responses without framing ended

A stream without framing that counted as interrupted left one line, without how its connection had ended, what was known of the target's process, and whether the instance was stopping. TestLogsPage also wants the keys of the attempt record on the page.

No decision changes. go test ./internal/forwarder passes.

--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -187,4 +187,6 @@
 	save *archiver.Save
 	// watch shows whether the target's process ends during the stream; nil if the stream has framing.
 	watch *processWatch
+	// end is how the response ended, once it has.
+	end responseEnd
 }
--- a/internal/forwarder/deliver.go
+++ b/internal/forwarder/deliver.go
@@ -94,9 +94,12 @@
 	defer res.Release()
 	defer res.Stream.Close()
 	var pending []byte
+	var readErr error
+	defer func() { res.end = newResponseEnd(res.Stream.Framing(), readErr, res.watch) }()
 	buf := make([]byte, readBufferBytes)
 	for {
 		n, err := res.Stream.Body.Read(buf)
+		readErr = err
 		if n > 0 {
 			res.InFlight.ResponseStarted(time.Now())
 			res.save.End()
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -182,6 +182,7 @@
 	s.recordAttempt(c, Attempt{
 		Target: t.ID, Reason: d.Reason, ExpectedMs: d.Expected.Milliseconds(), Outstanding: d.Outstanding, WeightVersion: c.WeightVersion,
 		SupersededMs: superseded.Milliseconds(), DurationMs: time.Since(now).Milliseconds(), Framing: x.framing,
+		responseEnd: x.end, Stopping: s.stop.Load() != nil,
 	}, out, err)
 	if c.Response == nil || c.Response.Stream == nil {
 		x.release()
--- a/internal/forwarder/logs_test.go
+++ b/internal/forwarder/logs_test.go
@@ -12,6 +12,7 @@
 
 var (
 	fieldKey    = regexp.MustCompile(`WithField\("(\w+)"`)
+	tagKey      = regexp.MustCompile("json:\"(\\w+)")
 	mapKey      = regexp.MustCompile(`"(\w+)": `)
 	messageCall = regexp.MustCompile(`\.(?:Info|Warn|Error)\("([^"]+)"\)`)
 )
@@ -32,7 +33,7 @@
 			require.NoError(t, err)
 			keys := fieldKey.FindAllSubmatch(text, -1)
 			if filepath.Base(file) == "report.go" {
-				keys = append(keys, mapKey.FindAllSubmatch(text, -1)...)
+				keys = append(append(keys, mapKey.FindAllSubmatch(text, -1)...), tagKey.FindAllSubmatch(text, -1)...)
 			}
 			keys = append(keys, messageCall.FindAllSubmatch(text, -1)...)
 			for _, k := range keys {
--- a/internal/forwarder/report.go
+++ b/internal/forwarder/report.go
@@ -52,6 +52,34 @@
 	Framing    pooler.Framing `json:"framing,omitempty"`
 	EventBytes int            `json:"eventBytes,omitempty"`
 	StreamEnd  string         `json:"streamEnd,omitempty"`
+	responseEnd
+	// Stopping reports whether this instance was stopping when the response ended.
+	Stopping bool `json:"stopping,omitempty"`
+}
+
+// responseEnd describes for the log how the connection of a response ended and what was known of the target's process then.
+type responseEnd struct {
+	// Connection is empty if the end of the response was not the end of its connection.
+	Connection string       `json:"connection,omitempty"`
+	Process    processState `json:"process,omitempty"`
+	// LostMs is how long before the end was checked the watch of the process had lost its connection.
+	LostMs int64 `json:"lostMs,omitempty"`
+}
+
+// newResponseEnd describes the end of a response whose last read returned err.
+func newResponseEnd(framing pooler.Framing, err error, w *processWatch) responseEnd {
+	var out responseEnd
+	switch {
+	case errors.Is(err, syscall.ECONNRESET):
+		out.Connection = "reset"
+	case errors.Is(err, io.ErrUnexpectedEOF), framing == pooler.FramingNone && errors.Is(err, io.EOF):
+		out.Connection = "closed"
+	}
+	if w != nil {
+		state, lostFor := w.state(time.Now())
+		out.Process, out.LostMs = state, lostFor.Milliseconds()
+	}
+	return out
 }
 
 // report counts the outcome of a call and logs it, unless the line is suppressed.
@@ -105,7 +133,11 @@
 		return
 	}
 	if log, ok := s.loggerFor(messageAttemptFailed); ok {
-		logger.WithError(log, err).WithFields(logrus.Fields{"request": c.Headers.ID, "target": t.Target, "outcome": t.Outcome, "ms": t.DurationMs}).Info(messageAttemptFailed)
+		log = logger.WithError(log, err).WithFields(logrus.Fields{"request": c.Headers.ID, "target": t.Target, "outcome": t.Outcome, "ms": t.DurationMs})
+		if t.Process != "" {
+			log = log.WithFields(logrus.Fields{"connection": t.Connection, "process": t.Process, "lostMs": t.LostMs, "stopping": t.Stopping})
+		}
+		log.Info(messageAttemptFailed)
 	}
 }
 
@@ -113,6 +145,7 @@
 func (s *Server) recordStreamEnd(c *Call, err error) {
 	res, a := c.Response, &c.Attempts[len(c.Attempts)-1]
 	a.EventBytes, a.StreamEnd = res.eventBytes, streamEndOf(c, err)
+	a.responseEnd, a.Stopping = res.end, s.stop.Load() != nil
 	s.metrics.RecordStreamEnd(c.Service.Name, string(a.Framing), a.StreamEnd)
 }
 
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -56,6 +58,8 @@
 	save *archiver.Save
 	// watch shows whether the target's process ends during a response without framing; nil for other responses.
 	watch *processWatch
+	// end is how a response that is not a stream ended.
+	end responseEnd
 }
 
 // release ends the attempt: it cancels the context and removes the call from the in-flight load of the target.
@@ -138,9 +142,11 @@
 		c.MayHaveRun = true
 		return retrier.Unknown, fmt.Errorf("response of target %s: %w", x.t.ID, err)
 	}
+	readErr := err
 	if err == nil && x.watch != nil && !x.watch.isAlive(ctx) {
 		err = errTargetEnded
 	}
+	x.end = newResponseEnd(x.framing, cmp.Or(readErr, io.EOF), x.watch)
 	if err != nil {
 		ex.Close()
 		return x.handleFailure(ctx, &pooler.Error{Err: err, MaybeSent: true})
--- a/internal/forwarder/watches.go
+++ b/internal/forwarder/watches.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/papayaworks/papayaworks/internal/cataloger"
@@ -15,6 +17,16 @@
 // connections of a process that ends are closed within it; a target also closes idle connections, at any time.
 const closeWindow = 500 * time.Millisecond
 
+// processState is what is known of the process of a target, as it is logged.
+type processState string
+
+const (
+	processConnected    processState = "connected"
+	processLost         processState = "lost"
+	processRefused      processState = "refused"
+	processNotConnected processState = "notConnected"
+)
+
 // processWatch keeps a connection to the process of a target while responses without framing are read from it. The operating system closes all
 // connections of a process that ends, also if the target is started again at once.
 type processWatch struct {
@@ -28,6 +40,8 @@
 
 	mu          sync.Mutex
 	isConnected bool
+	// isRefused reports whether the last attempt to connect was refused.
+	isRefused bool
 	// lostAt is when the connection was last closed, or refused; zero if it never was.
 	lostAt time.Time
 }
@@ -69,7 +83,7 @@
 	d := net.Dialer{Timeout: crashCheckTimeout}
 	for isFirst := true; ctx.Err() == nil; isFirst = false {
 		conn, err := d.DialContext(ctx, "tcp", w.target.Address)
-		w.set(err == nil)
+		w.set(err == nil, errors.Is(err, syscall.ECONNREFUSED))
 		if isFirst {
 			close(w.tried)
 		}
@@ -78,21 +92,38 @@
 			_, _ = conn.Read(make([]byte, 1)) // until the connection is closed, or the target says that it is about to do so
 			stop()
 			_ = conn.Close()
-			w.set(false)
+			w.set(false, false)
 		}
 		sleeper.Sleep(ctx, crashCheckDelay)
 	}
 }
 
-func (w *processWatch) set(isConnected bool) {
+func (w *processWatch) set(isConnected, isRefused bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.isConnected = isConnected
+	w.isConnected, w.isRefused = isConnected, isRefused
 	if !isConnected {
 		w.lostAt = time.Now()
 	}
 }
 
+// state returns what the watch knows of the process, and how long ago its connection was lost or refused last; 0 if it never was.
+func (w *processWatch) state(now time.Time) (processState, time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case w.lostAt.IsZero() && !w.isConnected:
+		return processNotConnected, 0
+	case w.lostAt.IsZero():
+		return processConnected, 0
+	case w.isRefused:
+		return processRefused, now.Sub(w.lostAt)
+	case w.isConnected && now.Sub(w.lostAt) > closeWindow:
+		return processConnected, now.Sub(w.lostAt)
+	}
+	return processLost, now.Sub(w.lostAt)
+}
+
 // isAlive reports whether the process that has just closed the connection of a response still runs. It is false if that is not known before
 // ctx is done.
 func (w *processWatch) isAlive(ctx context.Context) bool {
