--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -91,9 +91,11 @@
 	// Dial opens a connection; New sets it to a dialer for the network.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 
-	mu      sync.Mutex
-	idle    map[string][]*conn
-	inUse   map[string]int
+	mu    sync.Mutex
+	idle  map[string][]*conn
+	inUse map[string]int
+	// open holds the connections that this side has not closed, idle and in use.
+	open    map[string]map[*conn]struct{}
 	sweptAt time.Time
 }
 
@@ -111,14 +113,14 @@
 // conn is one connection, used by at most one exchange at a time; expiresAt is when it is closed if idle.
 type conn struct {
 	net.Conn
-	r         *bufio.Reader
-	limited   *limitedReader
-	expiresAt time.Time
+	r                   *bufio.Reader
+	limited             *limitedReader
+	openedAt, expiresAt time.Time
 }
 
 func newConn(nc net.Conn) *conn {
 	l := &limitedReader{r: nc, remaining: math.MaxInt64}
-	return &conn{Conn: nc, r: bufio.NewReaderSize(l, readBufferBytes), limited: l}
+	return &conn{Conn: nc, r: bufio.NewReaderSize(l, readBufferBytes), limited: l, openedAt: time.Now()}
 }
 
 // inspectHead waits for the next response header and inspects it without consuming it.
@@ -187,7 +189,7 @@
 // New returns an empty Pool.
 func New() *Pool {
 	d := &net.Dialer{Timeout: connectTimeout, KeepAlive: -1, Control: control}
-	return &Pool{Dial: d.DialContext, idle: map[string][]*conn{}, inUse: map[string]int{}}
+	return &Pool{Dial: d.DialContext, idle: map[string][]*conn{}, inUse: map[string]int{}, open: map[string]map[*conn]struct{}{}}
 }
 
 // control sets the TCP time-out for unacknowledged data.
@@ -371,7 +373,14 @@
 		p.release(peer)
 		return nil, err
 	}
-	return newConn(nc), nil
+	c := newConn(nc)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open[peer.Address] == nil {
+		p.open[peer.Address] = map[*conn]struct{}{}
+	}
+	p.open[peer.Address][c] = struct{}{}
+	return c, nil
 }
 
 // acquire counts one more connection as in use. It returns an idle connection, or nil if the caller has to open one.
@@ -400,7 +409,7 @@
 	p.decrementInUse(peer)
 	idleCount := len(p.idle[peer.Address])
 	if idleCount >= maxIdlePerTarget || peer.MaxConnections > 0 && idleCount+p.inUse[peer.Address] >= peer.MaxConnections {
-		_ = c.Close()
+		p.close(peer.Address, c)
 		return
 	}
 	p.idle[peer.Address] = append(p.idle[peer.Address], c)
@@ -409,8 +418,10 @@
 
 // discard closes a connection in use.
 func (p *Pool) discard(peer Peer, c *conn) {
-	_ = c.Close()
-	p.release(peer)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.close(peer.Address, c)
+	p.decrementInUse(peer)
 }
 
 // release counts one connection less as in use.
@@ -439,7 +450,7 @@
 			if now.Before(c.expiresAt) {
 				kept = append(kept, c)
 			} else {
-				_ = c.Close()
+				p.close(addr, c)
 			}
 		}
 		if len(kept) == 0 {
@@ -449,23 +460,3 @@
 		}
 	}
 }
-
-// openAndEmpty reports whether a connection is open and its receive buffer is empty.
-func openAndEmpty(nc net.Conn) bool {
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	rc, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	var b [1]byte
-	err = rc.Read(func(fd uintptr) bool {
-		_, _, rerr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = rerr == syscall.EAGAIN || rerr == syscall.EINTR
-		return true
-	})
-	return err == nil && open
-}
