fix(forwarder): whole streams without framing are thrown away

Callers on routes that are not resumable got streams that their target had run to a good end as truncated ("stream ended without the framing that its target uses"), also while their instance was stopping.

Cause: once a stream of a process had framing, each of its streams without framing counted as interrupted. How a target marks the end of one response is no evidence about another one; it may have no length and end with its connection.

Change: such a stream is complete if its connection was closed in order, after a whole event, by a process that runs on. On a resumable route another target is still asked for the rest if the process frames its other streams. That the process runs on is also shown by any connection that was opened before the request and is open 50 ms after the end: a target may refuse or close the one of the watch. The check no longer ends with the deadline of the attempt, as the response has arrived.

--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -157,6 +157,9 @@
 	queue queueState
 	// heldBytes is the number of bytes that responses to the call hold in memory.
 	heldBytes int
+	// unconfirmed is the response whose stream has ended in order, but is to be confirmed by another target; nil if there is none, or if more
+	// events came after it.
+	unconfirmed *Response
 	// HeaderSent reports whether the response header of a stream was sent to the caller.
 	HeaderSent bool
 
@@ -187,6 +190,9 @@
 	save *archiver.Save
 	// watch shows whether the target's process ends during the stream; nil if the stream has framing.
 	watch *processWatch
-	// end is how the response ended, once it has.
-	end responseEnd
+	// end is how the response ended, once it has; processRuns reports whether the target's process was found to run then.
+	end         responseEnd
+	processRuns bool
+	// sentAt is when the attempt started.
+	sentAt time.Time
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -191,7 +191,7 @@
 	warming       *warmer.Table
 	quarantine    *quarantiner.Quarantine
 	crashes       crashDetector
-	framings      framingHistory
+	framing       framingTargets
 	steps         []request.Stage[*Call]
 	callerServer  *listener.Server
 	readyServer   *listener.Server
@@ -394,7 +394,7 @@
 	ids := v.TargetIDs()
 	s.loads.Retain(ids)
 	s.health.setTargets(v)
-	s.framings.retain(v)
+	s.framing.retain(v)
 	s.throttle.Retain(v, time.Now())
 	s.retainEstimates(v)
 	s.observeWarming(v, time.Now())
--- a/internal/forwarder/report.go
+++ b/internal/forwarder/report.go
@@ -66,8 +66,8 @@
 	LostMs int64 `json:"lostMs,omitempty"`
 }
 
-// newResponseEnd describes the end of a response whose last read returned err.
-func newResponseEnd(framing pooler.Framing, err error, w *processWatch) responseEnd {
+// newResponseEnd describes the end of a response whose last read returned err; runs reports whether the target's process was found to run.
+func newResponseEnd(framing pooler.Framing, err error, w *processWatch, runs bool) responseEnd {
 	var out responseEnd
 	switch {
 	case errors.Is(err, syscall.ECONNRESET):
@@ -78,6 +78,9 @@
 	if w != nil {
 		state, lostFor := w.state(time.Now())
 		out.Process, out.LostMs = state, lostFor.Milliseconds()
+		if runs && state != processConnected {
+			out.Process = processOtherOpen
+		}
 	}
 	return out
 }
@@ -160,7 +163,7 @@
 		return "insideEvent"
 	case errors.Is(err, errNoEvent):
 		return "noEvent"
-	case errors.Is(err, errUnproven):
+	case errors.Is(err, errUnconfirmed):
 		return "unproven"
 	case errors.Is(err, errTargetEnded):
 		return "targetEnded"
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -121,7 +121,7 @@
 	}
 	if isStream(ex) {
 		c.MayHaveRun = true
-		c.Response = &Response{Target: x.t, Status: ex.StatusCode, Header: ex.Header, Stream: ex, InFlight: x.inFlight, Release: x.release, sample: x.sample, save: x.save, watch: x.watch}
+		c.Response = &Response{Target: x.t, Status: ex.StatusCode, Header: ex.Header, Stream: ex, InFlight: x.inFlight, Release: x.release, sample: x.sample, save: x.save, watch: x.watch, sentAt: x.startedAt}
 		return retrier.Done, nil
 	}
 	return x.readResponse(ctx, ex)
@@ -143,10 +143,14 @@
 		return retrier.Unknown, fmt.Errorf("response of target %s: %w", x.t.ID, err)
 	}
 	readErr := err
-	if err == nil && x.watch != nil && !x.watch.isAlive(ctx) {
-		err = errTargetEnded
+	runs := false
+	if err == nil && x.watch != nil {
+		// The response is there, so the deadline of the attempt does not count any more.
+		if runs = x.s.runsOn(c.HTTP.Context(), x.watch, x.startedAt); !runs {
+			err = errTargetEnded
+		}
 	}
-	x.end = newResponseEnd(x.framing, cmp.Or(readErr, io.EOF), x.watch)
+	x.end = newResponseEnd(x.framing, cmp.Or(readErr, io.EOF), x.watch, runs)
 	if err != nil {
 		ex.Close()
 		return x.handleFailure(ctx, &pooler.Error{Err: err, MaybeSent: true})
--- a/internal/forwarder/watches.go
+++ b/internal/forwarder/watches.go
@@ -22,6 +22,7 @@
 
 const (
 	processConnected    processState = "connected"
+	processOtherOpen    processState = "otherOpen"
 	processLost         processState = "lost"
 	processRefused      processState = "refused"
 	processNotConnected processState = "notConnected"
@@ -136,10 +137,23 @@
 		return false
 	}
 	w.mu.Lock()
-	isAlive := w.isConnected && time.Since(w.lostAt) > closeWindow
-	w.mu.Unlock()
-	if !isAlive {
-		w.d.check(w.target)
+	defer w.mu.Unlock()
+	return w.isConnected && time.Since(w.lostAt) > closeWindow
+}
+
+// runsOn reports whether the process runs that has just ended a response to a request of the given time by closing its connection. The
+// connection of the watch or any other one that is older than the request shows it: a target may refuse or close single ones, for instance
+// because it stops or has too many. It is false if ctx is done before it is known.
+func (s *Server) runsOn(ctx context.Context, w *processWatch, sentAt time.Time) bool {
+	if w.isAlive(ctx) {
+		return true
+	}
+	if ctx.Err() != nil {
+		return false
+	}
+	if s.pool.HasOpen(w.target.Address, sentAt) {
+		return true
 	}
-	return isAlive
+	w.d.check(w.target)
+	return false
 }
