fix(forwarder): whole answers are lost when a target closes idle connections

A response without framing that ended within 0.5 s after its target had closed the idle connection of the watch counted as truncated if no other connection was open.

Cause: a closed connection of the watch was taken for a possible end of the process, although the connection of the response itself outlived it.

Change: when the watch has connected again, a connection that is older than the lost one and still open shows that the process is the same, and the loss is forgotten. The time of the lost connection counts, not that of the loss, which a paused instance notices late.

If every loss is forgotten, TestWatchOfProcess, "ended and started again", fails. The servers in crashes_test.go get a pool; their cases are unchanged.

--- a/internal/forwarder/crashes_test.go
+++ b/internal/forwarder/crashes_test.go
@@ -11,6 +11,7 @@
 	"github.com/papayaworks/papayaworks/internal/balancer"
 	"github.com/papayaworks/papayaworks/internal/cataloger"
 	"github.com/papayaworks/papayaworks/internal/logger"
+	"github.com/papayaworks/papayaworks/internal/pooler"
 )
 
 // Guards against a response without framing that counts as complete although it was not found out whether its target is alive.
@@ -32,7 +33,7 @@
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
-			d := &crashDetector{s: &Server{loads: balancer.NewLoadTable(), Log: logger.Discard()}}
+			d := &crashDetector{s: &Server{loads: balancer.NewLoadTable(), pool: pooler.New(), Log: logger.Discard()}}
 			w := d.watch(&cataloger.Target{ID: "w-1", Address: tc.address})
 			defer w.end()
 			require.Equal(t, tc.want, w.isAlive(tc.ctx))
@@ -56,7 +57,7 @@
 			ln, err := net.Listen("tcp", "127.0.0.1:0")
 			require.NoError(t, err)
 			defer func() { _ = ln.Close() }()
-			d := &crashDetector{s: &Server{loads: balancer.NewLoadTable(), Log: logger.Discard()}}
+			d := &crashDetector{s: &Server{loads: balancer.NewLoadTable(), pool: pooler.New(), Log: logger.Discard()}}
 			first, second := d.watch(&cataloger.Target{ID: "w-1", Address: ln.Addr().String()}), d.watch(&cataloger.Target{ID: "w-1", Address: ln.Addr().String()})
 			first.end()
 			defer second.end()
--- a/internal/forwarder/watches.go
+++ b/internal/forwarder/watches.go
@@ -43,7 +43,9 @@
 	isConnected bool
 	// isRefused reports whether the last attempt to connect was refused.
 	isRefused bool
-	// lostAt is when the connection was last closed, or refused; zero if it never was.
+	// connectedAt is when the last connection was opened.
+	connectedAt time.Time
+	// lostAt is when the connection was last closed, or refused; zero if it never was, or if the process is known to have lived on then.
 	lostAt time.Time
 }
 
@@ -105,7 +107,13 @@
 	w.isConnected, w.isRefused = isConnected, isRefused
 	if !isConnected {
 		w.lostAt = time.Now()
+		return
+	}
+	// A connection that is older than the lost one and still open, such as that of a response, shows that the new one is to the same process.
+	if !w.lostAt.IsZero() && w.d.s.pool.HasOpen(w.target.Address, w.connectedAt) {
+		w.lostAt = time.Time{}
 	}
+	w.connectedAt = time.Now()
 }
 
 // state returns what the watch knows of the process, and how long ago its connection was lost or refused last; 0 if it never was.
