fix(pooler): responses to HEAD count as truncated when their target ends

A response to HEAD without a length was taken for one that ends with its connection, so it waited 50 ms for the check of the target's process and got 502 if that had ended or could not be asked. It has no body that could be truncated. Its connection is still not reused.

--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -177,6 +177,8 @@
 type body struct {
 	io.ReadCloser
 	ended bool
+	// isEmpty reports whether the response can't have a body.
+	isEmpty bool
 }
 
 // Read implements io.Reader.
@@ -256,7 +258,7 @@
 			return failer.New("response has the invalid status %03d", res.StatusCode)
 		}
 		if res.StatusCode >= http.StatusOK && belongs(res.Header) {
-			ex.body = &body{ReadCloser: res.Body, ended: res.Body == http.NoBody}
+			ex.body = &body{ReadCloser: res.Body, ended: res.Body == http.NoBody, isEmpty: res.Body == http.NoBody}
 			res.Body, ex.Response = ex.body, res
 			return nil
 		}
@@ -292,8 +294,13 @@
 	return FramingNone
 }
 
-// Framing returns how the end of the response body is marked.
-func (ex *Exchange) Framing() Framing { return framingOf(ex.Response) }
+// Framing returns how the end of the response body is marked. A response that can't have a body, such as that to HEAD, needs no mark.
+func (ex *Exchange) Framing() Framing {
+	if f := framingOf(ex.Response); f != FramingNone || !ex.body.isEmpty {
+		return f
+	}
+	return FramingLength
+}
 
 // Finish returns the connection to the pool if the response body was read to its end.
 func (ex *Exchange) Finish() {
@@ -325,7 +332,7 @@
 
 // reusable reports whether the end of the response has been read and nothing follows it on the connection.
 func (ex *Exchange) reusable() bool {
-	return ex.Framing() != FramingNone && ex.body.ended && !ex.Response.Close && ex.c.r.Buffered() == 0
+	return framingOf(ex.Response) != FramingNone && ex.body.ended && !ex.Response.Close && ex.c.r.Buffered() == 0
 }
 
 // Close ends the exchange. Without a preceding Finish it closes the connection, so that the target aborts the request.
