fix(forwarder): losses of a watch count against answers that outlive it

A watch is shared by all answers without framing of a process, which may overlap for minutes. If its idle connection was closed then, only connections that were older than it could explain the loss, and an answer that ended within 0.5 s was thrown away. In the other direction, a loss of the next process that was explained also removed the loss by which the process before had ended.

Change: when an answer begins while the connection of the watch is open, both belong to one process, so the connections of such answers count too. The last loss that was not explained is kept.

Measured: without the first change the case "closed it, a later response outlives" of TestWatchBesideResponse fails, without the second one "ended, then closed one of the next one". go test -race -count=5 ./internal/forwarder -run 'Watch|Unknown' passes.

--- a/internal/forwarder/crashes_test.go
+++ b/internal/forwarder/crashes_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -71,3 +72,76 @@
 		})
 	}
 }
+
+// Guards against a response that is thrown away because its target has closed the idle connection of the watch, although it or a later one
+// outlived that, and against a truncated one that counts as complete because the next process has closed such a connection as well.
+func TestWatchBesideResponse(t *testing.T) {
+	tests := map[string]struct {
+		// steps are what happens in order: "join" starts another response, "close" closes the connection of the watch, "end" those of the
+		// responses, "pause" waits until the watch is connected again.
+		steps []string
+		want  bool
+	}{
+		"runs on":                                {[]string{"end"}, true},
+		"closed an idle one, response outlives":  {[]string{"close", "pause", "end"}, true},
+		"closed it with the response":            {[]string{"close", "end"}, false},
+		"closed it, a later response outlives":   {[]string{"join", "endFirst", "close", "pause", "end"}, true},
+		"closed two":                             {[]string{"close", "pause", "close", "pause", "end"}, true},
+		"ended, then closed one of the next one": {[]string{"close", "end", "pause", "join", "close", "pause"}, false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer func() { _ = ln.Close() }()
+			s := &Server{loads: balancer.NewLoadTable(), pool: pooler.New(), Log: logger.Discard()}
+			d := &crashDetector{s: s}
+			accept := func() net.Conn {
+				conn, err := ln.Accept()
+				require.NoError(t, err)
+				t.Cleanup(func() { _ = conn.Close() })
+				return conn
+			}
+			var responses []net.Conn
+			var w *processWatch
+			join := func() {
+				done := make(chan struct{})
+				go func() {
+					defer close(done)
+					ex, err := s.pool.Do(t.Context(), pooler.Peer{Address: ln.Addr().String()}, http.MethodGet, []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"), func(http.Header) bool { return true })
+					if err == nil {
+						t.Cleanup(ex.Close)
+					}
+				}()
+				conn := accept()
+				_, err := conn.Write([]byte("HTTP/1.1 200 OK\r\n\r\n"))
+				require.NoError(t, err)
+				<-done
+				responses = append(responses, conn)
+				w = d.watch(&cataloger.Target{ID: "w-1", Address: ln.Addr().String()})
+				t.Cleanup(w.end)
+			}
+			join()
+			watched := accept()
+			<-w.tried
+			for _, step := range tc.steps {
+				switch step {
+				case "join":
+					join()
+				case "endFirst":
+					require.NoError(t, responses[0].Close())
+				case "close":
+					require.NoError(t, watched.Close())
+				case "pause":
+					watched = accept()
+					time.Sleep(crashCheckDelay)
+				case "end":
+					for _, c := range responses {
+						_ = c.Close()
+					}
+				}
+			}
+			require.Equal(t, tc.want, w.isAlive(t.Context()))
+		})
+	}
+}
--- a/internal/forwarder/watches.go
+++ b/internal/forwarder/watches.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/papayaworks/papayaworks/internal/cataloger"
+	"github.com/papayaworks/papayaworks/internal/pooler"
 	"github.com/papayaworks/papayaworks/internal/quarantiner"
 	"github.com/papayaworks/papayaworks/internal/sleeper"
 )
@@ -39,14 +40,17 @@
 	// tried is closed after the first attempt to connect.
 	tried chan struct{}
 
-	mu          sync.Mutex
-	isConnected bool
+	mu sync.Mutex
 	// isRefused reports whether the last attempt to connect was refused.
 	isRefused bool
-	// connectedAt is when the last connection was opened.
-	connectedAt time.Time
+	// conn is the connection; nil if there is none.
+	conn net.Conn
+	// knownAt is when the process was last known to be that of conn, or of the one before if that was closed: at its start or at that of a response.
+	knownAt time.Time
 	// lostAt is when the connection was last closed, or refused; zero if it never was, or if the process is known to have lived on then.
 	lostAt time.Time
+	// unexplainedAt is the last lostAt after which the process was not known to have lived on.
+	unexplainedAt time.Time
 }
 
 // watch returns the watch of a target's process, which it starts if necessary. The caller ends it.
@@ -57,7 +61,7 @@
 	w := d.watches[p]
 	if w == nil {
 		ctx, cancel := context.WithCancel(context.Background())
-		w = &processWatch{d: d, target: t, cancel: cancel, tried: make(chan struct{})}
+		w = &processWatch{d: d, target: t, cancel: cancel, tried: make(chan struct{}), knownAt: time.Now()}
 		if d.watches == nil {
 			d.watches = map[quarantiner.Process]*processWatch{}
 		}
@@ -65,6 +69,7 @@
 		go w.run(ctx)
 	}
 	w.users++
+	w.confirm()
 	return w
 }
 
@@ -86,7 +91,7 @@
 	d := net.Dialer{Timeout: crashCheckTimeout}
 	for isFirst := true; ctx.Err() == nil; isFirst = false {
 		conn, err := d.DialContext(ctx, "tcp", w.target.Address)
-		w.set(err == nil, errors.Is(err, syscall.ECONNREFUSED))
+		w.set(conn, errors.Is(err, syscall.ECONNREFUSED))
 		if isFirst {
 			close(w.tried)
 		}
@@ -95,25 +100,35 @@
 			_, _ = conn.Read(make([]byte, 1)) // until the connection is closed, or the target says that it is about to do so
 			stop()
 			_ = conn.Close()
-			w.set(false, false)
+			w.set(nil, false)
 		}
 		sleeper.Sleep(ctx, crashCheckDelay)
 	}
 }
 
-func (w *processWatch) set(isConnected, isRefused bool) {
+// confirm records that a response has started while the connection was open, so that both belong to the same process.
+func (w *processWatch) confirm() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.isConnected, w.isRefused = isConnected, isRefused
-	if !isConnected {
+	if w.conn != nil && pooler.IsEstablished(w.conn) {
+		w.knownAt = time.Now()
+	}
+}
+
+// set records that the connection was opened, or, if conn is nil, that it was lost or refused.
+func (w *processWatch) set(conn net.Conn, isRefused bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.conn, w.isRefused = conn, isRefused
+	if conn == nil {
 		w.lostAt = time.Now()
 		return
 	}
-	// A connection that is older than the lost one and still open, such as that of a response, shows that the new one is to the same process.
-	if !w.lostAt.IsZero() && w.d.s.pool.HasOpen(w.target.Address, w.connectedAt) {
-		w.lostAt = time.Time{}
+	// A connection from when the process was known that is still open, such as that of a response, shows that the process is the same.
+	if w.d.s.pool.HasOpen(w.target.Address, w.knownAt) {
+		w.lostAt = w.unexplainedAt
 	}
-	w.connectedAt = time.Now()
+	w.unexplainedAt, w.knownAt = w.lostAt, time.Now()
 }
 
 // state returns what the watch knows of the process, and how long ago its connection was lost or refused last; 0 if it never was.
@@ -121,13 +136,13 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch {
-	case w.lostAt.IsZero() && !w.isConnected:
+	case w.lostAt.IsZero() && w.conn == nil:
 		return processNotConnected, 0
 	case w.lostAt.IsZero():
 		return processConnected, 0
 	case w.isRefused:
 		return processRefused, now.Sub(w.lostAt)
-	case w.isConnected && now.Sub(w.lostAt) > closeWindow:
+	case w.conn != nil && now.Sub(w.lostAt) > closeWindow:
 		return processConnected, now.Sub(w.lostAt)
 	}
 	return processLost, now.Sub(w.lostAt)
@@ -146,7 +161,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.isConnected && time.Since(w.lostAt) > closeWindow
+	return w.conn != nil && time.Since(w.lostAt) > closeWindow
 }
 
 // runsOn reports whether the process runs that has just ended a response to a request of the given time by closing its connection. The
--- a/internal/pooler/open.go
+++ b/internal/pooler/open.go
@@ -20,7 +20,7 @@
 		}
 	}
 	p.mu.Unlock()
-	return slices.ContainsFunc(cs, func(c *conn) bool { return isEstablished(c.Conn) })
+	return slices.ContainsFunc(cs, func(c *conn) bool { return IsEstablished(c.Conn) })
 }
 
 // close closes a connection; p.mu is held.
@@ -52,8 +52,8 @@
 	return err == nil && open
 }
 
-// isEstablished reports whether neither side has closed a connection. Unlike a read it also notices that behind data that was not read yet.
-func isEstablished(nc net.Conn) bool {
+// IsEstablished reports whether neither side has closed a connection. Unlike a read it also notices that behind data that was not read yet.
+func IsEstablished(nc net.Conn) bool {
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
 		return false
