feat(cataloger): software version of targets

Fields for what decides where a stream may go on, which are not decoded yet: the software version of a target, the request that a caller takes up, and the limits of the metadata store. Nothing uses them, so no behaviour changes.

--- a/internal/cataloger/view.go
+++ b/internal/cataloger/view.go
@@ -30,6 +30,9 @@
 	StartedUnixMs int64
 	// Sequence rises with the records of a process; 0 if unknown.
 	Sequence int64
+	// Software is the version of the target's software; empty if its record has none. Targets of several may serve one service side by
+	// side. It says nothing about the weights.
+	Software string
 	// Versions holds the loaded weight version of each model.
 	Versions map[string]int64
 	// WarmupRemaining is how much longer the target is expected to be slow after its start.
@@ -234,6 +237,18 @@
 // Targets returns the targets of a service in the order of their IDs, leaving targets included.
 func (v *View) Targets(service string) []*Target { return v.services[service] }
 
+// SoftwareVersions returns the sorted software versions of the targets of a service, leaving ones included.
+func (v *View) SoftwareVersions(service string) []string {
+	var out []string
+	for _, t := range v.services[service] {
+		if !slices.Contains(out, t.Software) {
+			out = append(out, t.Software)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // TargetIDs returns the sorted IDs of all targets. The caller must not modify the slice.
 func (v *View) TargetIDs() []string { return v.ids }
 
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -62,8 +62,10 @@
 	// Timeout is how long the caller waits for the final response; 0 if it is not stated.
 	Timeout time.Duration
 	APIKey  string
-	// LastEventID is the ID of the last event that the caller has received, if it resumes a stream.
+	// LastEventID is the ID of the last event that the caller has received, if it takes up a stream.
 	LastEventID string
+	// Resumes is the ID of the request that brought the first event of the stream that the caller takes up; empty if it names none.
+	Resumes string
 	Prompt      Prompt
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -124,6 +124,10 @@
 	FencingEnabled     bool
 	// LearnEngines reports whether engines are chosen by what was learned of them; see mayEstimate.
 	LearnEngines bool
+	// StorePartitions is the number of partitions of a topic in the metadata store, StoreWritesPerSecond the number of write calls that it
+	// takes from all instances together; 0 means unknown.
+	StorePartitions      int
+	StoreWritesPerSecond float64
 	// QueueCalls reports whether calls of plain services may wait in the instance while the targets refuse calls.
 	QueueCalls bool
 	// ColdBounds bound the requests that all instances together send to a target that is warming up.
