fix(continuer): reused IDs are known as such to other instances

Of two streams with one ID at one instance, only the first was written, so another instance could resolve the second one to the first one's version. Both are written now, which makes the stream unknown everywhere.

Run: go test -race ./internal/continuer (passed), golangci-lint (no issues).

--- a/internal/continuer/streams.go
+++ b/internal/continuer/streams.go
@@ -25,8 +25,11 @@
 	at time.Duration
 	// isOwn reports whether the stream was begun at this instance.
 	isOwn bool
-	// isConflicting reports that records with the same ID differ, so that the version is unknown.
-	isConflicting                bool
+	// isConflicting reports that a stream with the same ID differs, so that the version is unknown. Other is that stream; both are
+	// written, so that other instances find that out too.
+	isConflicting bool
+	other         Stream
+
 	isEnded, isQueued, isWritten bool
 }
 
@@ -60,8 +63,9 @@
 // add returns the entry of a stream; t.mu is held.
 func (t *table) add(s Stream, now time.Duration) *entry {
 	if e := t.byID[s.ID]; e != nil {
-		if e.stream.Service != s.Service || e.stream.Software != s.Software {
-			e.isConflicting = true
+		if !e.isConflicting && (e.stream.Service != s.Service || e.stream.Software != s.Software) {
+			e.isConflicting, e.other = true, s
+			e.isWritten, e.isEnded = false, false
 		}
 		return e
 	}
@@ -113,30 +117,33 @@
 	}
 }
 
-// take removes at most n streams from the queue that still have to be written, and returns them.
-func (t *table) take(n int, now time.Duration) []*entry {
+// take removes at most n entries from the queue that still have to be written, and returns them and their records.
+func (t *table) take(n int, now time.Duration) (es []*entry, records []Stream) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var out []*entry
-	for len(t.queue) > 0 && len(out) < n {
+	for len(t.queue) > 0 && len(es) < n {
 		e := t.queue[0]
 		t.queue = t.queue[1:]
 		e.isQueued = false
-		if !e.isEnded && now-e.at < takeUpWindow {
-			out = append(out, e)
+		if e.isEnded || now-e.at >= takeUpWindow {
+			continue
+		}
+		e.isWritten = true
+		es, records = append(es, e), append(records, e.stream)
+		if e.isConflicting {
+			records = append(records, e.other)
 		}
 	}
-	return out
+	return es, records
 }
 
-// settle records whether entries that were taken are written. Otherwise they are queued again.
-func (t *table) settle(es []*entry, written bool) {
+// requeue queues entries again whose records could not be written.
+func (t *table) requeue(es []*entry) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, e := range es {
-		if e.isWritten = written; !written {
-			t.enqueue(e)
-		}
+		e.isWritten = false
+		t.enqueue(e)
 	}
 }
 
