fix(continuer): the only software version of a service is marked too

If all instances end while a service has one version, and that is replaced before they start again, nothing told that there had been another one: a stream of the first version was resolved to the second (a trial of the package's author: "v2" without the mark, unknown with it). Now the only version is marked as well; its calls don't wait for that, and a random pause lets most instances find the mark written.

--- a/internal/continuer/continuer.go
+++ b/internal/continuer/continuer.go
@@ -3,9 +3,9 @@
 // Targets of one service may run several software versions, whose events do not fit
 // together. A caller takes a broken stream up at any instance, and all instances may
 // have ended since. A [Continuer] keeps the streams that its instance has begun, and
-// leaves two things in the metadata store: a mark for each version of a service that
-// has several, before the version is used, and a record of each stream of such a
-// service. A stream whose version is not known is not resolved: [ErrUnknown].
+// leaves two things in the metadata store: a mark for each version of a service, before
+// a further version is used, and a record of each stream of a service with several. A
+// stream whose version is not known is not resolved: [ErrUnknown].
 //
 // Since a mark is acknowledged before its version gets calls, a read that finds no
 // mark of a second version proves that all streams of the service began at the only
@@ -50,12 +50,9 @@
 type Continuer struct {
 	Marks   Topic[Mark]
 	Streams Topic[Stream]
-	// FlushInterval returns the time between two batches of streams. If it is nil, it is 100 ms.
+	// FlushInterval returns the least time between two batches of streams. If it is nil, it is 100 ms.
 	FlushInterval func() time.Duration
-	// MarksSingle makes the only version of a service be marked too. Its calls don't wait for that. Without it, an instance that has
-	// never seen an earlier version cannot know of it if no instance has seen both.
-	MarksSingle bool
-	Log         logger.Logger
+	Log           logger.Logger
 
 	now    func() time.Duration
 	unixMs func() int64
@@ -94,6 +91,7 @@
 	}
 	c.pause = func(ctx context.Context, atMost time.Duration) bool { return sleeper.Sleep(ctx, rand.N(atMost)) }
 	c.state.Store(new(state))
+	c.streams.queued = make(chan struct{}, 1)
 	c.marksReader.topic, c.marksReader.apply = func() Topic[Mark] { return c.Marks }, c.applyMarks
 	c.streamReader.topic, c.streamReader.apply = func() Topic[Stream] { return c.Streams }, c.applyStreams
 	return c
@@ -182,7 +180,7 @@
 	if !c.hasView.Load() {
 		return nil
 	}
-	return c.state.Load().history.Changes(c.MarksSingle, c.now())
+	return c.state.Load().history.Changes(c.now())
 }
 
 // applyMarks applies marks that were read.
--- a/internal/continuer/history.go
+++ b/internal/continuer/history.go
@@ -215,15 +215,14 @@
 	return vs[software].isMarked
 }
 
-// Changes returns the marks that have to be written now, and those that have to be removed. Single reports whether the only version of
-// a service is to be marked as well.
-func (h History) Changes(single bool, now time.Duration) []Mark {
+// Changes returns the marks that have to be written now, and those that have to be removed. The only version of a service is marked as
+// well: otherwise nothing would tell of it once it was replaced while no instance was running.
+func (h History) Changes(now time.Duration) []Mark {
 	var out []Mark
 	for service, vs := range h.services {
-		needsMarks := single || len(h.Versions(service, now)) > 1
 		for software, v := range vs {
 			switch {
-			case needsMarks && v.isRecent(markHorizon, now) && !v.isMarked:
+			case v.isRecent(markHorizon, now) && !v.isMarked:
 				out = append(out, Mark{Service: service, Software: software})
 			case v.isStored && v.absence(now) >= takeUpWindow:
 				out = append(out, Mark{Service: service, Software: software, IsRemoved: true})
--- a/internal/continuer/run.go
+++ b/internal/continuer/run.go
@@ -22,8 +22,6 @@
 	idleReadInterval = time.Minute
 	// appendTimeout bounds one attempt to append.
 	appendTimeout = time.Second
-	// finalFlushTimeout bounds the last attempt to write streams, so that it does not delay the end of the instance.
-	finalFlushTimeout = 500 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the time before an append is repeated that has failed.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 2 * time.Second
@@ -31,7 +29,7 @@
 	maxBatch = 1000
 )
 
-// Run marks software versions and writes streams until ctx is done. Then it writes the streams that are left once.
+// Run marks software versions and writes streams until ctx is done.
 func (c *Continuer) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	wg.Go(func() {
@@ -42,14 +40,17 @@
 		if interval == nil {
 			interval = func() time.Duration { return defaultFlushInterval }
 		}
-		c.repeat(ctx, "could not write streams", nil, interval, c.flush)
+		c.repeat(ctx, "could not write streams", nil, interval, func(ctx context.Context) error {
+			// Without streams to write, an instance is not woken up.
+			select {
+			case <-c.streams.queued:
+			case <-ctx.Done():
+				return nil
+			}
+			return c.Flush(ctx)
+		})
 	})
 	wg.Wait()
-	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), finalFlushTimeout)
-	defer cancel()
-	if err := c.flush(last); err != nil {
-		logger.WithError(c.Log, err).Warn("could not write the last streams")
-	}
 }
 
 // repeat calls step in each interval, or when it is woken, and later if it fails.
@@ -142,8 +143,9 @@
 	return nil
 }
 
-// flush writes the streams that are queued.
-func (c *Continuer) flush(ctx context.Context) error {
+// Flush writes the streams that are queued. An instance that stops calls it once its calls have ended, as their callers may come back to
+// others.
+func (c *Continuer) Flush(ctx context.Context) error {
 	for {
 		es, records := c.streams.take(maxBatch, c.now())
 		if len(es) == 0 {
--- a/internal/continuer/streams.go
+++ b/internal/continuer/streams.go
@@ -14,8 +14,9 @@
 	byID map[string]*entry
 	// order holds all entries, oldest first.
 	order []*entry
-	// queue holds the entries that are to be written.
-	queue []*entry
+	// queue holds the entries that are to be written, queued a value if some were added to it.
+	queue  []*entry
+	queued chan struct{}
 }
 
 // entry is a stream of a table.
@@ -114,6 +115,10 @@
 	if !e.isWritten && !e.isQueued {
 		e.isQueued = true
 		t.queue = append(t.queue, e)
+		select {
+		case t.queued <- struct{}{}:
+		default: // there is a value
+		}
 	}
 }
 
