--- a/internal/watcher/sharing.go
+++ b/internal/watcher/sharing.go
@@ -180,7 +180,7 @@
 	})
 }
 
-// isSameTargets reports whether both views have the same targets with the same addresses, which are ready or leaving in both.
+// isSameTargets reports whether both views have the same targets with the same addresses and software, which are ready or leaving in both.
 func isSameTargets(a, b *cataloger.View) bool {
 	ids := a.TargetIDs()
 	if len(ids) != len(b.TargetIDs()) {
@@ -189,7 +189,8 @@
 	for _, id := range ids {
 		x, _ := a.Target(id)
 		y, ok := b.Target(id)
-		if !ok || x != y && (x.Leaving != y.Leaving || x.StartedUnixMs != y.StartedUnixMs || x.Address != y.Address || x.Service != y.Service) {
+		if !ok || x != y && (x.Leaving != y.Leaving || x.StartedUnixMs != y.StartedUnixMs || x.Address != y.Address || x.Service != y.Service ||
+			x.Software != y.Software) {
 			return false
 		}
 	}
--- a/internal/watcher/sharing_test.go
+++ b/internal/watcher/sharing_test.go
@@ -261,3 +261,15 @@
 	}
 	require.Equal(t, at(10)+maxUnreadTime, c.nextRead(at(10), interval))
 }
+
+// Guards against a target that comes back with another software version, which instances that read rarely notice too late.
+func TestOtherSoftwareIsChange(t *testing.T) {
+	view := func(software string) *cataloger.View {
+		v := cataloger.NewView()
+		d := v.Draft()
+		d.Replace(&cataloger.Target{ID: "w-1", Service: "s", Software: software})
+		return v.WithDraft(d)
+	}
+	require.True(t, isSameTargets(view("v1"), view("v1")))
+	require.False(t, isSameTargets(view("v1"), view("v2")))
+}
