fix(forwarder): streams that are taken up join software versions

Cause: an instance chose any target for a stream that is taken up. The software version of targets and the request that had brought the first event were not decoded, and nothing outlived the instance that had known the first target. A stream resumed within one response had the same fault.

Change: a stream is bound to the software version of the target whose first event was forwarded. Package continuer tells other instances, also after all were killed; a stream whose version is not known, or has no target, is refused at once with 503. A further version gets calls once its mark is written. Logs state the version of each attempt and the stream that a request takes up; a counter the results.

--- a/internal/cataloger/catalog.go
+++ b/internal/cataloger/catalog.go
@@ -74,6 +74,11 @@
 	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
 }
 
+// LeadsTo reports whether requests of the route may go to a service.
+func (r *Route) LeadsTo(service string) bool {
+	return slices.ContainsFunc(r.Splits, func(x Split) bool { return x.Service == service })
+}
+
 // Engine describes the inference engines of a service.
 type Engine struct {
 	// Slots is the number of requests that an engine runs concurrently.
@@ -148,6 +153,8 @@
 
 	routes map[string][]Route
 	keys   map[string]*Account
+	// resumable holds the sorted names of the services to which routes with resumable streams lead.
+	resumable []string
 	// isolated holds the names of the isolated accounts, isolationKey the hash of them.
 	isolated     map[string]bool
 	isolationKey string
@@ -166,6 +173,15 @@
 	for _, r := range routes {
 		c.routes[r.Host] = append(c.routes[r.Host], r)
 	}
+	for i := range routes {
+		if routes[i].Resumable {
+			for _, x := range routes[i].Splits {
+				c.resumable = append(c.resumable, x.Service)
+			}
+		}
+	}
+	slices.Sort(c.resumable)
+	c.resumable = slices.Compact(c.resumable)
 	for _, rs := range c.routes {
 		slices.SortFunc(rs, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
@@ -191,6 +207,9 @@
 // IsolationKey identifies the set of isolated accounts; it is empty if no account is isolated.
 func (c *Catalog) IsolationKey() string { return c.isolationKey }
 
+// ResumableServices returns the sorted names of the services to which routes with resumable streams lead.
+func (c *Catalog) ResumableServices() []string { return c.resumable }
+
 // Match returns the route of a host whose prefix is the longest match for the path.
 func (c *Catalog) Match(host, path string) (*Route, bool) {
 	rs := c.routes[host]
--- a/internal/exporter/forwarding.go
+++ b/internal/exporter/forwarding.go
@@ -15,6 +15,7 @@
 	CallSeconds     = "papayaworks_call_seconds"
 	Attempts        = "papayaworks_attempts_total"
 	StreamEnds      = "papayaworks_stream_ends_total"
+	TakeUps         = "papayaworks_streams_taken_up_total"
 	LeftOut         = "papayaworks_targets_left_out_total"
 	Unread          = "papayaworks_unread_requests_total"
 	WarmupSends     = "papayaworks_warmup_sends_total"
@@ -89,6 +90,11 @@
 	f.set.GetOrCreateCounter(fmt.Sprintf("%s{service=%q,framing=%q,end=%q}", StreamEnds, service, framing, end)).Inc()
 }
 
+// RecordTakeUp counts a request that takes up a broken stream by whether it may go on, or why not.
+func (f *ForwardingMetrics) RecordTakeUp(service, result string) {
+	f.set.GetOrCreateCounter(fmt.Sprintf("%s{service=%q,result=%q}", TakeUps, service, result)).Inc()
+}
+
 // RecordLeftOut counts a target that a choice left out because of what it has said.
 func (f *ForwardingMetrics) RecordLeftOut(service, reason string) {
 	f.RecordTargetsLeftOut(service, reason, 1)
@@ -157,6 +163,7 @@
 	{CallSeconds, "histogram", "route, le", "seconds from the arrival of a forwarded call to the first event or the whole answer"},
 	{Attempts, "counter", "service, outcome, reason", "sends of forwarded calls to targets by outcome (done, notRun, repeatable, unknown) and by why the target was chosen"},
 	{StreamEnds, "counter", "service, framing, end", "streams of targets by the framing of the response (length, chunked, none) and by how they ended (see streamEnd in docs/logs.md)"},
+	{TakeUps, "counter", "service, result", "requests that take up a broken stream: allowed, unknown (it is not known which software version began it), noTarget (no target has that version)"},
 	{LeftOut, "counter", "service, reason", "targets that a choice left out because of what they have said, where they are, or because they are warming up (see leftOut in docs/logs.md)"},
 	{Unread, "counter", "reason", "requests that were refused before they were read completely (head, body, framing, timeout, memory, pipelining), and connections that were closed without a response (connections: too many, idle)"},
 	{WarmupSends, "counter", "service", "requests that were sent to targets that are warming up or unreachable, within the share of the instance"},
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -66,7 +66,7 @@
 	LastEventID string
 	// Resumes is the ID of the request that brought the first event of the stream that the caller takes up; empty if it names none.
 	Resumes string
-	Prompt      Prompt
+	Prompt  Prompt
 }
 
 // TargetHeaders is the content of the headers that are added to the caller's request for a target.
@@ -164,6 +164,8 @@
 	unconfirmed *Response
 	// HeaderSent reports whether the response header of a stream was sent to the caller.
 	HeaderSent bool
+	// software is the only software version of a target at which the stream may go on; nil if its first event is still to come.
+	software *string
 
 	// blockKeys caches the keys of the shared blocks in the quarantine.
 	blockKeys []uint64
--- a/internal/forwarder/deliver.go
+++ b/internal/forwarder/deliver.go
@@ -153,6 +153,7 @@
 				st.s.framing.record(res.Target)
 			}
 			res.Stream.Finish()
+			st.s.recordStreamComplete(c)
 			st.s.health.observe(res.Target.ID, true, time.Now())
 			st.s.recordSound(c)
 			now := time.Now()
@@ -196,6 +197,7 @@
 func (st *deliverStep) writeEvents(c *Call, events []byte) error {
 	if c.FirstEventAt.IsZero() {
 		c.FirstEventAt = time.Now()
+		st.s.recordStreamBegin(c)
 	}
 	if id := lastEventID(events); id != "" {
 		c.Headers.LastEventID = id
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -61,6 +61,9 @@
 // Run implements request.Stage.
 func (st *dispatchStep) Run(ctx context.Context, c *Call) error {
 	st.s.retryBudgets.recordRequest(c.Service.Name, st.s.retryWindow(), c.ReceivedAt)
+	if err := st.s.resolveSoftware(ctx, c); err != nil {
+		return err
+	}
 	return st.s.dispatch(ctx, c)
 }
 
@@ -180,7 +183,7 @@
 	x.expect(d)
 	out, err := x.send(ctx, remaining)
 	s.recordAttempt(c, Attempt{
-		Target: t.ID, Reason: d.Reason, ExpectedMs: d.Expected.Milliseconds(), Outstanding: d.Outstanding, WeightVersion: c.WeightVersion,
+		Target: t.ID, Reason: d.Reason, ExpectedMs: d.Expected.Milliseconds(), Outstanding: d.Outstanding, WeightVersion: c.WeightVersion, Software: t.Software,
 		SupersededMs: superseded.Milliseconds(), DurationMs: time.Since(now).Milliseconds(), Framing: x.framing,
 		responseEnd: x.end, Stopping: s.stop.Load() != nil,
 	}, out, err)
@@ -277,19 +280,22 @@
 }
 
 // usableTargets returns the targets of the call's service that may receive it. Targets that fail, refuse calls, do not
-// respond or swap weights are included only if there are no others. Targets that have said that they accept no further requests,
+// respond or swap weights are included only if there are no others, and those of a software version that is not marked yet only if
+// there are none of these either. Targets that have said that they accept no further requests,
 // and those in the wrong place (see targetsInPlace), are never included, but recorded in c.LeftOut.
 func (s *Server) usableTargets(c *Call, now time.Time, sinceBoot time.Duration) []*cataloger.Target {
 	all := s.targetsInPlace(c)
-	var failing []*cataloger.Target
+	var failing, unmarked []*cataloger.Target
 	out := make([]*cataloger.Target, 0, len(all))
 	limit := s.maxConnections(c.Service)
 	for _, t := range all {
 		state := s.loads.Status(t.ID, now)
 		switch {
-		case t.Leaving, slices.Contains(c.TriedTargets, t.ID), !s.versionAllowed(c, t, sinceBoot):
+		case t.Leaving, slices.Contains(c.TriedTargets, t.ID), !s.versionAllowed(c, t, sinceBoot), !c.softwareAllowed(t):
 		case s.leaveOut(c, t, now):
 		case limit > 0 && state.InFlight.Requests >= limit:
+		case !s.isMarked(t):
+			unmarked = append(unmarked, t)
 		case s.Updater != nil && s.Updater.IsSwapping(t.ID):
 			failing = append(failing, t)
 		case s.throttle.IsPausedElsewhere(throttler.ProcessOf(t), now):
@@ -300,10 +306,13 @@
 			out = append(out, t)
 		}
 	}
-	if len(out) == 0 {
+	switch {
+	case len(out) > 0:
+		return out
+	case len(failing) > 0:
 		return failing
 	}
-	return out
+	return unmarked
 }
 
 // leaveOut reports whether a target must not get the call, and records why.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -35,6 +35,7 @@
 	"github.com/papayaworks/papayaworks/internal/archiver"
 	"github.com/papayaworks/papayaworks/internal/balancer"
 	"github.com/papayaworks/papayaworks/internal/cataloger"
+	"github.com/papayaworks/papayaworks/internal/continuer"
 	"github.com/papayaworks/papayaworks/internal/estimator"
 	"github.com/papayaworks/papayaworks/internal/evacuator"
 	"github.com/papayaworks/papayaworks/internal/exporter"
@@ -172,7 +173,10 @@
 	Announcer *announcer.Announcer
 	// Archiver plans which KV cache is fetched from and saved to KV stores. It may be nil; nothing is fetched or saved then.
 	Archiver *archiver.Archiver
-	Log      logger.Logger
+	// Continuer knows the software versions at which broken streams may go on. Start sets its fields but the topics. It may be nil; a stream
+	// then goes on at any target.
+	Continuer *continuer.Continuer
+	Log       logger.Logger
 	// DroppedLogLines returns the number of log lines that were dropped. It may be nil.
 	DroppedLogLines func() int64
 
@@ -250,6 +254,7 @@
 	if s.Archiver != nil {
 		s.Archiver.Self = s.Settings.Instance
 	}
+	s.Watcher.BeforePublish = s.setSoftwareVersions
 	s.Watcher.OnPublish = func(v *cataloger.View) { s.onPublish(ctx, v) }
 	if s.Announcer != nil {
 		s.connectAnnouncer(ctx)
@@ -267,6 +272,7 @@
 	s.Watcher.PollInterval = time.Duration(pollFraction * float64(s.Settings.LeaveDetectionTimeout))
 	go s.Watcher.Run(ctx)
 	s.startUpdater(ctx)
+	s.startContinuer(ctx)
 	go s.withdrawWaiting(ctx)
 	if s.Archiver != nil {
 		go s.freeSuperseded(ctx)
@@ -510,6 +516,7 @@
 	}
 	active := s.callerServer.ActiveRequests()
 	s.callerServer.Kill()
+	s.flushStreams(ctx)
 	s.readyServer.Kill()
 	s.Log.WithField("cutOff", active).Info("stopped")
 	if active > 0 {
--- a/internal/forwarder/report.go
+++ b/internal/forwarder/report.go
@@ -44,6 +44,8 @@
 	ExpectedMs    int64 `json:"expectedMs"`
 	Outstanding   int   `json:"busy"`
 	WeightVersion int64 `json:"version,omitempty"`
+	// Software is the software version of the target.
+	Software string `json:"software,omitempty"`
 	// SupersededMs is how long this instance took the weight version to be superseded when the attempt started.
 	SupersededMs int64 `json:"supersededMs,omitempty"`
 	DurationMs   int64 `json:"ms"`
@@ -110,6 +112,9 @@
 	if !c.Deadline.IsZero() {
 		log = log.WithField("budgetMs", c.Deadline.Sub(c.ReceivedAt).Milliseconds())
 	}
+	if c.Headers.Resumes != "" {
+		log = log.WithField("resumes", c.Headers.Resumes)
+	}
 	if c.queue.queuedFor > 0 {
 		log = log.WithField("queuedMs", c.queue.queuedFor.Milliseconds())
 	}
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -124,8 +124,9 @@
 	PollInterval time.Duration
 	// HeartbeatInterval is the time between two records of a target; 0 means the default.
 	HeartbeatInterval time.Duration
-	// OnPublish is called on the control goroutine with each new view; it may be nil.
-	OnPublish func(*cataloger.View)
+	// BeforePublish is called on the control goroutine with each new view before the view is in force, OnPublish after it. Both may be nil.
+	BeforePublish func(*cataloger.View)
+	OnPublish     func(*cataloger.View)
 	// OnRestore is called when the store was restored from a copy, so that what this instance wrote there may be lost. It must not
 	// block, and may be nil.
 	OnRestore func()
@@ -324,6 +325,9 @@
 	if v == old {
 		return
 	}
+	if w.BeforePublish != nil {
+		w.BeforePublish(v)
+	}
 	w.view.Store(v)
 	if w.OnPublish != nil {
 		w.OnPublish(v)
