fix(forwarder): streams are refused when they are taken up, while new ones begin

After all instances had started again beside a release, callers that took streams up were refused more than twice as often as new calls (LOST: 11 of 58 went on, while 1,869 of 4,559 new ones began). A stream goes on only at its software version, at the few targets that still have it; the expected time there exceeded the objective of the route, which is one for the first event.

Change: a stream that is taken up may go on within 1.5 objectives.

Measured: TestTakenUpStreamIsRefusedBesideNewOnes fails without the factor ("taken up, late").

--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -48,6 +48,9 @@
 	plainLoadTTLFactor = 3
 	// unresponsiveTimeout is the time without any response to outstanding calls after which other targets are preferred.
 	unresponsiveTimeout = 700 * time.Millisecond
+	// takeUpObjectiveFactor is the time within which a stream that is taken up must go on, in objectives of its route. A higher factor lets
+	// late work crowd out new calls in an overload.
+	takeUpObjectiveFactor = 1.5
 	// supersededPenaltyDelay is how long targets with superseded weights are still chosen like those with the desired version.
 	supersededPenaltyDelay = 1200 * time.Millisecond
 )
@@ -232,7 +235,7 @@
 // shared tokens that are likely cached there or held by a KV store.
 func (s *Server) addPromptInput(in *balancer.Input, c *Call, targets []*cataloger.Target, mean time.Duration, now time.Time) {
 	p := c.Headers.Prompt
-	in.SharedTokens, in.OutputTokens, in.Objective = p.SharedTokens(), p.expectedOutputTokens(), c.Route.Objective
+	in.SharedTokens, in.OutputTokens, in.Objective = p.SharedTokens(), p.expectedOutputTokens(), c.nextEventObjective()
 	in.UniqueTokens = p.InputTokens - in.SharedTokens
 	in.CapacityTokens, in.MeanHoldTime = c.Service.Engine.CapacityTokens, mean
 	ids := p.sharedBlockIDs()
@@ -257,6 +260,16 @@
 	}
 }
 
+// nextEventObjective returns the time within which a target should send the next event of a stream; 0 means no limit. That of the route
+// applies to the first event. A caller that takes a stream up waits longer, can be served by few targets, and loses what it has if it is
+// refused.
+func (c *Call) nextEventObjective() time.Duration {
+	if c.Headers.Resumes == "" {
+		return c.Route.Objective
+	}
+	return time.Duration(takeUpObjectiveFactor * float64(c.Route.Objective))
+}
+
 // loadTTL returns the maximum age of a load report that is used in a decision. Calls of plain services are shorter than
 // those of engines, so that their load changes sooner.
 func loadTTL(engine bool, mean time.Duration) time.Duration {
