fix(pooler): connections with much unread data are no proof of a process

Whether a process runs on after a response without framing was taken from the TCP state of its other connections. While the receive buffer of one is full, as its caller reads slowly, the end of it can't arrive, so that it stays ESTABLISHED after the process has ended. A truncated response then passed as complete.

The watch of a process uses the same check. Where the state or the size can't be asked, a connection that is open and empty counts, and no other one. The peek for that does not wait for a goroutine that reads from the connection.

--- a/internal/forwarder/watches.go
+++ b/internal/forwarder/watches.go
@@ -110,7 +110,7 @@
 func (w *processWatch) confirm() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.conn != nil && pooler.IsEstablished(w.conn) {
+	if w.conn != nil && pooler.IsOpen(w.conn) {
 		w.knownAt = time.Now()
 	}
 }
--- a/internal/pooler/open_test.go
+++ b/internal/pooler/open_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 )
 
 // Guards against a target that counts as running because of a connection that it has closed, with or without unread data in front of the
@@ -18,9 +19,10 @@
 		want     bool
 	}{
 		"idle":                  {func(*testing.T, *net.TCPConn) {}, false, true},
-		"unread data":           {func(t *testing.T, c *net.TCPConn) { write(t, c) }, false, true},
+		"unread data":           {func(t *testing.T, c *net.TCPConn) { write(t, c, 6) }, false, true},
+		"much unread data":      {func(t *testing.T, c *net.TCPConn) { write(t, c, 2*maxQueuedBytes) }, false, false},
 		"closed":                {func(t *testing.T, c *net.TCPConn) { require.NoError(t, c.Close()) }, false, false},
-		"closed, unread data":   {func(t *testing.T, c *net.TCPConn) { write(t, c); require.NoError(t, c.Close()) }, false, false},
+		"closed, unread data":   {func(t *testing.T, c *net.TCPConn) { write(t, c, 6); require.NoError(t, c.Close()) }, false, false},
 		"reset":                 {func(t *testing.T, c *net.TCPConn) { require.NoError(t, c.SetLinger(0)); require.NoError(t, c.Close()) }, false, false},
 		"opened after the time": {func(*testing.T, *net.TCPConn) {}, true, false},
 	}
@@ -49,8 +51,36 @@
 	}
 }
 
-func write(t *testing.T, c net.Conn) {
+func write(t *testing.T, c net.Conn, n int) {
 	t.Helper()
-	_, err := c.Write([]byte("unread"))
+	_, err := c.Write(make([]byte, n))
 	require.NoError(t, err)
 }
+
+// Guards against a connection that counts as open, or blocks while it is read elsewhere, where the state of a socket can't be asked.
+func TestIsOpenWithoutSocketState(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = ln.Close() }()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = c.Close() }()
+	accepted, err := ln.Accept()
+	require.NoError(t, err)
+	isOpen := func() bool {
+		return isOpen(c, func(int) (uint8, int, error) { return 0, 0, unix.ENOTSUP })
+	}
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		_, _ = c.Read(make([]byte, 6))
+	}()
+	require.Never(t, func() bool { return !isOpen() }, 20*time.Millisecond, time.Millisecond)
+	write(t, accepted, 6)
+	<-read
+	require.True(t, isOpen())
+	write(t, accepted, 6)
+	require.Eventually(t, func() bool { return !isOpen() }, time.Second, time.Millisecond, "unread data")
+	require.NoError(t, accepted.Close())
+	require.Never(t, isOpen, 20*time.Millisecond, time.Millisecond)
+}
