fix(pooler): connections belong to a process, not to an address

The pool knew its connections by the address of their target. A process that stops may keep its connections after the next one has got its address, so that such a connection counted as proof that the next one runs on, and a truncated response of that passed as complete. Peer names the process now: HasOpen counts only its connections, and an idle one of another process is closed instead of used. The limit of connections still counts by address.

TestWatchBesideResponse names its process too.

--- a/internal/forwarder/crashes_test.go
+++ b/internal/forwarder/crashes_test.go
@@ -96,6 +96,7 @@
 			defer func() { _ = ln.Close() }()
 			s := &Server{loads: balancer.NewLoadTable(), pool: pooler.New(), Log: logger.Discard()}
 			d := &crashDetector{s: s}
+			tgt := &cataloger.Target{ID: "w-1", Address: ln.Addr().String()}
 			accept := func() net.Conn {
 				conn, err := ln.Accept()
 				require.NoError(t, err)
@@ -108,7 +109,7 @@
 				done := make(chan struct{})
 				go func() {
 					defer close(done)
-					ex, err := s.pool.Do(t.Context(), pooler.Peer{Address: ln.Addr().String()}, http.MethodGet, []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"), func(http.Header) bool { return true })
+					ex, err := s.pool.Do(t.Context(), peerOf(tgt), http.MethodGet, []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"), func(http.Header) bool { return true })
 					if err == nil {
 						t.Cleanup(ex.Close)
 					}
@@ -118,7 +119,7 @@
 				require.NoError(t, err)
 				<-done
 				responses = append(responses, conn)
-				w = d.watch(&cataloger.Target{ID: "w-1", Address: ln.Addr().String()})
+				w = d.watch(tgt)
 				t.Cleanup(w.end)
 			}
 			join()
--- a/internal/forwarder/living_target_test.go
+++ b/internal/forwarder/living_target_test.go
@@ -18,11 +18,11 @@
 // another process: the end of a connection is not seen while its receive buffer is full, and a process that stops may keep its connections
 // after the next one has got its address.
 func TestEndedTargetLooksOpen(t *testing.T) {
-	for _, name := range []string{"full receive buffer"} {
+	for _, name := range []string{"full receive buffer", "process before still drains"} {
 		t.Run(name, func(t *testing.T) {
 			ln, err := net.Listen("tcp", "127.0.0.1:0")
 			require.NoError(t, err)
-			address := ln.Addr().String()
+			tgt := &cataloger.Target{ID: "w-1", Address: ln.Addr().String(), StartedUnixMs: 1}
 			s := &Server{loads: balancer.NewLoadTable(), pool: pooler.New(), Log: logger.Discard()}
 			d := &crashDetector{s: s}
 			accept := func() net.Conn {
@@ -35,7 +35,7 @@
 				done := make(chan struct{})
 				go func() {
 					defer close(done)
-					ex, err := s.pool.Do(t.Context(), pooler.Peer{Address: address}, http.MethodGet, []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"), func(http.Header) bool { return true })
+					ex, err := s.pool.Do(t.Context(), peerOf(tgt), http.MethodGet, []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"), func(http.Header) bool { return true })
 					if err == nil {
 						t.Cleanup(ex.Close)
 					}
@@ -57,13 +57,14 @@
 				}
 			} else {
 				require.NoError(t, ln.Close())
-				ln, err = net.Listen("tcp", address)
+				ln, err = net.Listen("tcp", tgt.Address)
 				require.NoError(t, err)
+				tgt = &cataloger.Target{ID: "w-1", Address: tgt.Address, StartedUnixMs: 2}
 			}
 
 			sentAt := time.Now()
 			cut := begin()
-			w := d.watch(&cataloger.Target{ID: "w-1", Address: address})
+			w := d.watch(tgt)
 			t.Cleanup(w.end)
 			watched := accept()
 			<-w.tried
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -78,7 +78,9 @@
 	if c.Service.Engine != nil {
 		ctx = x.s.waiting.add(ctx, x)
 	}
-	ex, err := x.s.pool.Do(ctx, pooler.Peer{Address: x.t.Address, MaxConnections: x.s.maxConnections(c.Service)}, c.HTTP.Method, x.encode(remaining), func(h http.Header) bool {
+	peer := peerOf(x.t)
+	peer.MaxConnections = x.s.maxConnections(c.Service)
+	ex, err := x.s.pool.Do(ctx, peer, c.HTTP.Method, x.encode(remaining), func(h http.Header) bool {
 		id := x.s.Codec.ResponseID(h)
 		return id == c.Headers.ID || id == ""
 	})
@@ -316,6 +318,11 @@
 	return c.Route.Priority
 }
 
+// peerOf returns the process of a target as the pool knows it, without a limit of connections.
+func peerOf(t *cataloger.Target) pooler.Peer {
+	return pooler.Peer{Address: t.Address, Process: pooler.Process(processOf(t))}
+}
+
 func isStream(ex *pooler.Exchange) bool {
 	return isSuccess(ex.StatusCode) && strings.HasPrefix(ex.Header.Get("Content-Type"), "text/event-stream")
 }
--- a/internal/forwarder/watches.go
+++ b/internal/forwarder/watches.go
@@ -125,7 +125,7 @@
 		return
 	}
 	// A connection from when the process was known that is still open, such as that of a response, shows that the process is the same.
-	if w.d.s.pool.HasOpen(w.target.Address, w.knownAt) {
+	if w.d.s.pool.HasOpen(peerOf(w.target), w.knownAt) {
 		w.lostAt = w.unexplainedAt
 	}
 	w.unexplainedAt, w.knownAt = w.lostAt, time.Now()
@@ -174,7 +174,7 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	if s.pool.HasOpen(w.target.Address, sentAt) {
+	if s.pool.HasOpen(peerOf(w.target), sentAt) {
 		return true
 	}
 	w.d.check(w.target)
--- a/internal/pooler/open.go
+++ b/internal/pooler/open.go
@@ -13,13 +13,13 @@
 // can arrive behind it.
 const maxQueuedBytes = 4 << 10
 
-// HasOpen reports whether the target keeps a connection open that was opened before the given time. All connections of a process are closed
-// when it ends, so this shows that the process that had the address at that time runs on.
-func (p *Pool) HasOpen(address string, before time.Time) bool {
+// HasOpen reports whether the process of the peer keeps a connection open that was opened before the given time. All connections of a process are
+// closed when it ends, so this shows that the process that had the address at that time runs on.
+func (p *Pool) HasOpen(peer Peer, before time.Time) bool {
 	p.mu.Lock()
 	var cs []*conn
-	for c := range p.open[address] {
-		if c.openedAt.Before(before) {
+	for c := range p.open[peer.Address] {
+		if c.process == peer.Process && c.openedAt.Before(before) {
 			cs = append(cs, c)
 		}
 	}
--- a/internal/pooler/open_test.go
+++ b/internal/pooler/open_test.go
@@ -42,10 +42,12 @@
 			require.NoError(t, err)
 			defer func() { _ = accepted.Close() }()
 			tc.atTarget(t, accepted.(*net.TCPConn))
-			require.Eventually(t, func() bool { return p.HasOpen(peer.Address, before) == tc.want }, time.Second, time.Millisecond)
-			require.Never(t, func() bool { return p.HasOpen(peer.Address, before) != tc.want }, 20*time.Millisecond, time.Millisecond)
+			require.Eventually(t, func() bool { return p.HasOpen(peer, before) == tc.want }, time.Second, time.Millisecond)
+			require.Never(t, func() bool { return p.HasOpen(peer, before) != tc.want }, 20*time.Millisecond, time.Millisecond)
+			other := Peer{Address: peer.Address, Process: Process{Target: "w-1", StartedUnixMs: 1}}
+			require.False(t, p.HasOpen(other, before), "of another process")
 			p.discard(peer, c)
-			require.False(t, p.HasOpen(peer.Address, before))
+			require.False(t, p.HasOpen(peer, before))
 			require.Empty(t, p.open)
 		})
 	}
@@ -84,3 +86,25 @@
 	require.NoError(t, accepted.Close())
 	require.Never(t, isOpen, 20*time.Millisecond, time.Millisecond)
 }
+
+// Guards against a request that is sent to the process that had the address before and still stops.
+func TestConnectionsOfProcess(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = ln.Close() }()
+	p, peer := New(), Peer{Address: ln.Addr().String(), Process: Process{Target: "w-1", StartedUnixMs: 1}, MaxConnections: 1}
+	first, err := p.get(t.Context(), peer)
+	require.NoError(t, err)
+	p.putIdle(peer, first, time.Minute)
+	again, err := p.get(t.Context(), peer)
+	require.NoError(t, err)
+	require.Same(t, first, again)
+	p.putIdle(peer, first, time.Minute)
+	peer.Process.StartedUnixMs = 2
+	second, err := p.get(t.Context(), peer)
+	require.NoError(t, err)
+	require.NotSame(t, first, second)
+	p.discard(peer, second)
+	require.Empty(t, p.inUse)
+	require.Empty(t, p.open)
+}
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -5,8 +5,8 @@
 // "did not run" from "unknown". The pool never repeats a request on its own, which
 // is why it replaces the client of net/http.
 //
-// A connection is reused only after a complete response without further bytes, and
-// only if nothing has arrived on it since. Responses to other requests are skipped.
+// A connection is reused only for the same process, after a complete response without
+// further bytes, and only if nothing has arrived on it since. Responses to other requests are skipped.
 // A response header and a skipped body that exceed their limits are errors; the body
 // of a response has no limit. A header that package inspector rejects is an error too.
 //
@@ -102,11 +102,19 @@
 // Peer is the address of a target with its connection limit.
 type Peer struct {
 	Address string
+	// Process is the process at the address. Connections to another one are not used.
+	Process Process
 	// MaxConnections limits the open connections, in use and idle; 0 means no limit. Targets reset connections beyond their
 	// own limit.
 	MaxConnections int
 }
 
+// Process is a process of a target. Its address may have had another one before, which keeps its connections while it stops.
+type Process struct {
+	Target        string
+	StartedUnixMs int64
+}
+
 // ErrConnectionLimit is returned if all connections that the limit of the target allows are in use.
 var ErrConnectionLimit = errors.New("connection limit of the target reached")
 
@@ -115,12 +123,13 @@
 	net.Conn
 	r                   *bufio.Reader
 	limited             *limitedReader
+	process             Process
 	openedAt, expiresAt time.Time
 }
 
-func newConn(nc net.Conn) *conn {
+func newConn(nc net.Conn, process Process) *conn {
 	l := &limitedReader{r: nc, remaining: math.MaxInt64}
-	return &conn{Conn: nc, r: bufio.NewReaderSize(l, readBufferBytes), limited: l, openedAt: time.Now()}
+	return &conn{Conn: nc, r: bufio.NewReaderSize(l, readBufferBytes), limited: l, process: process, openedAt: time.Now()}
 }
 
 // inspectHead waits for the next response header and inspects it without consuming it.
@@ -359,7 +368,7 @@
 	return defaultIdleTimeout
 }
 
-// get returns an idle connection on which nothing has arrived, or opens a new one.
+// get returns an idle connection to the process on which nothing has arrived, or opens a new one.
 func (p *Pool) get(ctx context.Context, peer Peer) (*conn, error) {
 	now := time.Now()
 	for {
@@ -370,7 +379,7 @@
 		if c == nil {
 			break
 		}
-		if now.Before(c.expiresAt) && openAndEmpty(c.Conn) {
+		if c.process == peer.Process && now.Before(c.expiresAt) && openAndEmpty(c.Conn) {
 			return c, nil
 		}
 		p.discard(peer, c)
@@ -380,7 +389,7 @@
 		p.release(peer)
 		return nil, err
 	}
-	c := newConn(nc)
+	c := newConn(nc, peer.Process)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.open[peer.Address] == nil {
