fix(forwarder): the time at which a process is known is read first

The watch of a process compares connections of responses with the time at which its own connection showed the process. That time was read after the dial, or after the check of the connection. A process that ended in between, and whose address the next one got, counted as running if a connection to the next one was opened before the time was read. It is read before the dial and before the check now.

Found by reading in the review. TestConnectionOpenedWhileWatchIsDialled fails with the time after the dial (connected instead of lost, living_target_test.go:119) and passes 3 of 3 with -race, as do TestEndedTargetLooksOpen and TestWatch*. The order in confirm has no test: it needs an end within microseconds.

--- a/internal/forwarder/living_target_test.go
+++ b/internal/forwarder/living_target_test.go
@@ -81,3 +81,42 @@
 		})
 	}
 }
+
+// Guards against a process that counts as running because of a connection that was opened while the watch was dialled, so that it may be one to
+// the next process.
+func TestConnectionOpenedWhileWatchIsDialled(t *testing.T) {
+	tests := map[string]struct {
+		openedBefore bool
+		want         processState
+	}{
+		"opened before": {true, processConnected},
+		"opened while":  {false, processLost},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer func() { _ = ln.Close() }()
+			s := &Server{pool: pooler.New()}
+			w := &processWatch{d: &crashDetector{s: s}, target: &cataloger.Target{ID: "w-1", Address: ln.Addr().String()}}
+			dialledAt := time.Now()
+			go func() {
+				if conn, err := ln.Accept(); err == nil {
+					_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\n\r\n"))
+				}
+			}()
+			ex, err := s.pool.Do(t.Context(), peerOf(w.target), http.MethodGet, []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"), func(http.Header) bool { return true })
+			require.NoError(t, err)
+			defer ex.Close()
+			if tc.openedBefore {
+				dialledAt = time.Now()
+			}
+			watched, _ := net.Pipe()
+			w.set(watched, false, dialledAt)
+			w.set(nil, false, dialledAt)
+			w.set(watched, false, time.Now())
+			state, _ := w.state(time.Now())
+			require.Equal(t, tc.want, state)
+		})
+	}
+}
--- a/internal/forwarder/watches.go
+++ b/internal/forwarder/watches.go
@@ -45,7 +45,8 @@
 	isRefused bool
 	// conn is the connection; nil if there is none.
 	conn net.Conn
-	// knownAt is when the process was last known to be that of conn, or of the one before if that was closed: at its start or at that of a response.
+	// knownAt is when the process was last known to be that of conn, or of the one before if that was closed: before it was dialled, or at the start
+	// of a response.
 	knownAt time.Time
 	// lostAt is when the connection was last closed, or refused; zero if it never was, or if the process is known to have lived on then.
 	lostAt time.Time
@@ -90,8 +91,9 @@
 func (w *processWatch) run(ctx context.Context) {
 	d := net.Dialer{Timeout: crashCheckTimeout}
 	for isFirst := true; ctx.Err() == nil; isFirst = false {
+		dialledAt := time.Now()
 		conn, err := d.DialContext(ctx, "tcp", w.target.Address)
-		w.set(conn, errors.Is(err, syscall.ECONNREFUSED))
+		w.set(conn, errors.Is(err, syscall.ECONNREFUSED), dialledAt)
 		if isFirst {
 			close(w.tried)
 		}
@@ -100,7 +102,7 @@
 			_, _ = conn.Read(make([]byte, 1)) // until the connection is closed, or the target says that it is about to do so
 			stop()
 			_ = conn.Close()
-			w.set(nil, false)
+			w.set(nil, false, dialledAt)
 		}
 		sleeper.Sleep(ctx, crashCheckDelay)
 	}
@@ -110,13 +112,14 @@
 func (w *processWatch) confirm() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	now := time.Now() // before the check, after which the process may end and another one get its address
 	if w.conn != nil && pooler.IsOpen(w.conn) {
-		w.knownAt = time.Now()
+		w.knownAt = now
 	}
 }
 
-// set records that the connection was opened, or, if conn is nil, that it was lost or refused.
-func (w *processWatch) set(conn net.Conn, isRefused bool) {
+// set records that the connection that was dialled at the given time was opened, or, if conn is nil, that it was lost or refused.
+func (w *processWatch) set(conn net.Conn, isRefused bool, dialledAt time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.conn, w.isRefused = conn, isRefused
@@ -128,7 +131,7 @@
 	if w.d.s.pool.HasOpen(peerOf(w.target), w.knownAt) {
 		w.lostAt = w.unexplainedAt
 	}
-	w.unexplainedAt, w.knownAt = w.lostAt, time.Now()
+	w.unexplainedAt, w.knownAt = w.lostAt, dialledAt
 }
 
 // state returns what the watch knows of the process, and how long ago its connection was lost or refused last; 0 if it never was.
