fix(forwarder): the response to HEAD is no stream

The response to HEAD on a streaming route was delivered as a stream. As it needs no framing it counted as a framed one, so that whole streams without framing of the same process were to be confirmed by a second run. It was also sent with chunks: the caller got "0\r\n\r\n" after a header that ends the response, and took it for the begin of the next one on the connection. It is delivered as a plain response now, which has neither effect. It tells the estimator nothing, as before, since no output was computed.

Not changed: a 204 response with the type of a stream still counts as framed.

--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -98,7 +98,7 @@
 	}
 	x.framing = ex.Framing()
 	x.s.loads.RecordConnected(x.t.ID)
-	if !isStream(ex) {
+	if !x.isStream(ex) {
 		x.inFlight.ResponseStarted(time.Now())
 	}
 	headers := x.s.Codec.ParseResponse(ex.StatusCode, ex.Header)
@@ -121,7 +121,7 @@
 	if x.framing == pooler.FramingNone {
 		x.watch = x.s.crashes.watch(x.t)
 	}
-	if isStream(ex) {
+	if x.isStream(ex) {
 		c.MayHaveRun = true
 		c.Response = &Response{Target: x.t, Status: ex.StatusCode, Header: ex.Header, Stream: ex, InFlight: x.inFlight, Release: x.release, sample: x.sample, save: x.save, watch: x.watch, sentAt: x.startedAt}
 		return retrier.Done, nil
@@ -169,7 +169,9 @@
 		x.s.recordSound(c)
 		now := time.Now()
 		x.s.loads.RecordDuration(c.Service.Name, now.Sub(x.startedAt))
-		x.sample.observe(x.s.estimates, c.Headers.Prompt.expectedOutputTokens(), now, now)
+		if c.HTTP.Method != http.MethodHead { // it has no output that took time
+			x.sample.observe(x.s.estimates, c.Headers.Prompt.expectedOutputTokens(), now, now)
+		}
 	}
 	return retrier.Done, nil
 }
@@ -323,8 +325,9 @@
 	return pooler.Peer{Address: t.Address, Process: pooler.Process(processOf(t))}
 }
 
-func isStream(ex *pooler.Exchange) bool {
-	return isSuccess(ex.StatusCode) && strings.HasPrefix(ex.Header.Get("Content-Type"), "text/event-stream")
+// isStream reports whether the response is a stream. That to HEAD has no events, whatever its type.
+func (x *targetRequest) isStream(ex *pooler.Exchange) bool {
+	return x.c.HTTP.Method != http.MethodHead && isSuccess(ex.StatusCode) && strings.HasPrefix(ex.Header.Get("Content-Type"), "text/event-stream")
 }
 
 func isSuccess(status int) bool { return status < http.StatusMultipleChoices }
