fix(pooler): responses to requests that were not read are read

A target may answer before it has read a long request, and close the connection. The pool returned the error of its write without reading the response that had arrived, so that whole responses and proofs that a request has not run were lost. After a failed write it reads the header now, 50 ms at most. Only a response that states its end counts, as the failed write hides a reset, and the connection is not used again.

--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -59,6 +59,8 @@
 	// bodies arrive together with their header or soon after it.
 	maxDiscardedBytes = 64 << 10
 	discardTimeout    = 50 * time.Millisecond
+	// earlyHeaderTimeout bounds the wait for a response after its request could not be written: it has arrived before, or never will.
+	earlyHeaderTimeout = 50 * time.Millisecond
 	// responsePrefix starts every HTTP response.
 	responsePrefix  = "HTTP/"
 	readBufferBytes = 4 << 10
@@ -223,7 +225,9 @@
 	c         *conn
 	body      *body
 	stopWatch func() bool
-	done      bool
+	// isEarly reports whether the request was not sent completely.
+	isEarly bool
+	done    bool
 }
 
 // Do sends a complete, encoded request and returns when the header of its response has arrived. Responses for which belongs
@@ -236,6 +240,9 @@
 	ex := &Exchange{pool: p, peer: peer, c: c}
 	ex.stopWatch = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if n, err := c.Write(request); err != nil {
+		if n > 0 && ctx.Err() == nil && ex.readEarlyHeader(method, belongs) {
+			return ex, nil
+		}
 		// Even a truncated request may have been started by the target.
 		ex.abort()
 		return nil, &Error{Err: failer.Wrap(err, "send to target", peer.Address, "send"), MaybeSent: n > 0}
@@ -247,6 +254,16 @@
 	return ex, nil
 }
 
+// readEarlyHeader reads the header of a response that the target has sent before it closed the connection without reading the whole request. It
+// reports whether there is one that states where its body ends: the failed write hides whether the connection was reset.
+func (ex *Exchange) readEarlyHeader(method string, belongs func(http.Header) bool) bool {
+	ex.isEarly = true
+	if ex.c.SetReadDeadline(time.Now().Add(earlyHeaderTimeout)) != nil || ex.readHeader(method, belongs) != nil || ex.Framing() == FramingNone {
+		return false
+	}
+	return ex.c.SetReadDeadline(time.Time{}) == nil
+}
+
 // readHeader reads the response header and skips responses to other requests.
 func (ex *Exchange) readHeader(method string, belongs func(http.Header) bool) error {
 	defer func() { ex.c.limited.remaining = math.MaxInt64 }()
@@ -341,7 +358,7 @@
 
 // reusable reports whether the end of the response has been read and nothing follows it on the connection.
 func (ex *Exchange) reusable() bool {
-	return framingOf(ex.Response) != FramingNone && ex.body.ended && !ex.Response.Close && ex.c.r.Buffered() == 0
+	return !ex.isEarly && framingOf(ex.Response) != FramingNone && ex.body.ended && !ex.Response.Close && ex.c.r.Buffered() == 0
 }
 
 // Close ends the exchange. Without a preceding Finish it closes the connection, so that the target aborts the request.
