fix(forwarder): the end of a whole stream waits for its confirmation

A resumable stream without framing that ended in order, of a target that frames others, was held back until another target had confirmed its end or until 100 ms before the deadline. If that target hung, the end came late, and a stop of the instance cut off the caller, who had all events.

Change: a confirmation ends after the largest event gap of the route, 300 ms at most, and when a stop begins; the stream is complete then. None begins during a stop. Once a rest has begun to arrive, neither applies. The target of a confirmation that is cancelled does not count as failed.

--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -159,9 +159,8 @@
 	queue queueState
 	// heldBytes is the number of bytes that responses to the call hold in memory.
 	heldBytes int
-	// unconfirmed is the response whose stream has ended in order, but is to be confirmed by another target; nil if there is none, or if more
-	// events came after it.
-	unconfirmed *Response
+	// confirmation is set while another target is asked whether the stream, which has ended in order, has a rest.
+	confirmation *confirmation
 	// HeaderSent reports whether the response header of a stream was sent to the caller.
 	HeaderSent bool
 	// software is the only software version of a target at which the stream may go on; nil if its first event is still to come.
--- a/internal/forwarder/deliver.go
+++ b/internal/forwarder/deliver.go
@@ -20,8 +20,6 @@
 	readBufferBytes = 8 << 10
 	// maxEventBytes bounds the part of an event that is kept in memory until the event is complete. Events hold a few tokens.
 	maxEventBytes = 64 << 10
-	// confirmMargin is how long before the deadline the end of a stream is no longer to be confirmed, so that it reaches the caller in time.
-	confirmMargin = 100 * time.Millisecond
 )
 
 // deliverStep sends the response to the caller.
@@ -48,6 +46,7 @@
 func (st *deliverStep) deliverStream(ctx context.Context, c *Call) error {
 	c.W.WriteHeader(c.Response.Status)
 	c.HeaderSent = true
+	confirmCtx := ctx
 	for {
 		err := st.forwardEvents(ctx, c)
 		st.s.recordStreamEnd(c, err)
@@ -57,19 +56,18 @@
 		if ctx.Err() != nil {
 			return err
 		}
-		if c.Response.eventBytes > 0 {
-			c.unconfirmed = nil // there was more after the end that was to be confirmed
-		}
-		if errors.Is(err, errUnconfirmed) {
-			c.unconfirmed = c.Response
-			confirmCtx, cancel := context.WithDeadline(ctx, c.Deadline.Add(-confirmMargin))
+		switch {
+		case errors.Is(err, errUnconfirmed):
+			var cancel context.CancelFunc
+			confirmCtx, cancel = st.s.startConfirmation(ctx, c)
 			defer cancel()
 			err = st.dispatchRest(confirmCtx, c, err)
-		} else {
+		case c.confirmation != nil && confirmCtx.Err() != nil: // the target is not to blame
+		default:
 			err = st.resume(ctx, c, err)
 		}
-		if err != nil && c.unconfirmed != nil && ctx.Err() == nil {
-			c.Response = c.unconfirmed
+		if err != nil && c.confirmation != nil && ctx.Err() == nil {
+			c.Response = c.confirmation.response
 			return nil
 		}
 		if err != nil {
@@ -138,6 +136,7 @@
 			complete = len(pending)
 		}
 		if complete > 0 {
+			c.restFound()
 			res.eventBytes += complete
 			res.events += countEvents(pending[:complete])
 			if werr := st.writeEvents(c, pending[:complete]); werr != nil {
@@ -187,8 +186,7 @@
 	if res.processRuns = st.s.runsOn(ctx, res.watch, res.sentAt); !res.processRuns {
 		return errTargetEnded
 	}
-	isConfirmation := c.unconfirmed != nil && res.eventBytes == 0
-	if c.Route.Resumable && c.Headers.LastEventID != "" && !isConfirmation && st.s.framing.contains(res.Target) {
+	if c.confirmation == nil && st.s.mayConfirm(c) && st.s.framing.contains(res.Target) {
 		return errUnconfirmed
 	}
 	return nil
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -182,6 +182,8 @@
 
 	// stop is nil until Stop is called.
 	stop atomic.Pointer[stopTimes]
+	// stopping is closed when Stop is called.
+	stopping chan struct{}
 	// reloaded contains the settings of the last Reload; nil before the first one.
 	reloaded atomic.Pointer[Settings]
 
@@ -233,6 +235,7 @@
 
 // Start starts the background tasks, which end with ctx, and serves callers. It returns once the addresses are bound.
 func (s *Server) Start(ctx context.Context) error {
+	s.stopping = make(chan struct{})
 	s.loads = balancer.NewLoadTable()
 	s.estimates = estimator.New()
 	s.health = newHealth()
@@ -502,7 +505,9 @@
 		notice = defaultDrainNotice
 	}
 	end := startedAt.Add(s.settings().GracePeriod - finishMargin)
-	s.stop.Store(&stopTimes{noticeEnd: startedAt.Add(notice), end: end})
+	if s.stop.Swap(&stopTimes{noticeEnd: startedAt.Add(notice), end: end}) == nil {
+		close(s.stopping)
+	}
 	s.stopQueues()
 	sleeper.Sleep(ctx, notice)
 	s.callerServer.CloseIdle()
