fix(forwarder): confirmations use up the retry budget

A confirmation of the end of a whole stream counted like any retry, so that at targets that frame some of their streams the budget was used up by doubt, and streams that were reset were not resumed.

Change: the end of a stream is confirmed only up to half of the retry bound, checked in one step with the count, so that many streams that end at the same time keep to it; otherwise the stream is complete. The whole bound counts again once a rest has arrived.

--- a/internal/forwarder/confirm.go
+++ b/internal/forwarder/confirm.go
@@ -12,6 +12,9 @@
 	confirmTimeout = 300 * time.Millisecond
 	// confirmMargin is how long before the deadline the end of a stream is no longer to be confirmed, so that it reaches the caller in time.
 	confirmMargin = 100 * time.Millisecond
+	// confirmFraction is the fraction of the retry bound up to which the end of a stream is confirmed. The rest is for streams that are known to be
+	// interrupted.
+	confirmFraction = 0.5
 )
 
 // errNotConfirmed is the cause of attempts that were cancelled because the end of a stream is no longer to be confirmed. It is no fault of
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -107,7 +107,11 @@
 	case c.queue.retryPending:
 		return true // awaitRoom counts it before the call is sent
 	}
-	return s.retryBudgets.tryRetry(c.Service.Name, s.retryWindow(), time.Now())
+	w := s.retryWindow()
+	if c.confirmation != nil {
+		w = w.Scaled(confirmFraction)
+	}
+	return s.retryBudgets.tryRetry(c.Service.Name, w, time.Now())
 }
 
 // retryWindow returns the retry bound of this instance. The share applies to each instance's requests, so that it also
--- a/internal/retrier/window.go
+++ b/internal/retrier/window.go
@@ -13,6 +13,12 @@
 	Length time.Duration
 }
 
+// Scaled returns limits that allow the fraction f of the retries.
+func (w WindowLimits) Scaled(f float64) WindowLimits {
+	w.Share, w.Slack = f*w.Share, f*w.Slack
+	return w
+}
+
 // WindowCounter counts requests and retries in a sliding window. It is not safe for concurrent use.
 type WindowCounter struct {
 	requests, retries []time.Time
