fix(forwarder): the next target of a confirmation has until the deadline

If a target that was to confirm the end of a whole stream broke off, the next one was asked without the bound of the confirmation, so that the end came only at the deadline if it hung.

Change: the bound holds for all targets of a confirmation.

--- a/internal/forwarder/deliver.go
+++ b/internal/forwarder/deliver.go
@@ -46,7 +46,7 @@
 func (st *deliverStep) deliverStream(ctx context.Context, c *Call) error {
 	c.W.WriteHeader(c.Response.Status)
 	c.HeaderSent = true
-	confirmCtx := ctx
+	restCtx := ctx
 	for {
 		err := st.forwardEvents(ctx, c)
 		st.s.recordStreamEnd(c, err)
@@ -56,15 +56,18 @@
 		if ctx.Err() != nil {
 			return err
 		}
+		if c.confirmation == nil {
+			restCtx = ctx
+		}
 		switch {
 		case errors.Is(err, errUnconfirmed):
 			var cancel context.CancelFunc
-			confirmCtx, cancel = st.s.startConfirmation(ctx, c)
+			restCtx, cancel = st.s.startConfirmation(ctx, c)
 			defer cancel()
-			err = st.dispatchRest(confirmCtx, c, err)
-		case c.confirmation != nil && confirmCtx.Err() != nil: // the target is not to blame
+			err = st.dispatchRest(restCtx, c, err)
+		case restCtx.Err() != nil: // the confirmation has ended, and the target is not to blame
 		default:
-			err = st.resume(ctx, c, err)
+			err = st.resume(restCtx, c, err)
 		}
 		if err != nil && c.confirmation != nil && ctx.Err() == nil {
 			c.Response = c.confirmation.response
