fix(forwarder): the end of a stop cuts streams whose end is being checked

A stream without framing that has ended is held for 50 ms, until it is known that its target's process runs on. If the grace period ended meanwhile, the caller was cut off after all events, while a stream with framing that ended at the same time was whole.

Change: before it closes the connections, a stop waits for the streams whose end is being checked or sent, 100 ms at most. Plain responses without framing are not counted yet.

--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -161,6 +161,8 @@
 	heldBytes int
 	// confirmation is set while another target is asked whether the stream, which has ended in order, has a rest.
 	confirmation *confirmation
+	// isEnding reports whether the call is counted among those that are ending.
+	isEnding bool
 	// HeaderSent reports whether the response header of a stream was sent to the caller.
 	HeaderSent bool
 	// software is the only software version of a target at which the stream may go on; nil if its first event is still to come.
--- a/internal/forwarder/deliver.go
+++ b/internal/forwarder/deliver.go
@@ -148,7 +148,9 @@
 			pending = append(pending[:0], pending[complete:]...)
 		}
 		if errors.Is(err, io.EOF) {
+			st.s.ending.add(c)
 			if err := st.checkEnd(ctx, c, pending); err != nil {
+				st.s.ending.remove(c)
 				return err
 			}
 			if res.Stream.Framing() != pooler.FramingNone {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -202,6 +202,7 @@
 	quarantine    *quarantiner.Quarantine
 	crashes       crashDetector
 	framing       framingTargets
+	ending        endingCalls
 	steps         []request.Stage[*Call]
 	callerServer  *listener.Server
 	readyServer   *listener.Server
@@ -448,6 +449,7 @@
 		listener.CloseAfter(w)
 	}
 	defer func() { s.responses.release(c.heldBytes) }()
+	defer s.ending.remove(c)
 	step, err := request.RunStages(hr.Context(), s.steps, c)
 	if err != nil {
 		s.fail(c, step, err)
@@ -519,6 +521,7 @@
 		s.callerServer.CloseIdle()
 		sleeper.Sleep(ctx, stopCheckInterval)
 	}
+	s.ending.wait(context.WithoutCancel(ctx))
 	active := s.callerServer.ActiveRequests()
 	s.callerServer.Kill()
 	s.flushStreams(ctx)
