fix(forwarder): whole streams with a comment at their end are cut

Change: at the end of a response with framing, complete lines that are comments or blank are no part of an event, and are forwarded as they came. Without framing nothing changes: such a rest may be the beginning of an event.

--- a/internal/forwarder/deliver.go
+++ b/internal/forwarder/deliver.go
@@ -135,7 +135,8 @@
 		}
 		pending = append(pending, buf[:n]...)
 		complete := completeEventsLen(pending)
-		if errors.Is(err, io.EOF) && isBlank(pending[complete:]) {
+		isFramed := res.Stream.Framing() != pooler.FramingNone
+		if errors.Is(err, io.EOF) && (isBlank(pending[complete:]) || isFramed && isComment(pending[complete:])) {
 			complete = len(pending)
 		}
 		if complete > 0 {
@@ -153,7 +154,7 @@
 				st.s.ending.remove(c)
 				return err
 			}
-			if res.Stream.Framing() != pooler.FramingNone {
+			if isFramed {
 				st.s.framing.record(res.Target)
 			}
 			res.Stream.Finish()
@@ -236,6 +237,16 @@
 // isBlank reports whether b contains only white space, which belongs to no event.
 func isBlank(b []byte) bool { return len(bytes.TrimSpace(b)) == 0 }
 
+// isComment reports whether b contains only complete lines that are comments or blank, which belong to no event.
+func isComment(b []byte) bool {
+	for line := range bytes.Lines(b) {
+		if line[len(line)-1] != '\n' || line[0] != ':' && !isBlank(line) {
+			return false
+		}
+	}
+	return true
+}
+
 // lastEventID returns the ID of the last event that has one, or an empty string.
 func lastEventID(events []byte) string {
 	i := bytes.LastIndex(events, []byte("\nid:"))
--- a/internal/forwarder/deliver_test.go
+++ b/internal/forwarder/deliver_test.go
@@ -37,6 +37,24 @@
 	}
 }
 
+// Guards against an incomplete event, or an incomplete line, that is taken for a comment at the end of a whole stream.
+func TestIsComment(t *testing.T) {
+	tests := map[string]struct {
+		in   string
+		want bool
+	}{
+		"comments and blank lines": {": a\r\n\n:b\n\r\n:\n", true},
+		"incomplete comment":       {": a\n: b", false},
+		"incomplete blank line":    {": a\n\r", false},
+		"field":                    {": a\nid: 1\n", false},
+		"field before":             {"data: a\n: b\n", false},
+		"colon in a field":         {"data: :\n", false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) { require.Equal(t, tc.want, isComment([]byte(tc.in))) })
+	}
+}
+
 // Guards against stored KV cache that is freed while a target may still be fetching it.
 func TestIsFullySuperseded(t *testing.T) {
 	now := time.Unix(1000, 0)
