fix(forwarder): a call that ends twice is counted once

A call that was added to those that are ending, and is added again after another attempt, would have been counted twice and removed once, so that every later stop had waited 100 ms. No path does so yet; plain responses that are retried would.

--- a/internal/forwarder/ending.go
+++ b/internal/forwarder/ending.go
@@ -22,10 +22,12 @@
 // It is safe for concurrent use.
 type endingCalls struct{ n atomic.Int64 }
 
-// add adds a call.
+// add adds a call, unless it was added.
 func (e *endingCalls) add(c *Call) {
-	c.isEnding = true
-	e.n.Add(1)
+	if !c.isEnding {
+		c.isEnding = true
+		e.n.Add(1)
+	}
 }
 
 // remove removes a call if it was added.
--- a/internal/forwarder/ending_test.go
+++ b/internal/forwarder/ending_test.go
@@ -28,9 +28,10 @@
 				for _, end := range tc.ends {
 					c := &Call{}
 					e.add(c)
+					e.add(c) // as a call does that is sent again after a response
 					time.AfterFunc(end, func() {
 						e.remove(c)
-						e.remove(c) // counts once
+						e.remove(c)
 					})
 				}
 				start := time.Now()
