fix(forwarder): the end of a stop cuts plain answers whose end is being checked

A plain answer without framing that ended within 50 ms before the end of the grace period was thrown away: the stop waited for the checks of streams only. Its check counts among the calls that are ending as well now.

--- a/internal/forwarder/ending.go
+++ b/internal/forwarder/ending.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// endTimeout is how long a stop waits at its end for the checks of streams that have ended. Each takes crashCheckDelay, and together with
+	// endTimeout is how long a stop waits at its end for the checks of responses that have ended. Each takes crashCheckDelay, and together with
 	// flushTimeout it must be within finishMargin.
 	endTimeout = crashCheckDelay + 50*time.Millisecond
 	// endSendDelay is the time in which the HTTP library sends the end of a response after its handler has returned.
--- a/internal/forwarder/send.go
+++ b/internal/forwarder/send.go
@@ -148,7 +148,9 @@
 	runs := false
 	if err == nil && x.watch != nil {
 		// The response is there, so the deadline of the attempt does not count any more.
+		x.s.ending.add(c)
 		if runs = x.s.runsOn(c.HTTP.Context(), x.watch, x.startedAt); !runs {
+			x.s.ending.remove(c)
 			err = errTargetEnded
 		}
 	}
