--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -6,9 +6,13 @@
 // is why it replaces the client of net/http.
 //
 // A connection is reused only for the same process, after a complete response without
-// further bytes, and only if nothing has arrived on it since. Responses to other requests are skipped.
-// A response header and a skipped body that exceed their limits are errors; the body
-// of a response has no limit. A header that package inspector rejects is an error too.
+// further bytes, and only if nothing has arrived on it since. Responses to other
+// requests are skipped. A response header and a skipped body that exceed their limits
+// are errors; the body of a response has no limit. A header that package inspector
+// rejects is an error too.
+//
+// The end of a connection without an error may be that of a response without framing
+// or that of the target's process. [Pool.HasOpen] helps to tell them apart.
 //
 // # Usage
 //
